workspace: add the design page, shared vocabulary, platform ports and wire messages

Cause: the project has no code yet. Change: a virtual workspace with one crate per module of docs/design.md, the model crate, the platform ports, the generated messages between nodes and the report format of the experiment tool. Conclusion: the crates can now be filled in parallel.

--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,5 @@
+//! Experiments that measure the decision library against baselines, and a load generator.
+//!
+//! Each experiment is a module with a function `run(seed)` that returns a [`report::Report`].
+
+pub mod report;
