--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Settings of a node, and the configuration that operators publish.
+
+pub mod settings;
--- /dev/null
+++ b/crates/config/src/settings.rs
@@ -0,0 +1,383 @@
+//! Settings of a node, read from INI text.
+//!
+//! The text is checked as a whole: [`Settings::parse`] returns every fault at once, so that an operator mends a file
+//! in one go. Secrets are not part of the text; it names the files that hold them.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use ini::Ini;
+use model::{Domain, Host};
+
+mod fault;
+mod reader;
+#[cfg(test)]
+mod tests;
+
+pub use fault::{Cause, Fault, Faults};
+use reader::Reader;
+
+/// Identity and addresses of the node.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Node {
+    /// Name of the host, unique in the cluster.
+    pub host: Host,
+    /// Failure domain of the host.
+    pub failure_domain: Domain,
+    /// Address for callers.
+    pub entry: SocketAddr,
+    /// Address for calls between nodes (TCP).
+    pub peer: SocketAddr,
+    /// Address for membership datagrams (UDP).
+    pub gossip: SocketAddr,
+    /// Membership addresses of other nodes, used besides the host list at start.
+    pub seeds: Vec<SocketAddr>,
+}
+
+/// Files that hold keys; they are read again when they change.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Keys {
+    /// Key that signs session tokens, the same on all nodes.
+    pub session: PathBuf,
+    /// Key that is still accepted for session tokens while keys are changed.
+    pub previous_session: Option<PathBuf>,
+    /// Key that authenticates messages between nodes.
+    pub cluster: PathBuf,
+}
+
+/// Addresses of the platform's services.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Platform {
+    /// Log service.
+    pub log: SocketAddr,
+    /// Host list.
+    pub hosts: SocketAddr,
+    /// Rating service; without it no answer is rated.
+    pub rating: Option<SocketAddr>,
+    /// Weight store; without it no order to load a version is sent.
+    pub weights: Option<SocketAddr>,
+}
+
+/// Bounds on what callers may send.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Http {
+    /// Greatest size of a request body in bytes.
+    pub max_body_bytes: usize,
+    /// Greatest size of all headers in bytes.
+    pub max_header_bytes: usize,
+    /// Greatest number of requests in progress.
+    pub max_open_requests: usize,
+    /// Greatest time for a caller to send its body.
+    pub body_timeout: Duration,
+}
+
+/// Time-outs towards upstreams.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Upstream {
+    /// For a connection.
+    pub connect_timeout: Duration,
+    /// Until the first token.
+    pub first_token_timeout: Duration,
+    /// Between tokens.
+    pub progress_timeout: Duration,
+    /// For a call to a plain service.
+    pub service_timeout: Duration,
+}
+
+/// Times allowed to requests that state no deadline.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Deadlines {
+    /// Class `interactive`.
+    pub interactive: Duration,
+    /// Class `transaction`.
+    pub transaction: Duration,
+    /// Class `standard`.
+    pub standard: Duration,
+    /// Class `batch`.
+    pub batch: Duration,
+}
+
+/// Following of the configuration log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Config {
+    /// Time between reads of the log.
+    pub poll: Duration,
+    /// Age of the configuration at which model requests are refused even though peers are reachable; zero never
+    /// refuses.
+    pub max_staleness: Duration,
+}
+
+/// Billing.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Billing {
+    /// Greatest number of own records that the log does not have yet.
+    pub max_pending_records: usize,
+    /// Greatest wait for the holders of a batch before the last part of an answer is sent.
+    pub hold_timeout: Duration,
+}
+
+/// Planned stop.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Stop {
+    /// Time for which callers may keep an answer with entry addresses.
+    pub entry_lifetime: Duration,
+    /// Greatest time for the whole shutdown.
+    pub drain_timeout: Duration,
+}
+
+/// TLS towards callers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Tls {
+    /// Certificate chain in PEM.
+    pub certificate: PathBuf,
+    /// Private key in PEM.
+    pub private_key: PathBuf,
+}
+
+/// All settings of a node.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// Section `node`.
+    pub node: Node,
+    /// Section `keys`.
+    pub keys: Keys,
+    /// Section `platform`.
+    pub platform: Platform,
+    /// Section `http`.
+    pub http: Http,
+    /// Section `upstream`.
+    pub upstream: Upstream,
+    /// Section `deadlines`.
+    pub deadlines: Deadlines,
+    /// Section `config`.
+    pub config: Config,
+    /// Section `billing`.
+    pub billing: Billing,
+    /// Section `stop`.
+    pub stop: Stop,
+    /// Section `tls`; callers connect without TLS if it is absent.
+    pub tls: Option<Tls>,
+}
+
+const DEFAULT_MAX_BODY_BYTES: usize = 4 << 20;
+const DEFAULT_MAX_HEADER_BYTES: usize = 16 << 10;
+const DEFAULT_MAX_OPEN_REQUESTS: usize = 2_000;
+/// One hour at 28.5 requests/s, the share of one node of 340 at the peak.
+const DEFAULT_MAX_PENDING_RECORDS: usize = 110_000;
+
+const KIB: usize = 1 << 10;
+const GIB: usize = 1 << 30;
+
+impl Settings {
+    /// Parses and checks INI text; `file` names it in faults.
+    ///
+    /// # Errors
+    /// Every fault in the text: syntax, unknown or repeated keys, missing or malformed values, values out of range
+    /// and values that contradict one another.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Faults> {
+        let ini = Ini::load_from_str(text).map_err(|err| Faults::syntax(file, &err))?;
+        let mut reader = Reader::new(file, &ini);
+        let settings = read(&mut reader);
+        if let Some(it) = &settings {
+            check(it, &mut reader);
+        }
+        let faults = reader.finish();
+        match settings {
+            Some(it) if faults.is_empty() => Ok(it),
+            _ => Err(faults),
+        }
+    }
+}
+
+/// Reads every section before it gives up, so that all faults are found.
+fn read(reader: &mut Reader<'_>) -> Option<Settings> {
+    let node = node(reader);
+    let keys = keys(reader);
+    let platform = platform(reader);
+    let http = http(reader);
+    let upstream = upstream(reader);
+    let deadlines = deadlines(reader);
+    let config = config(reader);
+    let billing = billing(reader);
+    let stop = stop(reader);
+    let tls = tls(reader);
+    Some(Settings {
+        node: node?,
+        keys: keys?,
+        platform: platform?,
+        http: http?,
+        upstream: upstream?,
+        deadlines: deadlines?,
+        config: config?,
+        billing: billing?,
+        stop: stop?,
+        tls: tls?,
+    })
+}
+
+fn node(reader: &mut Reader<'_>) -> Option<Node> {
+    let host = reader.name("node", "host");
+    let failure_domain = reader.name("node", "failure_domain");
+    let entry = reader.address("node", "entry");
+    let peer = reader.address("node", "peer");
+    let gossip = reader.address("node", "gossip");
+    let seeds = reader.addresses("node", "seeds");
+    Some(Node {
+        host: host?,
+        failure_domain: failure_domain?,
+        entry: entry?,
+        peer: peer?,
+        gossip: gossip?,
+        seeds: seeds?,
+    })
+}
+
+fn keys(reader: &mut Reader<'_>) -> Option<Keys> {
+    let session = reader.path("keys", "session_file");
+    let previous_session = reader.optional_path("keys", "previous_session_file");
+    let cluster = reader.path("keys", "cluster_file");
+    Some(Keys {
+        session: session?,
+        previous_session,
+        cluster: cluster?,
+    })
+}
+
+fn platform(reader: &mut Reader<'_>) -> Option<Platform> {
+    let log = reader.address("platform", "log");
+    let hosts = reader.address("platform", "hosts");
+    let rating = reader.optional_address("platform", "rating");
+    let weights = reader.optional_address("platform", "weights");
+    Some(Platform {
+        log: log?,
+        hosts: hosts?,
+        rating: rating?,
+        weights: weights?,
+    })
+}
+
+fn http(reader: &mut Reader<'_>) -> Option<Http> {
+    let body = reader.count("http", "max_body_bytes", KIB..=GIB, DEFAULT_MAX_BODY_BYTES);
+    let header = reader.count(
+        "http",
+        "max_header_bytes",
+        KIB..=1024 * KIB,
+        DEFAULT_MAX_HEADER_BYTES,
+    );
+    let open = reader.count(
+        "http",
+        "max_open_requests",
+        1..=100_000,
+        DEFAULT_MAX_OPEN_REQUESTS,
+    );
+    let timeout = reader.millis("http", "body_timeout_ms", 100..=600_000, 10_000);
+    Some(Http {
+        max_body_bytes: body?,
+        max_header_bytes: header?,
+        max_open_requests: open?,
+        body_timeout: timeout?,
+    })
+}
+
+fn upstream(reader: &mut Reader<'_>) -> Option<Upstream> {
+    let connect = reader.millis("upstream", "connect_timeout_ms", 10..=60_000, 500);
+    let first = reader.millis("upstream", "first_token_timeout_ms", 50..=600_000, 10_000);
+    let progress = reader.millis("upstream", "progress_timeout_ms", 50..=600_000, 2_000);
+    let service = reader.millis("upstream", "service_timeout_ms", 50..=600_000, 5_000);
+    Some(Upstream {
+        connect_timeout: connect?,
+        first_token_timeout: first?,
+        progress_timeout: progress?,
+        service_timeout: service?,
+    })
+}
+
+fn deadlines(reader: &mut Reader<'_>) -> Option<Deadlines> {
+    let range = 100..=3_600_000;
+    let interactive = reader.millis("deadlines", "interactive_ms", range.clone(), 10_000);
+    let transaction = reader.millis("deadlines", "transaction_ms", range.clone(), 10_000);
+    let standard = reader.millis("deadlines", "standard_ms", range.clone(), 120_000);
+    let batch = reader.millis("deadlines", "batch_ms", range, 600_000);
+    Some(Deadlines {
+        interactive: interactive?,
+        transaction: transaction?,
+        standard: standard?,
+        batch: batch?,
+    })
+}
+
+fn config(reader: &mut Reader<'_>) -> Option<Config> {
+    let poll = reader.millis("config", "poll_ms", 50..=10_000, 1_000);
+    let staleness = reader.seconds("config", "max_staleness_seconds", 0..=86_400, 0);
+    Some(Config {
+        poll: poll?,
+        max_staleness: staleness?,
+    })
+}
+
+fn billing(reader: &mut Reader<'_>) -> Option<Billing> {
+    let pending = reader.count(
+        "billing",
+        "max_pending_records",
+        100..=10_000_000,
+        DEFAULT_MAX_PENDING_RECORDS,
+    );
+    let hold = reader.millis("billing", "hold_timeout_ms", 10..=10_000, 250);
+    Some(Billing {
+        max_pending_records: pending?,
+        hold_timeout: hold?,
+    })
+}
+
+fn stop(reader: &mut Reader<'_>) -> Option<Stop> {
+    let lifetime = reader.seconds("stop", "entry_lifetime_seconds", 1..=3_600, 30);
+    let drain = reader.seconds("stop", "drain_timeout_seconds", 1..=86_400, 900);
+    Some(Stop {
+        entry_lifetime: lifetime?,
+        drain_timeout: drain?,
+    })
+}
+
+fn tls(reader: &mut Reader<'_>) -> Option<Option<Tls>> {
+    if !reader.has("tls") {
+        return Some(None);
+    }
+    let certificate = reader.path("tls", "certificate_file");
+    let private_key = reader.path("tls", "private_key_file");
+    Some(Some(Tls {
+        certificate: certificate?,
+        private_key: private_key?,
+    }))
+}
+
+/// Finds values that are valid on their own and contradict one another.
+fn check(settings: &Settings, reader: &mut Reader<'_>) {
+    let Settings {
+        node,
+        keys,
+        stop,
+        upstream,
+        ..
+    } = settings;
+    if node.entry == node.peer {
+        reader.contradiction("node", "peer", "node.entry");
+    }
+    if node.seeds.contains(&node.gossip) {
+        reader.contradiction("node", "seeds", "node.gossip");
+    }
+    if keys.session == keys.cluster {
+        reader.contradiction("keys", "cluster_file", "keys.session_file");
+    }
+    // A node that stops must outlive the entry answers that name it.
+    if stop.drain_timeout <= stop.entry_lifetime {
+        reader.contradiction("stop", "drain_timeout_seconds", "stop.entry_lifetime_seconds");
+    }
+    if upstream.connect_timeout >= upstream.first_token_timeout {
+        reader.contradiction(
+            "upstream",
+            "connect_timeout_ms",
+            "upstream.first_token_timeout_ms",
+        );
+    }
+}
--- /dev/null
+++ b/crates/config/src/settings/reader.rs
@@ -0,0 +1,230 @@
+//! Typed access to INI text that collects faults.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::path::PathBuf;
+use std::str::FromStr;
+use std::time::Duration;
+
+use ini::Ini;
+use model::Name;
+
+use super::fault::{Cause, Fault, Faults};
+
+const ADDRESS: &str = "an IP address with a port";
+const NUMBER: &str = "a whole number";
+const NAME: &str = "a name of 1 to 64 letters, digits, '-', '_' or '.'";
+const PATH: &str = "a path";
+const MAX_NAME_LEN: usize = 64;
+
+/// Reads values, and reports keys that nobody asked for at the end.
+#[derive(Debug)]
+pub(super) struct Reader<'a> {
+    file: &'a str,
+    sections: BTreeMap<&'a str, BTreeMap<&'a str, &'a str>>,
+    known: BTreeMap<&'static str, BTreeSet<&'static str>>,
+    faults: Vec<Fault>,
+}
+
+impl<'a> Reader<'a> {
+    pub(super) fn new(file: &'a str, ini: &'a Ini) -> Self {
+        let mut reader = Self {
+            file,
+            sections: BTreeMap::new(),
+            known: BTreeMap::new(),
+            faults: Vec::new(),
+        };
+        for (section, properties) in ini {
+            for (key, value) in properties {
+                let section = section.unwrap_or_default();
+                let replaced = reader.sections.entry(section).or_default().insert(key, value);
+                if replaced.is_some() {
+                    reader.fault(section, key, Cause::Repeated);
+                }
+            }
+        }
+        reader
+    }
+
+    pub(super) fn has(&self, section: &str) -> bool {
+        self.sections.contains_key(section)
+    }
+
+    pub(super) fn name(&mut self, section: &'static str, key: &'static str) -> Option<Name> {
+        let value = self.required(section, key)?;
+        let valid = |it: char| it.is_ascii_alphanumeric() || "-_.".contains(it);
+        if value.is_empty() || value.len() > MAX_NAME_LEN || !value.chars().all(valid) {
+            self.malformed(section, key, value, NAME);
+            return None;
+        }
+        Some(value.into())
+    }
+
+    pub(super) fn address(&mut self, section: &'static str, key: &'static str) -> Option<SocketAddr> {
+        let value = self.required(section, key)?;
+        self.parse(section, key, value, ADDRESS)
+    }
+
+    /// The outer `None` stands for a fault, the inner one for an absent key.
+    pub(super) fn optional_address(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+    ) -> Option<Option<SocketAddr>> {
+        match self.value(section, key) {
+            None => Some(None),
+            Some(value) => self.parse(section, key, value, ADDRESS).map(Some),
+        }
+    }
+
+    pub(super) fn addresses(&mut self, section: &'static str, key: &'static str) -> Option<Vec<SocketAddr>> {
+        let value = self.value(section, key).unwrap_or_default();
+        let parts = value.split(',').map(str::trim).filter(|it| !it.is_empty());
+        let parsed: Vec<_> = parts.map(|it| self.parse(section, key, it, ADDRESS)).collect();
+        parsed.into_iter().collect()
+    }
+
+    pub(super) fn path(&mut self, section: &'static str, key: &'static str) -> Option<PathBuf> {
+        let value = self.required(section, key)?;
+        if value.is_empty() {
+            self.malformed(section, key, value, PATH);
+            return None;
+        }
+        Some(value.into())
+    }
+
+    pub(super) fn optional_path(&mut self, section: &'static str, key: &'static str) -> Option<PathBuf> {
+        self.value(section, key)
+            .filter(|it| !it.is_empty())
+            .map(PathBuf::from)
+    }
+
+    pub(super) fn count(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        range: RangeInclusive<usize>,
+        default: usize,
+    ) -> Option<usize> {
+        let range = *range.start() as u64..=*range.end() as u64;
+        let number = self.number(section, key, range, default as u64)?;
+        usize::try_from(number).ok()
+    }
+
+    pub(super) fn millis(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        range: RangeInclusive<u64>,
+        default: u64,
+    ) -> Option<Duration> {
+        self.number(section, key, range, default)
+            .map(Duration::from_millis)
+    }
+
+    pub(super) fn seconds(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        range: RangeInclusive<u64>,
+        default: u64,
+    ) -> Option<Duration> {
+        self.number(section, key, range, default).map(Duration::from_secs)
+    }
+
+    pub(super) fn contradiction(&mut self, section: &str, key: &str, other: &'static str) {
+        self.fault(section, key, Cause::Contradiction { other });
+    }
+
+    /// Adds the faults of unknown sections and keys, and returns all.
+    pub(super) fn finish(mut self) -> Faults {
+        let sections = std::mem::take(&mut self.sections);
+        for (section, values) in sections {
+            let Some(known) = self.known.get(section).cloned() else {
+                self.fault(section, "", Cause::UnknownSection);
+                continue;
+            };
+            for key in values.keys().filter(|it| !known.contains(*it)) {
+                self.fault(section, key, Cause::UnknownKey);
+            }
+        }
+        Faults(self.faults)
+    }
+
+    fn number(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        range: RangeInclusive<u64>,
+        default: u64,
+    ) -> Option<u64> {
+        let Some(value) = self.value(section, key) else {
+            return Some(default);
+        };
+        let number = self.parse(section, key, value, NUMBER)?;
+        if !range.contains(&number) {
+            let (low, high) = range.into_inner();
+            self.fault(
+                section,
+                key,
+                Cause::Range {
+                    value: number,
+                    low,
+                    high,
+                },
+            );
+            return None;
+        }
+        Some(number)
+    }
+
+    fn parse<T: FromStr>(
+        &mut self,
+        section: &str,
+        key: &str,
+        value: &str,
+        expected: &'static str,
+    ) -> Option<T> {
+        let parsed = value.parse().ok();
+        if parsed.is_none() {
+            self.malformed(section, key, value, expected);
+        }
+        parsed
+    }
+
+    fn required(&mut self, section: &'static str, key: &'static str) -> Option<&'a str> {
+        let value = self.value(section, key);
+        if value.is_none() {
+            self.fault(section, key, Cause::Missing);
+        }
+        value
+    }
+
+    fn value(&mut self, section: &'static str, key: &'static str) -> Option<&'a str> {
+        self.known.entry(section).or_default().insert(key);
+        self.sections.get(section)?.get(key).copied()
+    }
+
+    fn malformed(&mut self, section: &str, key: &str, value: &str, expected: &'static str) {
+        self.fault(
+            section,
+            key,
+            Cause::Malformed {
+                value: value.to_owned(),
+                expected,
+            },
+        );
+    }
+
+    fn fault(&mut self, section: &str, key: impl Display, cause: Cause) {
+        let fault = Fault {
+            file: self.file.to_owned(),
+            section: section.to_owned(),
+            key: key.to_string(),
+            cause,
+        };
+        self.faults.push(fault);
+    }
+}
--- /dev/null
+++ b/crates/config/tests/examples.rs
@@ -0,0 +1,14 @@
+//! Guards against sample settings that the daemon would refuse.
+
+use std::path::Path;
+
+use config::settings::Settings;
+
+fn check(path: &Path, text: String) -> datatest_stable::Result<()> {
+    Settings::parse(&path.display().to_string(), &text)?;
+    Ok(())
+}
+
+datatest_stable::harness! {
+    { test = check, root = "../../examples", pattern = r"\.ini$" },
+}
