--- a/crates/config/tests/examples.rs
+++ b/crates/config/tests/examples.rs
@@ -4,6 +4,10 @@
 
 use config::settings::Settings;
 
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "the harness hands the text over by value"
+)]
 fn check(path: &Path, text: String) -> datatest_stable::Result<()> {
     Settings::parse(&path.display().to_string(), &text)?;
     Ok(())
