--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -44,6 +44,8 @@
     pub previous_session: Option<PathBuf>,
     /// Key that authenticates messages between nodes.
     pub cluster: PathBuf,
+    /// Bearer key of operators; without it only loopback addresses may use `/admin`.
+    pub admin: Option<PathBuf>,
 }
 
 /// Addresses of the platform's services.
