platform, standin: add HTTP adapters of the ports and fakes of the platform

Cause: the ports had no adapter, and nothing could be run end to end without the users' platform.

Change: one attohttpc adapter per port under platform::http. Redirects and proxies are off, as each could run a call more than once. "Nothing ran" is reported only if the body was never handed to a connection (a custom Body notes this; error kinds do not prove it, since ECONNREFUSED can occur on an established connection) or if the server answers with X-Ran: no. A body shorter than its Content-Length counts as broken, because attohttpc accepts it as complete (found by the test truncated_body_is_unknown). standin has fakes of engine, plain service, log service, host list, rating and weight store, with faults switched by library calls or POST /control.

--- /dev/null
+++ b/crates/platform/src/http/engine.rs
@@ -0,0 +1,266 @@
+//! Adapter of the engines: the chat completions call with server-sent events, and extension fields and paths.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use attohttpc::Response;
+use model::{Name, Offset, Tokens, Usage};
+use serde::{Deserialize, Serialize};
+
+use super::events::Events;
+use super::request::{self, Failure, Limits};
+use crate::engine::{
+    CacheChange, CacheEvent, Engines, Error, Event, Message, Order, Refusal, Report, Request, Stream,
+};
+
+/// Data of the last event of a stream.
+const END: &str = "[DONE]";
+
+/// Client of the engines.
+#[derive(Debug, Clone)]
+pub struct Client {
+    limits: Limits,
+}
+
+/// A generation in progress.
+#[derive(Debug)]
+struct Generation {
+    events: Events,
+    usage: Option<Usage>,
+    ended: bool,
+}
+
+#[derive(Serialize)]
+struct Completion<'a> {
+    model: &'a str,
+    messages: &'a [Message],
+    stream: bool,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    max_tokens: Option<Tokens>,
+    request_id: &'a str,
+    version: &'a str,
+    resume_after: Tokens,
+    priority: &'static str,
+}
+
+#[derive(Deserialize)]
+struct Chunk {
+    index: Option<Tokens>,
+    #[serde(default)]
+    choices: Vec<Choice>,
+    usage: Option<Counts>,
+    error: Option<serde_json::Value>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    delta: Delta,
+}
+
+#[derive(Deserialize)]
+struct Delta {
+    content: String,
+}
+
+#[derive(Deserialize)]
+struct Counts {
+    prompt_tokens: Tokens,
+    completion_tokens: Tokens,
+    #[serde(default)]
+    prompt_tokens_details: Details,
+}
+
+#[derive(Deserialize, Default)]
+struct Details {
+    #[serde(default)]
+    cached_tokens: Tokens,
+}
+
+#[derive(Deserialize)]
+struct Failed {
+    error: FailedCode,
+}
+
+#[derive(Deserialize)]
+struct FailedCode {
+    code: String,
+}
+
+#[derive(Deserialize)]
+struct Load {
+    running: u32,
+    waiting: u32,
+    age_ms: u64,
+    versions: Vec<String>,
+    leaving: bool,
+}
+
+#[derive(Deserialize)]
+struct Cache {
+    events: Vec<CacheItem>,
+}
+
+#[derive(Deserialize)]
+struct CacheItem {
+    sequence: u64,
+    block: u64,
+    change: ItemChange,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum ItemChange {
+    Stored,
+    Evicted,
+}
+
+#[derive(Serialize)]
+struct SentOrder<'a> {
+    token: Offset,
+    versions: Vec<&'a str>,
+}
+
+impl Client {
+    /// A client; the time-outs apply to reports, cache events and orders, since generations carry their own.
+    pub fn new(connect_timeout: Duration, timeout: Duration) -> Self {
+        Self {
+            limits: Limits::exchange(connect_timeout, timeout),
+        }
+    }
+}
+
+impl Engines for Client {
+    fn generate(&self, address: SocketAddr, req: &Request) -> Result<Box<dyn Stream>, Error> {
+        let message = Completion {
+            model: &req.version,
+            messages: &req.messages,
+            stream: true,
+            max_tokens: req.max_tokens,
+            request_id: &req.id,
+            version: &req.version,
+            resume_after: req.resume_after,
+            priority: req.class.as_str(),
+        };
+        let limits = Limits {
+            connect: req.connect_timeout,
+            read: req.progress_timeout,
+            whole: None,
+        };
+        let reply = request::post(address, "/v1/chat/completions", &message, limits).map_err(error)?;
+        let reply = accepted(reply)?;
+        let (_, _, reader) = reply.split();
+        Ok(Box::new(Generation {
+            events: Events::new(reader, req.progress_timeout),
+            usage: None,
+            ended: false,
+        }))
+    }
+
+    fn report(&self, address: SocketAddr) -> Result<Report, Error> {
+        let load: Load = request::get(address, "/load", self.limits).map_err(error)?;
+        Ok(Report {
+            running: load.running,
+            waiting: load.waiting,
+            age: Duration::from_millis(load.age_ms),
+            versions: load.versions.into_iter().map(Name::from).collect(),
+            leaving: load.leaving,
+        })
+    }
+
+    fn cache_events(&self, address: SocketAddr, from: u64) -> Result<Vec<CacheEvent>, Error> {
+        let path = format!("/cache/events?from={from}");
+        let cache: Cache = request::get(address, &path, self.limits).map_err(error)?;
+        Ok(cache.events.into_iter().map(CacheItem::event).collect())
+    }
+
+    fn order(&self, address: SocketAddr, order: &Order) -> Result<(), Error> {
+        let message = SentOrder {
+            token: order.token,
+            versions: order.versions.iter().map(AsRef::as_ref).collect(),
+        };
+        let reply = request::post(address, "/orders", &message, self.limits).map_err(error)?;
+        accepted(reply).map(drop)
+    }
+}
+
+impl Stream for Generation {
+    fn next(&mut self) -> Result<Event, Error> {
+        if self.ended {
+            return Err(Error::Broken);
+        }
+        loop {
+            let data = self.events.next().map_err(error)?;
+            if data == END {
+                self.ended = true;
+                let usage = self.usage.ok_or(Error::Malformed)?;
+                return Ok(Event::Done { usage });
+            }
+            let chunk: Chunk = serde_json::from_str(&data).map_err(|_| Error::Malformed)?;
+            if let Some(event) = self.take(chunk)? {
+                return Ok(event);
+            }
+        }
+    }
+}
+
+impl Generation {
+    fn take(&mut self, chunk: Chunk) -> Result<Option<Event>, Error> {
+        if chunk.error.is_some() {
+            return Err(Error::Broken);
+        }
+        if let Some(counts) = chunk.usage {
+            self.usage = Some(Usage {
+                input: counts.prompt_tokens,
+                cached: counts.prompt_tokens_details.cached_tokens,
+                output: counts.completion_tokens,
+            });
+        }
+        let Some(choice) = chunk.choices.into_iter().next() else {
+            return Ok(None);
+        };
+        Ok(Some(Event::Token {
+            index: chunk.index.ok_or(Error::Malformed)?,
+            text: choice.delta.content,
+        }))
+    }
+}
+
+impl CacheItem {
+    fn event(self) -> CacheEvent {
+        CacheEvent {
+            sequence: self.sequence,
+            block: self.block,
+            change: match self.change {
+                ItemChange::Stored => CacheChange::Stored,
+                ItemChange::Evicted => CacheChange::Evicted,
+            },
+        }
+    }
+}
+
+/// Passes a successful reply on; a refusal needs the statement that nothing ran.
+fn accepted(reply: Response) -> Result<Response, Error> {
+    if reply.is_success() {
+        return Ok(reply);
+    }
+    if !request::states_not_run(&reply) {
+        return Err(Error::Broken);
+    }
+    let code = request::json::<Failed>(reply).map(|it| it.error.code);
+    Err(Error::Refused(match code.as_deref() {
+        Ok("busy") => Refusal::Busy,
+        Ok("leaving") => Refusal::Leaving,
+        Ok("not_loaded") => Refusal::NotLoaded,
+        Ok("fenced") => Refusal::Fenced,
+        Ok(_) | Err(_) => Refusal::Other,
+    }))
+}
+
+fn error(failure: Failure) -> Error {
+    match failure {
+        Failure::NotSent => Error::Connect,
+        Failure::Timeout => Error::Silent,
+        Failure::Broken => Error::Broken,
+        Failure::Malformed => Error::Malformed,
+    }
+}
--- /dev/null
+++ b/crates/platform/src/http/service.rs
@@ -0,0 +1,61 @@
+//! Adapter of the plain services.
+
+use std::net::SocketAddr;
+
+use super::request::{self, Failure, Limits, Request};
+use crate::service::{Call, Error, Reply, Services};
+
+/// Status of a reply by which an instance states that it did not run a call.
+const SERVICE_UNAVAILABLE: u16 = 503;
+
+/// Client of the plain services.
+#[derive(Debug, Clone, Default)]
+pub struct Client;
+
+impl Services for Client {
+    fn call(&self, address: SocketAddr, call: &Call) -> Result<Reply, Error> {
+        let mut headers = Vec::new();
+        if !call.content_type.is_empty() {
+            headers.push(("Content-Type", call.content_type.as_str()));
+        }
+        if let Some(key) = &call.idempotency_key {
+            headers.push(("Idempotency-Key", key.as_str()));
+        }
+        let reply = Request {
+            method: &call.method,
+            address,
+            path: &call.path,
+            headers,
+            body: &call.body,
+            limits: Limits::exchange(call.connect_timeout, call.timeout),
+        }
+        .send()
+        .map_err(error)?;
+        let status = reply.status().as_u16();
+        if status == SERVICE_UNAVAILABLE && request::states_not_run(&reply) {
+            return Err(Error::NotRun);
+        }
+        let header = reply.headers().get("Content-Type");
+        let content_type = header
+            .and_then(|it| it.to_str().ok())
+            .unwrap_or_default()
+            .to_owned();
+        let body = match call.method.as_str() {
+            // A reply to HEAD states the length of a body that it does not have.
+            "HEAD" => Vec::new(),
+            _ => request::bytes(reply).map_err(error)?,
+        };
+        Ok(Reply {
+            status,
+            content_type,
+            body,
+        })
+    }
+}
+
+fn error(failure: Failure) -> Error {
+    match failure {
+        Failure::NotSent => Error::Connect,
+        Failure::Timeout | Failure::Broken | Failure::Malformed => Error::Unknown,
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod engine;
 pub mod hosts;
+pub mod http;
 pub mod log;
 pub mod rating;
 pub mod service;
--- /dev/null
+++ b/crates/standin/src/hosts.rs
@@ -0,0 +1,143 @@
+//! Fake of the host list.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use platform::hosts::{Entry, State as HostState};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use crate::Error;
+use crate::control::{Control, lock};
+use crate::server::{Call, Handler, Server};
+
+/// A running host list.
+#[derive(Debug)]
+pub struct Hosts {
+    server: Server,
+    state: Arc<State>,
+}
+
+/// Settings of the fake.
+#[derive(Debug, Clone, Default)]
+pub struct Options {
+    /// Entries from the start on.
+    pub entries: Vec<Entry>,
+    /// Time after which a change of the entries becomes visible.
+    pub lag: Duration,
+}
+
+/// Faults of the fake.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Refuses every call.
+    pub outage: bool,
+    /// Delay of every call in milliseconds.
+    pub delay_ms: u64,
+    /// Hosts shown as leaving at once, in addition to those set by the library.
+    pub leaving: Vec<String>,
+    /// Hosts removed from the list at once.
+    pub removed: Vec<String>,
+}
+
+#[derive(Debug)]
+struct State {
+    lag: Duration,
+    control: Control<Faults>,
+    /// Lists with the time from which each is visible, oldest first, never empty.
+    versions: Mutex<VecDeque<(Instant, Vec<Entry>)>>,
+}
+
+impl Hosts {
+    /// Starts the fake; port 0 chooses a free port.
+    ///
+    /// # Errors
+    /// [`Error::Bind`].
+    pub fn bind(address: SocketAddr, options: Options) -> Result<Self, Error> {
+        let state = Arc::new(State {
+            lag: options.lag,
+            control: Control::default(),
+            versions: Mutex::new(VecDeque::from([(Instant::now(), options.entries)])),
+        });
+        let server = Server::bind(address, Arc::clone(&state))?;
+        Ok(Self { server, state })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Changes the faults.
+    pub fn update(&self, change: impl FnOnce(&mut Faults)) {
+        self.state.control.update(change);
+    }
+
+    /// Replaces the entries; readers see them after the lag.
+    pub fn set(&self, entries: Vec<Entry>) {
+        lock(&self.state.versions).push_back((Instant::now() + self.state.lag, entries));
+    }
+
+    /// Marks a host as leaving; readers see it after the lag.
+    pub fn leave(&self, name: &str) {
+        let newest = lock(&self.state.versions).back().map(|it| it.1.clone());
+        let mut entries = newest.unwrap_or_default();
+        for entry in entries.iter_mut().filter(|it| &*it.name == name) {
+            entry.state = HostState::Leaving;
+        }
+        self.set(entries);
+    }
+}
+
+impl Handler for State {
+    type Faults = Faults;
+
+    fn control(&self) -> &Control<Faults> {
+        &self.control
+    }
+
+    fn handle(&self, call: Call) {
+        let faults = self.control.get();
+        if !call.sleep(Duration::from_millis(faults.delay_ms)) {
+            return;
+        }
+        if faults.outage {
+            return call.refuse(503, "outage");
+        }
+        if call.path != "/hosts" {
+            return call.reply(404, &json!({}));
+        }
+        let hosts: Vec<Value> = self
+            .visible()
+            .iter()
+            .filter(|it| !faults.removed.iter().any(|name| **name == *it.name))
+            .map(|it| item(it, &faults))
+            .collect();
+        call.reply(200, &json!({"hosts": hosts}));
+    }
+}
+
+impl State {
+    fn visible(&self) -> Vec<Entry> {
+        let now = Instant::now();
+        let mut versions = lock(&self.versions);
+        while versions.get(1).is_some_and(|it| it.0 <= now) {
+            versions.pop_front();
+        }
+        versions.front().map(|it| it.1.clone()).unwrap_or_default()
+    }
+}
+
+fn item(entry: &Entry, faults: &Faults) -> Value {
+    let leaving = entry.state == HostState::Leaving || faults.leaving.iter().any(|it| **it == *entry.name);
+    json!({
+        "name": &*entry.name,
+        "pool": &*entry.pool,
+        "address": entry.address,
+        "domain": &*entry.domain,
+        "state": if leaving { "leaving" } else { "live" },
+    })
+}
--- /dev/null
+++ b/crates/standin/tests/service.rs
@@ -0,0 +1,169 @@
+//! Guards against a lost outcome of a plain call being reported as "nothing ran", or a call being sent twice.
+
+#![allow(clippy::unwrap_used, reason = "a failed set-up ends the test")]
+
+mod common;
+
+use common::{LONG, SHORT, any_port, call, closed_port, raw_server};
+use platform::http::service::Client;
+use platform::service::{Call, Error, Services};
+use standin::service::{Options, Service};
+
+fn service() -> Service {
+    Service::bind(any_port(), Options::default()).unwrap()
+}
+
+#[test]
+fn executions_are_counted_per_key() {
+    let service = service();
+    for (path, key) in [
+        ("/bookings", Some("a")),
+        ("/bookings", Some("b")),
+        ("/repeatable/stock", None),
+    ] {
+        let reply = Client.call(service.address(), &call(path, key)).unwrap();
+        assert_eq!(
+            (reply.status, reply.content_type.as_str()),
+            (200, "application/json")
+        );
+    }
+    assert_eq!((service.executions("a"), service.executions("b")), (1, 1));
+    assert_eq!(service.repeatable_executions(), 1);
+}
+
+/// A call that ran although the caller saw a failure must not be reported as not run.
+macro_rules! fault {
+    ($name:ident, $fault:expr, $error:expr, $executions:expr) => {
+        #[test]
+        fn $name() {
+            let service = service();
+            service.update($fault);
+            let call = Call {
+                timeout: SHORT,
+                ..call("/bookings", Some("k"))
+            };
+            assert_eq!(Client.call(service.address(), &call), Err($error));
+            assert_eq!(service.executions("k"), $executions);
+        }
+    };
+}
+
+fault!(refusal_proves_not_run, |it| it.refusing = true, Error::NotRun, 0);
+fault!(lost_reply_is_unknown, |it| it.lose_replies = 1, Error::Unknown, 1);
+fault!(
+    broken_reply_is_unknown,
+    |it| it.break_replies = 1,
+    Error::Unknown,
+    1
+);
+fault!(silence_is_unknown, |it| it.silent = true, Error::Unknown, 0);
+
+/// A reply that does not state that nothing ran must not be taken as such a statement.
+macro_rules! raw {
+    ($name:ident, $reply:expr, $expected:pat) => {
+        #[test]
+        fn $name() {
+            let result = Client.call(raw_server($reply), &call("/bookings", None));
+            assert!(matches!(result, $expected), "{result:?}");
+        }
+    };
+}
+
+raw!(no_reply_is_unknown, b"", Err(Error::Unknown));
+raw!(
+    half_a_head_is_unknown,
+    b"HTTP/1.1 200 OK\r\nConte",
+    Err(Error::Unknown)
+);
+raw!(garbage_is_unknown, b"hello\r\n\r\n", Err(Error::Unknown));
+raw!(
+    truncated_body_is_unknown,
+    b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc",
+    Err(Error::Unknown)
+);
+raw!(
+    truncated_chunk_is_unknown,
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\na\r\nabc",
+    Err(Error::Unknown)
+);
+raw!(
+    missing_last_chunk_is_unknown,
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+    Err(Error::Unknown)
+);
+raw!(
+    unavailable_without_statement_is_a_reply,
+    b"HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n",
+    Ok(platform::service::Reply { status: 503, .. })
+);
+raw!(
+    statement_with_another_status_is_a_reply,
+    b"HTTP/1.1 500 Error\r\nX-Ran: no\r\nContent-Length: 0\r\n\r\n",
+    Ok(platform::service::Reply { status: 500, .. })
+);
+raw!(
+    redirect_is_not_followed,
+    b"HTTP/1.1 307 Temporary Redirect\r\nLocation: /elsewhere\r\nContent-Length: 0\r\n\r\n",
+    Ok(platform::service::Reply { status: 307, .. })
+);
+
+#[test]
+fn closed_port_proves_not_run() {
+    assert_eq!(
+        Client.call(closed_port(), &call("/bookings", None)),
+        Err(Error::Connect)
+    );
+}
+
+#[test]
+fn head_has_no_body() {
+    let address = raw_server(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n");
+    let head = Call {
+        method: "HEAD".to_owned(),
+        ..call("/repeatable/stock", None)
+    };
+    assert_eq!(Client.call(address, &head).unwrap().status, 200);
+}
+
+#[test]
+fn malformed_key_is_never_sent() {
+    let service = service();
+    let result = Client.call(service.address(), &call("/bookings", Some("a\r\nb")));
+    assert_eq!(result, Err(Error::Connect));
+    assert!(service.all_executions().is_empty());
+}
+
+#[test]
+fn path_cannot_change_the_host() {
+    let service = service();
+    let reply = Client
+        .call(service.address(), &call("@127.0.0.2/bookings", Some("k")))
+        .unwrap();
+    assert_eq!((reply.status, service.executions("k")), (200, 1));
+}
+
+#[test]
+fn faults_are_switched_over_http() {
+    let service = service();
+    let control = |body: &str| Call {
+        body: body.as_bytes().to_vec(),
+        timeout: LONG,
+        ..call("/control", None)
+    };
+    let reply = Client
+        .call(service.address(), &control(r#"{"refusing": true}"#))
+        .unwrap();
+    assert_eq!(reply.status, 200);
+    assert_eq!(
+        Client.call(service.address(), &call("/bookings", None)),
+        Err(Error::NotRun)
+    );
+    let reply = Client
+        .call(service.address(), &control(r#"{"refusin": false}"#))
+        .unwrap();
+    assert_eq!(reply.status, 400);
+    assert_eq!(
+        Client.call(service.address(), &call("/bookings", None)),
+        Err(Error::NotRun)
+    );
+}
