policy: add cascade planning with mergeable adequacy counters

Cause: a request needs the cheapest versions that meet the quality target, from ratings that may be late or missing.

Change: Planner keeps grow-only counters per organisation, class, version and incarnation, folds their growth into discounted beliefs and searches chains of at most three versions.

--- /dev/null
+++ b/crates/policy/src/cascade/planner/search.rs
@@ -0,0 +1,210 @@
+//! Search for the cheapest plan that meets the quality target.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::shard::{Shard, Track};
+use crate::cascade::belief::Belief;
+use crate::cascade::estimate::{Adequacy, Forecast, forecast};
+use crate::cascade::plan::{Candidate, Gate, MAX_STEPS, Plan, Purpose, Request, Step};
+
+/// Candidates considered. Eight give 92 chains of at most three steps, so that a decision stays within 5 µs.
+const MAX_CANDIDATES: usize = 8;
+
+/// Prior of an adequacy: its mean and its weight in ratings.
+const PRIOR: (f64, f64) = (0.5, 2.0);
+
+/// Adequacy after a rejected answer relative to that of a first step, before any rating shows it. Requests that a
+/// cheaper version failed are harder.
+const AFTER_REJECTION_RATIO: f64 = 0.8;
+
+/// Weight in ratings of the prior for the adequacy after a rejected answer.
+const AFTER_REJECTION_STRENGTH: f64 = 8.0;
+
+/// Least standard deviation in exploration draws, so that versions keep being tried that became better unnoticed.
+const MIN_DEVIATION: f64 = 0.04;
+
+/// First-step ratings up to which every answer is rated.
+const FULL_SAMPLING: f64 = 200.0;
+
+/// Share of answers rated afterwards beyond that.
+const SAMPLING_SHARE: f64 = 0.2;
+
+/// A candidate with what is known about it.
+#[derive(Debug, Clone, Copy)]
+struct Known<'a> {
+    candidate: &'a Candidate<'a>,
+    first: (f64, f64),
+    after_rejection: (f64, f64),
+    ratings: f64,
+}
+
+/// Chain of indices of candidates.
+type Chain = ([usize; MAX_STEPS], usize);
+
+/// Everything that a choice depends on.
+#[derive(Debug)]
+pub struct Search<'a> {
+    req: &'a Request<'a>,
+    known: Vec<Known<'a>>,
+    arrival: f64,
+}
+
+impl<'a> Search<'a> {
+    /// `candidates` are timely, ordered by cost, and there is at least one.
+    pub fn new(req: &'a Request<'a>, shard: &Shard, candidates: Vec<&'a Candidate<'a>>) -> Self {
+        let mut known: Vec<_> = candidates
+            .into_iter()
+            .map(|it| Known::new(it, shard.track(req.class, &it.version.name)))
+            .collect();
+        while known.len() > MAX_CANDIDATES {
+            let worst = (0..known.len()).min_by(|&a, &b| known[a].first.0.total_cmp(&known[b].first.0));
+            known.remove(worst.unwrap_or_default());
+        }
+        Self {
+            req,
+            known,
+            arrival: shard.arrival(),
+        }
+    }
+
+    /// Cheapest plan that is expected to meet the target, else the one that comes closest.
+    pub fn best(&self, rng: &mut impl Rng) -> Plan {
+        let adequacies: Vec<_> = self.known.iter().map(Known::mean).collect();
+        let (chain, forecast, met) = self.choose(&adequacies);
+        let purpose = if met { Purpose::Target } else { Purpose::BestEffort };
+        self.plan(chain, forecast, purpose, rng)
+    }
+
+    /// Plan that is best for a draw from the posteriors (Thompson 1933).
+    pub fn explore(&self, rng: &mut impl Rng) -> Plan {
+        let adequacies: Vec<_> = self.known.iter().map(|it| it.draw(rng)).collect();
+        let (chain, forecast, _) = self.choose(&adequacies);
+        self.plan(chain, forecast, Purpose::Exploration, rng)
+    }
+
+    fn choose(&self, adequacies: &[Adequacy]) -> (Chain, Forecast, bool) {
+        let target = self.req.quality();
+        let mut best: Option<(Chain, Forecast, bool)> = None;
+        self.each_chain(&mut |chain| {
+            let forecast = self.forecast(chain, adequacies);
+            let met = forecast.adequacy >= target;
+            let better = best.is_none_or(|(_, held, held_met)| match (met, held_met) {
+                (true, true) => forecast.cost < held.cost,
+                // Later chains start with dearer versions, which are the safer choice while nothing is known.
+                (false, false) => forecast.adequacy >= held.adequacy,
+                (met, _) => met,
+            });
+            if better {
+                best = Some((chain, forecast, met));
+            }
+        });
+        best.unwrap_or_else(|| {
+            let chain = ([0; MAX_STEPS], 1);
+            (chain, self.forecast(chain, adequacies), false)
+        })
+    }
+
+    /// Visits the chains that keep to the deadline.
+    fn each_chain(&self, visit: &mut impl FnMut(Chain)) {
+        for idx in 0..self.known.len() {
+            let chain = ([idx; MAX_STEPS], 1);
+            visit(chain);
+            if self.req.tolerates_rating() {
+                self.extend(chain, self.known[idx].candidate.latency, visit);
+            }
+        }
+    }
+
+    fn extend(&self, (indices, len): Chain, elapsed: Duration, visit: &mut impl FnMut(Chain)) {
+        if len == MAX_STEPS {
+            return;
+        }
+        for next in indices[len - 1] + 1..self.known.len() {
+            let elapsed = elapsed + self.req.rating_timeout + self.known[next].candidate.latency;
+            if elapsed > self.req.deadline {
+                continue;
+            }
+            let mut chain = (indices, len + 1);
+            chain.0[len] = next;
+            visit(chain);
+            self.extend(chain, elapsed, visit);
+        }
+    }
+
+    fn forecast(&self, (indices, len): Chain, adequacies: &[Adequacy]) -> Forecast {
+        let steps = indices[..len]
+            .iter()
+            .map(|&idx| (self.known[idx].candidate.cost as f64, adequacies[idx]));
+        forecast(steps, self.req.rating_cost as f64, self.arrival)
+    }
+
+    fn plan(&self, (indices, len): Chain, forecast: Forecast, purpose: Purpose, rng: &mut impl Rng) -> Plan {
+        let mut steps: Vec<_> = indices[..len]
+            .iter()
+            .map(|&idx| self.step(&self.known[idx]))
+            .collect();
+        let last = &self.known[indices[len - 1]];
+        let sampled = purpose == Purpose::Exploration
+            || last.ratings < FULL_SAMPLING
+            || rng.random_bool(SAMPLING_SHARE);
+        if let Some(step) = steps.last_mut() {
+            step.gate = if sampled { Gate::Sampled } else { Gate::Unrated };
+        }
+        Plan {
+            steps,
+            purpose,
+            forecast,
+        }
+    }
+
+    fn step(&self, known: &Known<'_>) -> Step {
+        Step {
+            version: known.candidate.version.name.clone(),
+            cost: known.candidate.cost,
+            latency: known.candidate.latency,
+            gate: Gate::Rated(self.req.rating_timeout),
+        }
+    }
+}
+
+impl<'a> Known<'a> {
+    fn new(candidate: &'a Candidate<'a>, track: Option<&Track>) -> Self {
+        let unknown = Belief::default();
+        let (first, after) = track.map_or((&unknown, &unknown), |it| (&it.first, &it.after_rejection));
+        let marginal = first.estimate(PRIOR.0, PRIOR.1);
+        Self {
+            candidate,
+            first: marginal,
+            after_rejection: after.estimate(marginal.0 * AFTER_REJECTION_RATIO, AFTER_REJECTION_STRENGTH),
+            ratings: first.ratings(),
+        }
+    }
+
+    fn mean(&self) -> Adequacy {
+        Adequacy {
+            first: self.first.0,
+            after_rejection: self.after_rejection.0,
+        }
+    }
+
+    /// Normal approximation of a posterior draw; both adequacies move together.
+    fn draw(&self, rng: &mut impl Rng) -> Adequacy {
+        let score = normal(rng);
+        let draw = |(mean, deviation): (f64, f64)| {
+            let deviation = f64::max(deviation, MIN_DEVIATION);
+            (mean + score * deviation).clamp(0.0, 1.0)
+        };
+        Adequacy {
+            first: draw(self.first),
+            after_rejection: draw(self.after_rejection),
+        }
+    }
+}
+
+/// Standard normal draw (Box and Muller 1958).
+fn normal(rng: &mut impl Rng) -> f64 {
+    let radius = (-2.0 * (1.0 - rng.random::<f64>()).ln()).sqrt();
+    radius * (std::f64::consts::TAU * rng.random::<f64>()).cos()
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Decision logic without I/O, threads or clocks.
+
+pub mod cascade;
