--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -2,4 +2,5 @@
 //!
 //! Each experiment is a module with a function `run(seed)` that returns a [`report::Report`].
 
+pub mod cascade;
 pub mod report;
