policy: add the load-related decisions and the pool facade

Cause: nodes need admission, limits, retries, balancing, ejection and prefix affinity behind one interface. Change: pure modules admission, limit, retry, balance, eject, affinity and estimate, and pool::Pool with events in and typed actions out. Two tests of the facade pass; nothing is measured yet. Conclusion: the interface is ready for the node; the parameters are first choices.

--- /dev/null
+++ b/crates/policy/src/admission/fair.rs
@@ -0,0 +1,171 @@
+//! Start-time fair queueing between the organisations of one class.
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+
+use model::Name;
+
+use super::Entry;
+use crate::fault::{Fault, fault};
+use crate::pool::Ticket;
+
+/// Units of virtual time for a cost of 1 at weight 1; keeps the rounding of large weights small.
+const SCALE: u64 = 1024;
+
+/// Queue of one class.
+#[derive(Debug, Default)]
+pub struct Fair {
+    flows: HashMap<Name, Flow>,
+    /// Organisations with work, by the start tag of their first request.
+    active: BTreeSet<(u64, Name)>,
+    /// Organisations with work, by queue length for their weight.
+    lengths: BTreeSet<(u64, Name)>,
+    virtual_time: u64,
+    len: usize,
+    cost: u64,
+    weight: u64,
+}
+
+#[derive(Debug, Default)]
+struct Flow {
+    entries: VecDeque<Entry>,
+    start: u64,
+    weight: u32,
+    cost: u64,
+}
+
+impl Flow {
+    fn length_key(&self) -> u64 {
+        self.entries.len() as u64 * SCALE / u64::from(self.weight.max(1))
+    }
+
+    fn span(&self, cost: u64) -> u64 {
+        cost * SCALE / u64::from(self.weight.max(1))
+    }
+}
+
+impl Fair {
+    /// Number of queued requests.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether nothing is queued.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Cost that goes before a new request of an organisation.
+    pub fn ahead(&self, organisation: &Name, weight: u32) -> f64 {
+        let (own, known) = match self.flows.get(organisation) {
+            Some(flow) if !flow.entries.is_empty() => (flow.cost, true),
+            _ => (0, false),
+        };
+        let weight = u64::from(weight.max(1));
+        let weights = if known { self.weight } else { self.weight + weight };
+        let by_share = own as f64 * weights as f64 / weight as f64;
+        by_share.min(self.cost as f64)
+    }
+
+    /// Queues a request.
+    pub fn push(&mut self, entry: Entry) {
+        let name = entry.organisation.clone();
+        self.len += 1;
+        self.cost += entry.cost;
+        self.update(&name, |flow, virtual_time| {
+            if flow.entries.is_empty() {
+                flow.start = flow.start.max(virtual_time);
+            }
+            flow.weight = entry.weight;
+            flow.cost += entry.cost;
+            flow.entries.push_back(entry);
+        });
+    }
+
+    /// Request that [`Fair::pop`] returns next.
+    pub fn peek(&self) -> Option<&Entry> {
+        let (_, name) = self.active.first()?;
+        self.flows.get(name)?.entries.front()
+    }
+
+    /// Takes the request with the least start tag.
+    pub fn pop(&mut self) -> Option<Entry> {
+        let (start, name) = self.active.first()?.clone();
+        self.virtual_time = self.virtual_time.max(start);
+        let entry = self.update(&name, |flow, _| {
+            let entry = flow.entries.pop_front()?;
+            flow.cost -= entry.cost;
+            if !fault(Fault::UnfairQueue) {
+                flow.start += flow.span(entry.cost);
+            }
+            Some(entry)
+        })?;
+        self.discount(&entry);
+        Some(entry)
+    }
+
+    /// Removes a request.
+    pub fn remove(&mut self, organisation: &Name, ticket: Ticket) -> Option<Entry> {
+        let entry = self.update(organisation, |flow, _| {
+            let idx = flow.entries.iter().position(|it| it.ticket == ticket)?;
+            let entry = flow.entries.remove(idx)?;
+            flow.cost -= entry.cost;
+            Some(entry)
+        })?;
+        self.discount(&entry);
+        Some(entry)
+    }
+
+    /// Removes the newest request of the organisation with the longest queue for its weight, unless the new request
+    /// would make the queue of its own organisation at least as long.
+    pub fn evict_for(&mut self, organisation: &Name, weight: u32) -> Option<Entry> {
+        let own = self.flows.get(organisation).map_or(0, |it| it.entries.len());
+        let key = (own as u64 + 1) * SCALE / u64::from(weight.max(1));
+        let (longest, name) = self.lengths.last()?.clone();
+        if name == *organisation || longest <= key {
+            return None;
+        }
+        let entry = self.update(&name, |flow, _| {
+            let entry = flow.entries.pop_back()?;
+            flow.cost -= entry.cost;
+            Some(entry)
+        })?;
+        self.discount(&entry);
+        Some(entry)
+    }
+
+    /// Moves an organisation's account by the difference between actual and estimated cost.
+    pub fn correct(&mut self, organisation: &Name, estimated: u64, actual: u64) {
+        if !self.flows.contains_key(organisation) {
+            return;
+        }
+        self.update(organisation, |flow, virtual_time| {
+            let start = flow.start + flow.span(actual);
+            // An account never falls behind the virtual time, or an idle organisation would save up a claim.
+            flow.start = start
+                .saturating_sub(flow.span(estimated))
+                .max(virtual_time.min(flow.start));
+        });
+    }
+
+    fn discount(&mut self, entry: &Entry) {
+        self.len -= 1;
+        self.cost -= entry.cost;
+    }
+
+    /// Changes a flow and keeps the ordered sets consistent with it.
+    fn update<T>(&mut self, name: &Name, change: impl FnOnce(&mut Flow, u64) -> T) -> T {
+        let flow = self.flows.entry(name.clone()).or_default();
+        if !flow.entries.is_empty() {
+            self.active.remove(&(flow.start, name.clone()));
+            self.lengths.remove(&(flow.length_key(), name.clone()));
+            self.weight -= u64::from(flow.weight.max(1));
+        }
+        let result = change(flow, self.virtual_time);
+        if !flow.entries.is_empty() {
+            self.active.insert((flow.start, name.clone()));
+            self.lengths.insert((flow.length_key(), name.clone()));
+            self.weight += u64::from(flow.weight.max(1));
+        }
+        result
+    }
+}
--- /dev/null
+++ b/crates/policy/src/pool/state/admit.rs
@@ -0,0 +1,152 @@
+//! Decision on new requests and on those that wait too long.
+
+use std::time::Duration;
+
+use model::refusal::Reason;
+use model::{Class, Refusal};
+use rand::Rng;
+
+use super::{Action, Call, Request, State};
+use crate::admission::{Entry, Push};
+use crate::fault::{Fault, fault};
+use crate::pool::Settings;
+
+/// Completions of a class before its service time estimate is used for refusals.
+const LEAST_SAMPLES: u64 = 10;
+
+/// Bounds of the retry-after time in seconds: shorter ones only add load, longer ones outlast most rushes.
+const RETRY_AFTER_S: (f64, f64) = (0.2, 30.0);
+
+impl State {
+    /// Decides on a new request; returns when it is to be given up if it has not been sent by then.
+    pub(super) fn admit(
+        &self,
+        request: &Request,
+        cost: u64,
+        now: Duration,
+        rng: &mut impl Rng,
+    ) -> Result<Duration, Refusal> {
+        if !self.engines.any_live() {
+            return Err(Refusal::not_run(Reason::NoUpstream).retry_after(Duration::from_secs(1)));
+        }
+        let class = request.class;
+        let service = self.service_time(class, cost);
+        let longest = now + self.settings.queue.wait[class.index()];
+        let latest = request.deadline.checked_sub(service).filter(|it| *it >= now);
+        let Some(latest) = latest else {
+            return Err(Refusal::not_run(Reason::DeadlineUnreachable));
+        };
+        let give_up = latest.min(longest);
+        let wait = self.expected_wait(request, now);
+        if now + wait <= give_up {
+            return Ok(give_up);
+        }
+        let reason = if latest < longest {
+            Reason::DeadlineUnreachable
+        } else {
+            Reason::Overloaded
+        };
+        let excess = now + wait - give_up;
+        Err(Refusal::not_run(reason).retry_after(jittered(excess, rng)))
+    }
+
+    pub(super) fn enqueue(
+        &mut self,
+        request: Request,
+        cost: u64,
+        give_up: Duration,
+        now: Duration,
+        rng: &mut impl Rng,
+        out: &mut Vec<Action>,
+    ) {
+        let ticket = request.ticket;
+        let entry = Entry {
+            ticket,
+            class: request.class,
+            organisation: request.organisation.clone(),
+            weight: request.weight,
+            cost,
+            give_up,
+        };
+        let wait = self.expected_wait(&request, now);
+        let refused = match self.queue.push(entry) {
+            Push::Queued => None,
+            Push::Replaced(other) => Some(other),
+            Push::Full => Some(ticket),
+        };
+        if refused != Some(ticket) {
+            self.calls.insert(ticket, Call::new(request, cost));
+        }
+        if let Some(refused) = refused {
+            self.calls.remove(&refused);
+            out.push(Action::Refuse {
+                ticket: refused,
+                refusal: Refusal::not_run(Reason::Overloaded).retry_after(jittered(wait, rng)),
+            });
+        }
+    }
+
+    /// Refuses queued requests that cannot be answered in time any more.
+    pub(super) fn expire(&mut self, now: Duration, rng: &mut impl Rng, out: &mut Vec<Action>) {
+        while let Some(entry) = self.queue.expire(now) {
+            let Some(call) = self.calls.remove(&entry.ticket) else {
+                continue;
+            };
+            if fault(Fault::SilentExpiry) {
+                continue;
+            }
+            let wait = self.expected_wait(&call.request, now);
+            let refusal = Refusal::not_run(Reason::DeadlineUnreachable).retry_after(jittered(wait, rng));
+            out.push(Action::Refuse {
+                ticket: entry.ticket,
+                refusal,
+            });
+        }
+    }
+
+    pub(super) fn cost_of(&self, request: &Request) -> u64 {
+        let cached = match request.blocks.is_empty() {
+            true => 0,
+            false => self.engines.index.longest(&request.blocks).0 as u32 * self.settings.block_tokens,
+        };
+        cost(
+            &self.settings,
+            request.prompt.saturating_sub(cached),
+            request.output,
+        )
+    }
+
+    pub(super) fn service_time(&self, class: Class, cost: u64) -> Duration {
+        let estimate = &self.service[class.index()];
+        if estimate.samples() < LEAST_SAMPLES {
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f64(estimate.pessimistic() * cost as f64)
+    }
+
+    /// Time until a new request would be sent, by the work ahead of it and the rate at which places become free.
+    pub(super) fn expected_wait(&self, request: &Request, now: Duration) -> Duration {
+        if self.queue.is_empty() || self.place.samples() < LEAST_SAMPLES {
+            return Duration::ZERO;
+        }
+        let ahead = self
+            .queue
+            .ahead(request.class, &request.organisation, request.weight);
+        let rate = self.engines.places(now) / self.place.mean();
+        let dispatched = self.dispatched.map(|it| it.per_second(now));
+        let rate = self.queue.class_rate(request.class, rate, dispatched).max(1e-3);
+        Duration::from_secs_f64((ahead / rate).min(3600.0))
+    }
+}
+
+pub(super) fn cost(settings: &Settings, prompt: u32, output: u32) -> u64 {
+    let prompt = f64::from(prompt) * settings.prompt_weight;
+    (prompt.round() as u64 + u64::from(output)).max(1)
+}
+
+/// Spreads retries, so that callers refused together do not come back together.
+fn jittered(after: Duration, rng: &mut impl Rng) -> Duration {
+    let (least, most) = RETRY_AFTER_S;
+    let seconds = after.as_secs_f64().clamp(least, most);
+    Duration::from_secs_f64(seconds * rng.random_range(1.0..1.5))
+}
--- /dev/null
+++ b/crates/policy/src/pool/tests.rs
@@ -0,0 +1,76 @@
+//! Tests of the facade.
+
+use model::object::service::Repeat;
+use model::{Class, Domain, Usage};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::*;
+
+pub(super) const SECOND: Duration = Duration::from_secs(1);
+
+pub(super) fn pool(engines: usize, concurrency: u32) -> (Pool, Vec<Host>, SmallRng) {
+    let domain: Domain = "d0".into();
+    let node = Place {
+        name: "node".into(),
+        domain,
+    };
+    let settings = Settings {
+        concurrency,
+        ..Settings::default()
+    };
+    let pool = Pool::new(settings, node.clone());
+    let hosts: Vec<Host> = (0..engines)
+        .map(|it| Host {
+            name: format!("e{it}").into(),
+            domain: format!("d{}", it % 3).into(),
+            state: HostState::Live,
+        })
+        .collect();
+    let mut rng = SmallRng::seed_from_u64(1);
+    pool.hosts(&hosts, &[node], Duration::ZERO, &mut rng);
+    (pool, hosts, rng)
+}
+
+pub(super) fn request(ticket: Ticket) -> Request {
+    Request {
+        ticket,
+        organisation: "org".into(),
+        weight: 1,
+        class: Class::Standard,
+        deadline: SECOND * 30,
+        repeat: Repeat::Idempotent,
+        prompt: 100,
+        output: 100,
+        blocks: Vec::new(),
+    }
+}
+
+/// Guards against a completion that does not free a place for the next queued request.
+#[test]
+fn completion_dispatches_the_next_request() {
+    let (pool, _, mut rng) = pool(1, 1);
+    let first = pool.submit(request(1), SECOND, &mut rng);
+    let [Action::Send { attempt, .. }] = first[..] else {
+        panic!("{first:?}")
+    };
+    assert_eq!(pool.submit(request(2), SECOND, &mut rng), []);
+    let usage = Usage {
+        input: 100,
+        cached: 0,
+        output: 100,
+    };
+    let actions = pool.ended(attempt, Outcome::Done(usage), SECOND * 2, &mut rng);
+    assert_eq!(actions[0], Action::Finish { attempt });
+    assert!(matches!(actions[1], Action::Send { attempt, .. } if attempt.ticket == 2));
+}
+
+/// Guards against new work for an engine after the first leaving sign, also when a lagging list still says live.
+#[test]
+fn leaving_engine_gets_nothing() {
+    let (pool, hosts, mut rng) = pool(1, 8);
+    pool.leaving(&hosts[0].name, SECOND);
+    pool.hosts(&hosts, &[], SECOND * 2, &mut rng);
+    let actions = pool.submit(request(1), SECOND * 3, &mut rng);
+    assert!(matches!(&actions[..], [Action::Refuse { refusal, .. }] if refusal.ran == model::Ran::No));
+}
