--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -239,10 +239,12 @@
     let session = reader.path("keys", "session_file");
     let previous_session = reader.optional_path("keys", "previous_session_file");
     let cluster = reader.path("keys", "cluster_file");
+    let admin = reader.optional_path("keys", "admin_file");
     Some(Keys {
         session: session?,
         previous_session,
         cluster: cluster?,
+        admin,
     })
 }
 
