node: serve the caller API from engines and plain services

The node crate was empty, so nothing connected callers, engines, the configuration log and billing.

Add `node::spawn` with the caller API over tiny_http, session tokens, engine streams that resume on another engine, the configuration tailer, billing batches in the log, metrics, and a bounded graceful shutdown. Choice of engines and versions is the simplest that works until the policy crate lands. Keyed non-idempotent calls are refused, because no idempotency keys are issued yet.

--- /dev/null
+++ b/crates/node/src/admin.rs
@@ -0,0 +1,80 @@
+//! Endpoints for operators.
+
+use std::sync::atomic::Ordering;
+
+use model::Refusal;
+use serde_json::json;
+
+use crate::auth;
+use crate::http::exchange::Exchange;
+use crate::http::gate;
+use crate::http::reply::Reply;
+use crate::phase::Phase;
+use crate::shared::Shared;
+
+/// `GET /metrics`.
+pub(crate) fn metrics(shared: &Shared) -> Reply {
+    let metrics = &shared.metrics;
+    metrics.open.set(signed(shared.open.load(Ordering::SeqCst)));
+    metrics.billing_unsettled.set(signed(shared.biller.unsettled()));
+    let age = shared.catalog.age(shared.now());
+    metrics
+        .config_age
+        .set(age.map_or(f64::INFINITY, |it| it.as_secs_f64()));
+    let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+    Reply::new(200, content_type, metrics.render().into_bytes())
+}
+
+/// `GET /readyz`: whether callers may be sent to this node.
+pub(crate) fn ready(shared: &Shared) -> Reply {
+    if shared.phase.get() != Phase::Serving {
+        return Reply::text(503, "leaving\n");
+    }
+    if gate::is_stale(shared) {
+        return Reply::text(503, "configuration stale\n");
+    }
+    Reply::text(200, "ready\n")
+}
+
+/// `GET /admin/status`.
+///
+/// # Errors
+/// `unauthorised`.
+pub(crate) fn status(shared: &Shared, exchange: &Exchange) -> Result<Reply, Refusal> {
+    auth::operator(shared, exchange)?;
+    let age = shared.catalog.age(shared.now());
+    let pools = shared.upstreams.available();
+    let pools: serde_json::Map<_, _> = pools
+        .into_iter()
+        .map(|(name, count)| (name.to_string(), json!(count)))
+        .collect();
+    let body = json!({
+        "host": &*shared.settings.node.host,
+        "failure_domain": &*shared.settings.node.failure_domain,
+        "incarnation": shared.incarnation.to_string(),
+        "phase": shared.phase.get().as_str(),
+        "uptime_seconds": shared.now().as_secs(),
+        "config": {
+            "revision": shared.catalog.revision(),
+            "age_ms": age.map(|it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX)),
+        },
+        "open_requests": shared.open.load(Ordering::SeqCst),
+        "billing_unsettled": shared.biller.unsettled(),
+        "available_upstreams": pools,
+    });
+    Ok(Reply::json(200, &body))
+}
+
+/// `POST /admin/drain`: starts a planned stop; the daemon completes it.
+///
+/// # Errors
+/// `unauthorised`.
+pub(crate) fn drain(shared: &Shared, exchange: &Exchange) -> Result<Reply, Refusal> {
+    auth::operator(shared, exchange)?;
+    shared.phase.advance(Phase::Leaving);
+    Ok(Reply::json(202, &json!({ "phase": shared.phase.get().as_str() })))
+}
+
+fn signed(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/crates/node/src/engine.rs
@@ -0,0 +1,4 @@
+//! Generations on engines.
+
+pub(crate) mod attempt;
+pub(crate) mod generation;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,30 @@
-//! Placeholder.
+//! The entry node: threads that connect the caller API, the engines, the configuration log and billing.
+//!
+//! [`spawn`] starts a node and returns its [`Handle`]. Decisions belong to the other crates; this crate owns sockets,
+//! threads and clocks. Each request runs on a thread of its own, and each attempt on an engine adds a reader thread,
+//! so that a silent engine never blocks the thread that talks to the caller.
+
+mod admin;
+mod auth;
+mod billing;
+mod catalog;
+mod chat;
+mod config_log;
+mod engine;
+mod entries;
+mod handle;
+mod hosts;
+mod http;
+mod metrics;
+mod models;
+mod phase;
+mod ports;
+mod secrets;
+mod services;
+mod session;
+mod shared;
+mod upstreams;
+
+pub use handle::{Error, Handle, Stopped, spawn};
+pub use ports::Ports;
+pub use secrets::Secrets;
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,206 @@
+//! Counters and gauges in the Prometheus text format.
+
+use model::refusal::Reason;
+use prometheus_client::encoding::text;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+type Label = [(&'static str, &'static str); 1];
+
+/// Why an attempt on an upstream was followed by another one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Retry {
+    /// No connection was made.
+    Connect,
+    /// The upstream's queue was full.
+    Busy,
+    /// The upstream is about to stop.
+    Leaving,
+    /// The upstream lacked the version or refused for another reason.
+    Refused,
+    /// The upstream made no progress.
+    Silent,
+    /// The connection broke.
+    Broken,
+    /// The reply was malformed or skipped tokens.
+    Malformed,
+}
+
+impl Retry {
+    const ALL: [Self; 7] = [
+        Self::Connect,
+        Self::Busy,
+        Self::Leaving,
+        Self::Refused,
+        Self::Silent,
+        Self::Broken,
+        Self::Malformed,
+    ];
+
+    fn code(self) -> &'static str {
+        match self {
+            Self::Connect => "connect",
+            Self::Busy => "busy",
+            Self::Leaving => "leaving",
+            Self::Refused => "refused",
+            Self::Silent => "silent",
+            Self::Broken => "broken",
+            Self::Malformed => "malformed",
+        }
+    }
+}
+
+/// All metrics of a node.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    refusals: Family<Label, Counter>,
+    retries: Family<Label, Counter>,
+    /// Requests received.
+    pub requests: Counter,
+    /// Requests under way.
+    pub open: Gauge,
+    /// Tokens delivered to callers.
+    pub tokens: Counter,
+    /// Requests whose caller disconnected before the end of the answer.
+    pub disconnects: Counter,
+    /// Seconds from the receipt of a request to its first token.
+    pub first_token: Histogram,
+    /// Revision of the configuration in force.
+    pub config_revision: Gauge,
+    /// Seconds since this node last held the end of the configuration log.
+    pub config_age: Gauge<f64, std::sync::atomic::AtomicU64>,
+    /// Records of the configuration log that were rejected.
+    pub config_rejected: Counter,
+    /// Failed reads of the configuration log.
+    pub config_read_failures: Counter,
+    /// Reads that found the log shorter than the configuration held.
+    pub config_log_behind: Counter,
+    /// Failed reads of the host list.
+    pub hosts_read_failures: Counter,
+    /// Billing records that are not in the log yet.
+    pub billing_unsettled: Gauge,
+    /// Answers released before their billing record was replicated.
+    pub billing_underreplicated: Counter,
+    /// Failed appends of billing batches.
+    pub billing_append_failures: Counter,
+}
+
+impl Metrics {
+    /// Registers all metrics; each refusal and retry reason starts at zero.
+    pub(crate) fn new() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("bronzevale"),
+            refusals: Family::default(),
+            retries: Family::default(),
+            requests: Counter::default(),
+            open: Gauge::default(),
+            tokens: Counter::default(),
+            disconnects: Counter::default(),
+            first_token: Histogram::new([0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.85, 2.0, 5.0, 10.0]),
+            config_revision: Gauge::default(),
+            config_age: Gauge::default(),
+            config_rejected: Counter::default(),
+            config_read_failures: Counter::default(),
+            config_log_behind: Counter::default(),
+            hosts_read_failures: Counter::default(),
+            billing_unsettled: Gauge::default(),
+            billing_underreplicated: Counter::default(),
+            billing_append_failures: Counter::default(),
+        };
+        for reason in Reason::ALL {
+            drop(metrics.refusals.get_or_create(&[("reason", reason.code())]));
+        }
+        for reason in Retry::ALL {
+            drop(metrics.retries.get_or_create(&[("reason", reason.code())]));
+        }
+        metrics.register();
+        metrics
+    }
+
+    /// Counts a refusal.
+    pub(crate) fn refusal(&self, reason: Reason) {
+        self.refusals.get_or_create(&[("reason", reason.code())]).inc();
+    }
+
+    /// Counts a retry.
+    pub(crate) fn retry(&self, reason: Retry) {
+        self.retries.get_or_create(&[("reason", reason.code())]).inc();
+    }
+
+    /// The text exposition of all metrics.
+    pub(crate) fn render(&self) -> String {
+        let mut text = String::new();
+        match text::encode(&mut text, &self.registry) {
+            Ok(()) => text,
+            Err(std::fmt::Error) => String::new(),
+        }
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("refusals", "Refused requests by reason", self.refusals.clone());
+        registry.register("retries", "Repeated attempts by reason", self.retries.clone());
+        registry.register("requests", "Requests received", self.requests.clone());
+        registry.register("open_requests", "Requests under way", self.open.clone());
+        registry.register("tokens", "Tokens delivered to callers", self.tokens.clone());
+        registry.register(
+            "caller_disconnects",
+            "Answers cut by the caller",
+            self.disconnects.clone(),
+        );
+        registry.register(
+            "first_token_seconds",
+            "Time to first token",
+            self.first_token.clone(),
+        );
+        registry.register(
+            "config_revision",
+            "Configuration revision",
+            self.config_revision.clone(),
+        );
+        registry.register(
+            "config_age_seconds",
+            "Age of the configuration",
+            self.config_age.clone(),
+        );
+        registry.register(
+            "config_rejected",
+            "Rejected configuration records",
+            self.config_rejected.clone(),
+        );
+        registry.register(
+            "config_read_failures",
+            "Failed reads of the configuration log",
+            self.config_read_failures.clone(),
+        );
+        registry.register(
+            "config_log_behind",
+            "Reads that found the log shorter than the configuration held",
+            self.config_log_behind.clone(),
+        );
+        registry.register(
+            "hosts_read_failures",
+            "Failed reads of the host list",
+            self.hosts_read_failures.clone(),
+        );
+        registry.register(
+            "billing_unsettled",
+            "Billing records not in the log yet",
+            self.billing_unsettled.clone(),
+        );
+        registry.register(
+            "billing_underreplicated",
+            "Answers released before their billing record was replicated",
+            self.billing_underreplicated.clone(),
+        );
+        registry.register(
+            "billing_append_failures",
+            "Failed appends of billing batches",
+            self.billing_append_failures.clone(),
+        );
+    }
+}
--- /dev/null
+++ b/crates/node/src/services.rs
@@ -0,0 +1,115 @@
+//! `/v1/services/NAME/...`: calls to plain services.
+
+use std::time::Instant;
+
+use model::object::service::Repeat;
+use model::refusal::Reason;
+use model::{Class, Name, Refusal};
+use platform::service::{Call, Error, Reply as ServiceReply};
+
+use crate::http::dispatch::refuse;
+use crate::http::exchange::Exchange;
+use crate::http::reply::Reply;
+use crate::http::{body, gate};
+use crate::metrics::Retry;
+use crate::shared::Shared;
+
+/// Path prefix of all services.
+pub(crate) const PREFIX: &str = "/v1/services/";
+
+/// Greatest number of attempts.
+const MAX_ATTEMPTS: usize = 3;
+
+/// An admitted call.
+struct Admitted {
+    pool: Name,
+    repeat: Repeat,
+    deadline: Instant,
+    call: Call,
+}
+
+/// Answers one call.
+pub(crate) fn serve(shared: &Shared, mut exchange: Exchange) {
+    let result = admit(shared, &mut exchange).and_then(|it| run(shared, &it));
+    match result {
+        Ok(it) => exchange.respond(Reply::new(it.status, &it.content_type, it.body)),
+        Err(refusal) => refuse(shared, exchange, &refusal),
+    }
+}
+
+fn admit(shared: &Shared, exchange: &mut Exchange) -> Result<Admitted, Refusal> {
+    let received = Instant::now();
+    gate::open(shared)?;
+    let view = shared.catalog.view();
+    let tenant = crate::auth::tenant(&view, exchange)?;
+    let rest = exchange.url().strip_prefix(PREFIX).unwrap_or_default().to_owned();
+    let end = rest.find(['/', '?']).unwrap_or(rest.len());
+    let (service, path) = rest.split_at(end);
+    let found = view.service_call(&tenant, service, exchange.method(), path)?;
+    if exchange.header("Idempotency-Key").is_some() && found.call.repeat == Repeat::NonIdempotent {
+        // Keys are not issued yet, so no key has a known prefix.
+        return Err(Refusal::not_run(Reason::KeyInvalid));
+    }
+    let deadline = received + gate::time_allowed(shared, exchange, Class::Transaction)?;
+    let body = body::read(exchange, &shared.settings.http)?;
+    let timeouts = &shared.settings.upstream;
+    Ok(Admitted {
+        pool: found.service.pool.clone(),
+        repeat: found.call.repeat,
+        deadline,
+        call: Call {
+            method: exchange.method().to_owned(),
+            path: path.to_owned(),
+            content_type: exchange.header("Content-Type").unwrap_or_default().to_owned(),
+            body,
+            idempotency_key: exchange.header("Idempotency-Key").map(ToOwned::to_owned),
+            connect_timeout: timeouts.connect_timeout,
+            timeout: timeouts.service_timeout,
+        },
+    })
+}
+
+/// Sends the call; again only if it is idempotent or provably did not run.
+fn run(shared: &Shared, admitted: &Admitted) -> Result<ServiceReply, Refusal> {
+    let mut tried = Vec::new();
+    let mut rng = shared.rng();
+    let mut refusal = Refusal::not_run(Reason::NoUpstream);
+    while tried.len() < MAX_ATTEMPTS {
+        let Some(left) = admitted.deadline.checked_duration_since(Instant::now()) else {
+            return Err(Refusal {
+                reason: Reason::DeadlineExceeded,
+                ..refusal
+            });
+        };
+        let Some(assignment) = shared
+            .upstreams
+            .choose(&admitted.pool, &tried, shared.now(), &mut rng)
+        else {
+            return Err(refusal);
+        };
+        let upstream = &assignment.upstream;
+        let mut call = admitted.call.clone();
+        call.timeout = call.timeout.min(left);
+        let err = match shared.ports.services.call(upstream.address, &call) {
+            Ok(reply) => return Ok(reply),
+            Err(err) => err,
+        };
+        match (&err, admitted.repeat) {
+            (Error::Unknown, Repeat::NonIdempotent) => {
+                return Err(Refusal::unknown(Reason::OutcomeUnknown));
+            }
+            (Error::Unknown, Repeat::Idempotent) => {
+                refusal = Refusal::unknown(Reason::UpstreamFailed);
+                shared.metrics.retry(Retry::Broken);
+                upstream.eject(shared.now());
+            }
+            (Error::Connect, _) => {
+                shared.metrics.retry(Retry::Connect);
+                upstream.eject(shared.now());
+            }
+            (Error::NotRun, _) => shared.metrics.retry(Retry::Refused),
+        }
+        tried.push(upstream.name.clone());
+    }
+    Err(refusal)
+}
--- /dev/null
+++ b/crates/node/src/shared.rs
@@ -0,0 +1,99 @@
+//! State that all threads of a node share.
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use config::settings::Settings;
+use config::view::{KeyHash, hash_key};
+use model::Incarnation;
+use rand::rngs::{OsRng, SmallRng};
+use rand::{Rng, SeedableRng, TryRngCore};
+
+use crate::billing::Biller;
+use crate::catalog::Catalog;
+use crate::metrics::Metrics;
+use crate::phase::{Cell, Phase};
+use crate::ports::Ports;
+use crate::secrets::Secrets;
+use crate::session::Keys;
+use crate::upstreams::Directory;
+
+/// Interval at which a sleeping thread checks whether the node stops.
+const STOP_CHECK: Duration = Duration::from_millis(100);
+
+/// State that all threads of a node share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub settings: Settings,
+    pub ports: Ports,
+    pub incarnation: Incarnation,
+    pub metrics: Metrics,
+    pub catalog: Catalog,
+    pub upstreams: Directory,
+    pub biller: Biller,
+    pub phase: Cell,
+    pub sessions: Keys,
+    pub admin_key: Option<KeyHash>,
+    /// Requests under way.
+    pub open: AtomicUsize,
+    /// When an entry answer last named this node.
+    pub named_at: Mutex<Option<Instant>>,
+    start: Instant,
+    next_request: AtomicU64,
+    next_seed: AtomicU64,
+}
+
+impl Shared {
+    /// State of a node that starts now.
+    pub(crate) fn new(settings: Settings, secrets: Secrets, ports: Ports) -> Self {
+        let session_keys = [Some(secrets.session), secrets.previous_session];
+        let session_keys = session_keys.into_iter().flatten().collect();
+        let incarnation = Incarnation::from_bits(OsRng.unwrap_err().random());
+        Self {
+            sessions: Keys::new(session_keys),
+            admin_key: secrets.admin.as_deref().map(hash_key),
+            biller: Biller::new(incarnation, &settings.billing),
+            upstreams: Directory::new(settings.node.failure_domain.clone()),
+            settings,
+            ports,
+            incarnation,
+            metrics: Metrics::new(),
+            catalog: Catalog::default(),
+            phase: Cell::default(),
+            open: AtomicUsize::new(0),
+            named_at: Mutex::new(None),
+            start: Instant::now(),
+            next_request: AtomicU64::new(0),
+            next_seed: AtomicU64::new(OsRng.unwrap_err().random()),
+        }
+    }
+
+    /// Time since the node started.
+    pub(crate) fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    /// Sleeps for `time`, or less if the node stops.
+    pub(crate) fn pause(&self, time: Duration) {
+        let end = Instant::now() + time;
+        while self.phase.get() < Phase::Stopped {
+            let left = end.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return;
+            }
+            std::thread::sleep(left.min(STOP_CHECK));
+        }
+    }
+
+    /// A generator for the choices of one request; it needs no lock and no system call.
+    pub(crate) fn rng(&self) -> SmallRng {
+        SmallRng::seed_from_u64(self.next_seed.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Identity of a new request, unique over all nodes and restarts.
+    pub(crate) fn request_id(&self) -> String {
+        let number = self.next_request.fetch_add(1, Ordering::Relaxed);
+        format!("{}-{number}", self.incarnation)
+    }
+}
