--- /dev/null
+++ b/crates/demo/src/sample.rs
@@ -0,0 +1,119 @@
+//! The configuration that the cluster starts with.
+
+use config::record::{Change, Id, Proposal, Record};
+use config::view::hash_key;
+use model::Object;
+use model::object::{Cascade, Model, Organisation, Pool, Service, Version, cascade, pool, service, version};
+
+/// Bearer key of the organisation `demo`.
+pub const KEY: &str = "demo-key";
+
+/// Bearer key of the organisation `other`, which may use only the model `small`.
+pub const OTHER_KEY: &str = "other-key";
+
+/// Pool of the engines.
+pub const ENGINES: &str = "engines";
+
+/// Pool of the instances of the service `stock`.
+pub const SERVICES: &str = "stock-hosts";
+
+/// Versions that every engine has loaded.
+pub const VERSIONS: [&str; 3] = ["small-1", "small-2", "large-1"];
+
+/// All objects.
+pub fn objects() -> Vec<Object> {
+    let mut objects = vec![
+        pool(ENGINES, pool::Role::Engine),
+        pool(SERVICES, pool::Role::Service),
+        model("small", "small-1"),
+        model("large", "large-1"),
+        version("small-1", "small", 100),
+        version("small-2", "small", 110),
+        version("large-1", "large", 1_000),
+    ];
+    objects.push(Object::Cascade(Cascade {
+        name: "any".into(),
+        steps: vec![
+            cascade::Target::Model("small".into()),
+            cascade::Target::Model("large".into()),
+        ],
+    }));
+    objects.push(Object::Service(Service {
+        name: "stock".into(),
+        pool: SERVICES.into(),
+        calls: vec![
+            call("GET", standin::service::REPEATABLE, service::Repeat::Idempotent),
+            call("POST", "/holds", service::Repeat::NonIdempotent),
+        ],
+    }));
+    objects.push(organisation(
+        "demo",
+        KEY,
+        &["small", "large"],
+        &["any"],
+        &["stock"],
+    ));
+    objects.push(organisation("other", OTHER_KEY, &["small"], &[], &[]));
+    objects
+}
+
+/// The payload that creates all objects in an empty configuration.
+pub fn payload() -> Vec<u8> {
+    let changes = objects().into_iter().map(Change::Put).collect();
+    Record::Proposal(Proposal {
+        id: Id::from_bits(1),
+        author: "demo".to_owned(),
+        base: std::collections::BTreeMap::new(),
+        changes,
+    })
+    .to_bytes()
+}
+
+fn pool(name: &str, role: pool::Role) -> Object {
+    Object::Pool(Pool {
+        name: name.into(),
+        role,
+        fencing: pool::Fencing::Checked,
+        concurrency: 8,
+    })
+}
+
+fn model(name: &str, default_version: &str) -> Object {
+    Object::Model(Model {
+        name: name.into(),
+        default_version: default_version.into(),
+    })
+}
+
+fn version(name: &str, model: &str, price: model::Cost) -> Object {
+    Object::Version(Version {
+        name: name.into(),
+        model: model.into(),
+        pool: ENGINES.into(),
+        state: version::State::Live,
+        input_price: price,
+        output_price: 4 * price,
+    })
+}
+
+fn call(method: &str, path: &str, repeat: service::Repeat) -> service::Call {
+    service::Call {
+        method: method.to_owned(),
+        path: path.to_owned(),
+        repeat,
+    }
+}
+
+fn organisation(name: &str, key: &str, models: &[&str], cascades: &[&str], services: &[&str]) -> Object {
+    let names = |list: &[&str]| list.iter().map(|it| (*it).into()).collect();
+    Object::Organisation(Organisation {
+        name: name.into(),
+        key_hashes: vec![hash_key(key).iter().map(|it| format!("{it:02x}")).collect()],
+        models: names(models),
+        versions: Vec::new(),
+        cascades: names(cascades),
+        services: names(services),
+        weight: 1,
+        quality_permille: 900,
+    })
+}
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -7,7 +7,6 @@
 
 use crate::auth;
 use crate::http::exchange::Exchange;
-use crate::http::gate;
 use crate::http::reply::Reply;
 use crate::phase::Phase;
 use crate::shared::Shared;
@@ -27,11 +26,8 @@
 
 /// `GET /readyz`: whether callers may be sent to this node.
 pub(crate) fn ready(shared: &Shared) -> Reply {
-    if shared.phase.get() != Phase::Serving {
-        return Reply::text(503, "leaving\n");
-    }
-    if gate::is_stale(shared) {
-        return Reply::text(503, "configuration stale\n");
+    if !shared.is_ready() {
+        return Reply::text(503, "not ready\n");
     }
     Reply::text(200, "ready\n")
 }
--- a/crates/node/src/config_log.rs
+++ b/crates/node/src/config_log.rs
@@ -75,11 +75,11 @@
         };
         from = last.offset + 1;
         let usable = |state: &State| state.revision() >= page.first;
-        let snapshots = page
+        let mut snapshots = page
             .records
             .iter()
             .filter_map(|it| State::from_snapshot(&it.payload).ok());
-        newest = snapshots.filter(usable).next_back().or(newest);
+        newest = snapshots.rfind(usable).or(newest);
     }
     if let Some(state) = newest {
         log::info!(
--- a/crates/node/src/entries.rs
+++ b/crates/node/src/entries.rs
@@ -7,9 +7,7 @@
 use serde_json::json;
 
 use crate::http::exchange::Exchange;
-use crate::http::gate;
 use crate::http::reply::Reply;
-use crate::phase::Phase;
 use crate::shared::Shared;
 
 /// Length of an epoch.
@@ -23,7 +21,7 @@
     let view = shared.catalog.view();
     crate::auth::tenant(&view, exchange)?;
     let mut entries = Vec::new();
-    if shared.phase.get() == Phase::Serving && !gate::is_stale(shared) {
+    if shared.is_ready() {
         *shared.named_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
         entries.push(json!({
             "address": shared.settings.node.entry.to_string(),
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -105,6 +105,11 @@
         self.address
     }
 
+    /// Whether callers may be sent to this node.
+    pub fn is_ready(&self) -> bool {
+        self.shared.is_ready()
+    }
+
     /// Whether a planned stop was requested, by an operator's drain or by [`Handle::stop`].
     pub fn is_leaving(&self) -> bool {
         self.shared.phase.get() >= Phase::Leaving
--- a/crates/node/src/http/dispatch.rs
+++ b/crates/node/src/http/dispatch.rs
@@ -35,6 +35,16 @@
             }
         }
     }
+    refuse_rest(shared, server);
+}
+
+/// Refuses requests that arrived after the last ones were taken.
+fn refuse_rest(shared: &Shared, server: &Server) {
+    while let Ok(Some(request)) = server.try_recv() {
+        if let Some(exchange) = Exchange::new(request).droppable() {
+            refuse(shared, exchange, &Refusal::not_run(Reason::Leaving));
+        }
+    }
 }
 
 /// Counts a request as under way until it is dropped.
@@ -65,6 +75,10 @@
 
 fn start(shared: &Arc<Shared>, exchange: Exchange) {
     shared.metrics.requests.inc();
+    let Some(exchange) = exchange.droppable() else {
+        shared.metrics.abandoned.inc();
+        return;
+    };
     let Some(slot) = Slot::take(shared) else {
         let refusal = Refusal::not_run(Reason::Overloaded).retry_after(RETRY_AFTER);
         return refuse(shared, exchange, &refusal);
--- a/crates/node/src/http/exchange.rs
+++ b/crates/node/src/http/exchange.rs
@@ -5,6 +5,12 @@
 use super::events::Events;
 use super::reply::Reply;
 
+/// Length from which a declared body must not be dropped.
+///
+/// On drop, the HTTP library allocates a buffer as long as the unread rest of the body, and a failed allocation ends
+/// the process: one request that declares 100 TB did so. The settings allow bodies up to this length.
+const MAX_DROPPED_BYTES: usize = 1 << 30;
+
 /// A request that has not been answered.
 #[derive(Debug)]
 pub(crate) struct Exchange {
@@ -17,6 +23,21 @@
         Self { request }
     }
 
+    /// Gives up a request whose declared body is absurdly long, and returns any other.
+    ///
+    /// Its connection is leaked, because neither an answer nor a plain drop is safe.
+    pub(crate) fn droppable(self) -> Option<Self> {
+        if self
+            .request
+            .body_length()
+            .is_none_or(|it| it <= MAX_DROPPED_BYTES)
+        {
+            return Some(self);
+        }
+        std::mem::forget(self);
+        None
+    }
+
     /// Method in capitals.
     pub(crate) fn method(&self) -> &str {
         self.request.method().as_str()
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -61,6 +61,8 @@
     retries: Family<Label, Counter>,
     /// Requests received.
     pub requests: Counter,
+    /// Connections given up because of an absurd declared body length.
+    pub abandoned: Counter,
     /// Requests under way.
     pub open: Gauge,
     /// Tokens delivered to callers.
@@ -97,6 +99,7 @@
             refusals: Family::default(),
             retries: Family::default(),
             requests: Counter::default(),
+            abandoned: Counter::default(),
             open: Gauge::default(),
             tokens: Counter::default(),
             disconnects: Counter::default(),
@@ -145,6 +148,11 @@
         registry.register("refusals", "Refused requests by reason", self.refusals.clone());
         registry.register("retries", "Repeated attempts by reason", self.retries.clone());
         registry.register("requests", "Requests received", self.requests.clone());
+        registry.register(
+            "abandoned_connections",
+            "Connections given up",
+            self.abandoned.clone(),
+        );
         registry.register("open_requests", "Requests under way", self.open.clone());
         registry.register("tokens", "Tokens delivered to callers", self.tokens.clone());
         registry.register(
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -1,14 +1,20 @@
 //! Platform ports that a node uses.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use config::settings::Settings;
 use platform::engine::Engines;
 use platform::hosts::Hosts;
+use platform::http;
 use platform::log::Log;
 use platform::rating::Rating;
 use platform::service::Services;
 use platform::weights::Weights;
 
+/// Bound on calls to the log, the host list, the weight store and the engines' reports.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
 /// One client for each service of the platform, shared by all threads of a node.
 #[derive(Debug, Clone)]
 pub struct Ports {
@@ -25,3 +31,22 @@
     /// Weight store; without it no order to load a version is sent.
     pub weights: Option<Arc<dyn Weights>>,
 }
+
+impl Ports {
+    /// HTTP clients of the platform that the settings name; no connection is made yet.
+    pub fn connect(settings: &Settings) -> Self {
+        let connect = settings.upstream.connect_timeout;
+        let platform = &settings.platform;
+        let rating = |address| Arc::new(http::rating::Client::new(address, connect)) as Arc<dyn Rating>;
+        let weights =
+            |address| Arc::new(http::weights::Client::new(address, connect, TIMEOUT)) as Arc<dyn Weights>;
+        Self {
+            log: Arc::new(http::log::Client::new(platform.log, connect, TIMEOUT)),
+            hosts: Arc::new(http::hosts::Client::new(platform.hosts, connect, TIMEOUT)),
+            engines: Arc::new(http::engine::Client::new(connect, TIMEOUT)),
+            services: Arc::new(http::service::Client),
+            rating: platform.rating.map(rating),
+            weights: platform.weights.map(weights),
+        }
+    }
+}
--- a/crates/node/src/secrets.rs
+++ b/crates/node/src/secrets.rs
@@ -46,11 +46,12 @@
     /// The first file that is unreadable or holds too short a key.
     pub fn load(keys: &Keys) -> Result<Self, Error> {
         let previous_session = keys.previous_session.as_deref().map(read).transpose()?;
+        let admin = keys.admin.as_deref().map(read).transpose()?;
         Ok(Self {
             session: read(&keys.session)?,
             previous_session,
             cluster: read(&keys.cluster)?,
-            admin: None,
+            admin: admin.map(|it| String::from_utf8_lossy(&it).into_owned()),
         })
     }
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -12,6 +12,7 @@
 
 use crate::billing::Biller;
 use crate::catalog::Catalog;
+use crate::http::gate;
 use crate::metrics::Metrics;
 use crate::phase::{Cell, Phase};
 use crate::ports::Ports;
@@ -74,6 +75,11 @@
         self.start.elapsed()
     }
 
+    /// Whether callers may be sent to this node.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.phase.get() == Phase::Serving && self.upstreams.is_known() && !gate::is_stale(self)
+    }
+
     /// Sleeps for `time`, or less if the node stops.
     pub(crate) fn pause(&self, time: Duration) {
         let end = Instant::now() + time;
--- a/crates/node/src/upstreams.rs
+++ b/crates/node/src/upstreams.rs
@@ -144,6 +144,11 @@
             .map(Assignment::new)
     }
 
+    /// Whether a host list was ever read.
+    pub(crate) fn is_known(&self) -> bool {
+        !self.pools().is_empty()
+    }
+
     /// Number of available upstreams of each pool.
     pub(crate) fn available(&self) -> BTreeMap<Name, usize> {
         let count = |pool: &Vec<Arc<Upstream>>| pool.iter().filter(|it| !it.is_leaving()).count();
