ctl: add check, publish, diff, show, status, watch, withdraw, rollout and drain

Cause: operators have no client. Change: the client folds the configuration log itself, previews a proposal before it is appended, and learns the verdict by reading its own record back.

--- /dev/null
+++ b/crates/ctl/src/args.rs
@@ -0,0 +1,215 @@
+//! Command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+use crate::failure::{EXIT_USAGE, Failure};
+use crate::output::Format;
+
+/// Operates a bronzevale cluster.
+#[derive(Debug, FromArgs)]
+pub struct Args {
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+    /// address of the log service, IP:PORT
+    #[argh(option)]
+    log: Option<SocketAddr>,
+    /// name recorded as the author of a change
+    #[argh(option, default = "String::from(\"operator\")")]
+    pub author: String,
+    #[argh(subcommand)]
+    pub command: Command,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum Command {
+    Check(Check),
+    Publish(Publish),
+    Diff(Diff),
+    Show(Show),
+    Status(Status),
+    Watch(Watch),
+    Withdraw(Withdraw),
+    Rollout(Rollout),
+    Drain(Drain),
+}
+
+/// Checks objects in files as a whole configuration, without any connection.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct Check {
+    /// files with a JSON array of objects
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
+/// Publishes objects from files, and deletes objects.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "publish")]
+pub struct Publish {
+    /// files with a JSON array of objects, as `show --json` prints them or without revisions
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+    /// object to delete, as KIND/NAME; may be repeated
+    #[argh(option)]
+    pub delete: Vec<String>,
+    /// seconds to wait for the verdict (default 30)
+    #[argh(option, default = "30")]
+    pub wait: u64,
+}
+
+/// Prints how objects in files differ from the published ones.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "diff")]
+pub struct Diff {
+    /// files with a JSON array of objects
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
+/// Prints published objects with their revisions.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "show")]
+pub struct Show {
+    /// kind, or KIND/NAME; everything if absent
+    #[argh(positional)]
+    pub filter: Option<String>,
+}
+
+/// Prints the status of nodes.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct Status {
+    /// entry address of a node; may be repeated
+    #[argh(option)]
+    pub node: Vec<SocketAddr>,
+    /// file with the operators' bearer key
+    #[argh(option)]
+    pub key_file: Option<PathBuf>,
+}
+
+/// Prints each new record of the configuration log with its verdict.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "watch")]
+pub struct Watch {
+    /// stop after this many records
+    #[argh(option)]
+    pub count: Option<u64>,
+    /// stop after this many seconds
+    #[argh(option)]
+    pub seconds: Option<u64>,
+}
+
+/// Withdraws a version: it takes no new request from then on.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "withdraw")]
+pub struct Withdraw {
+    /// name of the version
+    #[argh(positional)]
+    pub version: String,
+    /// version that becomes the default of the model if the withdrawn one is
+    #[argh(option)]
+    pub default: Option<String>,
+}
+
+/// Controls a roll-out.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "rollout")]
+pub struct Rollout {
+    #[argh(subcommand)]
+    pub action: RolloutAction,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum RolloutAction {
+    Start(RolloutStart),
+    Halt(RolloutHalt),
+    Resume(RolloutResume),
+}
+
+/// Starts a roll-out of a version of a model.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "start")]
+pub struct RolloutStart {
+    /// name of the roll-out
+    #[argh(positional)]
+    pub name: String,
+    /// model
+    #[argh(option)]
+    pub model: String,
+    /// version that becomes the default
+    #[argh(option)]
+    pub to: String,
+    /// shares of the stages in thousandths, ascending, the last one 1000
+    #[argh(option, default = "String::from(\"10,100,500,1000\")")]
+    pub stages: String,
+    /// greatest number of exposed requests before the first stage is decided
+    #[argh(option, default = "40")]
+    pub budget: u32,
+}
+
+/// Halts a roll-out; the new version gets no new session.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "halt")]
+pub struct RolloutHalt {
+    /// name of the roll-out
+    #[argh(positional)]
+    pub name: String,
+}
+
+/// Resumes a halted roll-out at its stage.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "resume")]
+pub struct RolloutResume {
+    /// name of the roll-out
+    #[argh(positional)]
+    pub name: String,
+}
+
+/// Tells a node to finish its work and stop.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "drain")]
+pub struct Drain {
+    /// entry address of the node
+    #[argh(positional)]
+    pub node: SocketAddr,
+    /// file with the operators' bearer key
+    #[argh(option)]
+    pub key_file: Option<PathBuf>,
+}
+
+impl Args {
+    /// Output format.
+    pub fn format(&self) -> Format {
+        if self.json { Format::Json } else { Format::Text }
+    }
+
+    /// Address of the log service.
+    pub fn log(&self) -> Result<SocketAddr, Failure> {
+        self.log.ok_or(Failure::NoLogAddress)
+    }
+}
+
+/// Parses the command line; an error carries the exit code.
+pub fn parse() -> Result<Args, ExitCode> {
+    let strings: Vec<String> = std::env::args().collect();
+    let strs: Vec<&str> = strings.iter().map(String::as_str).collect();
+    let Some((_, rest)) = strs.split_first() else {
+        return Err(ExitCode::from(EXIT_USAGE));
+    };
+    Args::from_args(&["bronzevalectl"], rest).map_err(|exit| {
+        if exit.status.is_ok() {
+            println!("{}", exit.output);
+            ExitCode::SUCCESS
+        } else {
+            eprintln!("{}", exit.output);
+            ExitCode::from(EXIT_USAGE)
+        }
+    })
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,2 +1,50 @@
-//! Placeholder.
-fn main() {}
+//! `bronzevalectl`, the operators' client.
+//!
+//! Exit codes: 0 done, 1 refused or failed, 2 bad arguments or input, 3 platform or node unreachable, 4 outcome
+//! unknown.
+
+use std::process::ExitCode;
+
+mod args;
+mod change;
+mod failure;
+mod input;
+mod journal;
+mod nodes;
+mod output;
+mod publish;
+mod show;
+mod watch;
+
+use args::{Args, Command};
+use failure::Failure;
+
+fn main() -> ExitCode {
+    env_logger::init();
+    let args = match args::parse() {
+        Ok(args) => args,
+        Err(code) => return code,
+    };
+    match run(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            output::failure(&failure, args.format());
+            ExitCode::from(failure.exit_code())
+        }
+    }
+}
+
+fn run(args: &Args) -> Result<(), Failure> {
+    let format = args.format();
+    match &args.command {
+        Command::Check(it) => input::check(it, format),
+        Command::Publish(it) => publish::run(it, args, format),
+        Command::Diff(it) => change::diff(it, args, format),
+        Command::Show(it) => show::run(it, args, format),
+        Command::Status(it) => nodes::status(it, format),
+        Command::Watch(it) => watch::run(it, args, format),
+        Command::Withdraw(it) => change::withdraw(it, args, format),
+        Command::Rollout(it) => change::rollout(it, args, format),
+        Command::Drain(it) => nodes::drain(it, format),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/output.rs
@@ -0,0 +1,37 @@
+//! Text and JSON output.
+
+use serde::Serialize;
+use serde_json::json;
+
+use crate::failure::Failure;
+
+/// Form of the output.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Format {
+    /// Lines for people.
+    Text,
+    /// JSON for scripts, one document a line.
+    Json,
+}
+
+/// Prints a value as JSON, or the lines that `text` makes of it.
+pub fn print<T: Serialize>(value: &T, format: Format, text: impl FnOnce(&T) -> Vec<String>) {
+    match format {
+        Format::Json => println!("{}", serde_json::to_string(value).unwrap_or_default()),
+        Format::Text => text(value).iter().for_each(|it| println!("{it}")),
+    }
+}
+
+/// Prints a failure to standard error.
+pub fn failure(failure: &Failure, format: Format) {
+    let details = failure.details();
+    match format {
+        Format::Json => {
+            eprintln!("{}", json!({"error": failure.to_string(), "details": details}));
+        }
+        Format::Text => {
+            eprintln!("{failure}");
+            details.iter().for_each(|it| eprintln!("  {it}"));
+        }
+    }
+}
