--- a/crates/ctl/src/journal.rs
+++ b/crates/ctl/src/journal.rs
@@ -13,7 +13,7 @@
 use crate::failure::Failure;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 const PAGE_RECORDS: usize = 500;
 
 /// A folded state that follows the log.
--- /dev/null
+++ b/crates/ctl/tests/commands.rs
@@ -0,0 +1,173 @@
+//! Runs the client against a fake log service.
+
+#![expect(clippy::unwrap_used, reason = "helpers of tests may panic")]
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+use serde_json::Value;
+use standin::log::{Log, Options};
+
+const OK: i32 = 0;
+const REFUSED: i32 = 1;
+const USAGE: i32 = 2;
+const UNREACHABLE: i32 = 3;
+
+struct Bench {
+    log: Log,
+    dir: PathBuf,
+}
+
+impl Bench {
+    fn new(name: &str) -> Self {
+        let log = Log::bind("127.0.0.1:0".parse().unwrap(), Options::default()).unwrap();
+        let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        std::fs::create_dir_all(&dir).unwrap();
+        Self { log, dir }
+    }
+
+    fn run(&self, args: &[&str]) -> Output {
+        let log = self.log.address().to_string();
+        Command::new(env!("CARGO_BIN_EXE_bronzevalectl"))
+            .args(["--json", "--log", &log])
+            .args(args)
+            .output()
+            .unwrap()
+    }
+
+    fn check(&self, args: &[&str], code: i32) -> Value {
+        let output = self.run(args);
+        let stdout = String::from_utf8_lossy(&output.stdout);
+        let stderr = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(output.status.code(), Some(code), "{args:?}: {stdout}{stderr}");
+        let text = if code == OK { stdout } else { stderr };
+        serde_json::from_str(text.lines().next().unwrap_or("null")).unwrap()
+    }
+
+    fn file(&self, name: &str, content: &str) -> String {
+        let path = self.dir.join(name);
+        std::fs::write(&path, content).unwrap();
+        path.display().to_string()
+    }
+
+    fn publish_example(&self) {
+        self.check(&["publish", &example("lumefolha")], OK);
+    }
+}
+
+fn example(name: &str) -> String {
+    format!(
+        "{}/../../examples/{name}-objects.json",
+        env!("CARGO_MANIFEST_DIR")
+    )
+}
+
+/// Guards against sample objects that a cluster would refuse.
+#[test]
+fn sample_objects_are_valid() {
+    let bench = Bench::new("samples");
+    for name in ["lumefolha", "namib"] {
+        bench.check(&["check", &example(name)], OK);
+    }
+}
+
+/// Guards against faults that come to light one at a time, or only after something was appended.
+#[test]
+fn faulty_objects_are_refused_with_all_faults_before_anything_is_appended() {
+    let bench = Bench::new("faults");
+    let file = bench.file(
+        "faulty.json",
+        r#"[
+            {"kind": "model", "name": "m", "default_version": "absent"},
+            {"kind": "cascade", "name": "a", "steps": [{"cascade": "b"}]},
+            {"kind": "cascade", "name": "b", "steps": [{"cascade": "a"}]}
+        ]"#,
+    );
+    for command in ["check", "publish"] {
+        let error = bench.check(&[command, &file], USAGE);
+        let details = error["details"].as_array().unwrap();
+        assert!(details.len() >= 2, "{details:?}");
+    }
+    assert_eq!(bench.log.end("config"), 0);
+}
+
+/// Guards against an edit that overwrites a change made since its author read the object.
+#[test]
+fn an_edit_of_a_stale_revision_conflicts() {
+    let bench = Bench::new("conflict");
+    bench.publish_example();
+    let shown = bench.check(&["show", "version/foil-small-4"], OK);
+    let stale = bench.file("stale.json", &shown.to_string());
+    let edited = shown.to_string().replace("\"live\"", "\"withdrawn\"");
+    let edited = bench.file("edited.json", &edited);
+    bench.check(&["publish", &edited], OK);
+    let error = bench.check(&["publish", &stale], REFUSED);
+    assert_eq!(error["details"][0], "version/foil-small-4");
+}
+
+/// Guards against a publisher that reports failure, or publishes twice, when only the reply was lost.
+#[test]
+fn a_lost_reply_still_gives_the_verdict() {
+    let bench = Bench::new("lost-reply");
+    bench.publish_example();
+    let before = bench.log.end("config");
+    bench.log.update(|faults| faults.lose_appends = 1);
+    let verdict = bench.check(&["withdraw", "foil-small-4"], OK);
+    assert_eq!(verdict["revision"], before + 1);
+    assert_eq!(bench.log.end("config"), before + 1);
+}
+
+/// Guards against a success report when the log took nothing.
+#[test]
+fn an_outage_is_reported_as_unreachable() {
+    let bench = Bench::new("outage");
+    bench.log.update(|faults| faults.outage = true);
+    bench.check(&["publish", &example("namib")], UNREACHABLE);
+    assert_eq!(bench.log.end("config"), 0);
+}
+
+/// Guards against a roll-out to a version that takes no requests, and against a withdrawal that leaves one running.
+#[test]
+fn roll_outs_follow_their_version() {
+    let bench = Bench::new("rollout");
+    bench.publish_example();
+    let start = [
+        "rollout",
+        "start",
+        "next",
+        "--model",
+        "foil-small",
+        "--to",
+        "foil-small-4",
+    ];
+    bench.check(&start, OK);
+    bench.check(&["rollout", "halt", "next"], OK);
+    bench.check(&["rollout", "resume", "next"], OK);
+    bench.check(&["withdraw", "foil-small-4"], OK);
+    let shown = bench.check(&["show", "rollout/next"], OK);
+    assert_eq!(shown[0]["object"]["state"], "halted");
+    bench.check(&["rollout", "resume", "next"], USAGE);
+}
+
+/// Guards against the withdrawal of a model's default version without a successor.
+#[test]
+fn a_default_version_is_withdrawn_only_with_a_successor() {
+    let bench = Bench::new("default");
+    bench.publish_example();
+    bench.check(&["withdraw", "foil-small-3"], USAGE);
+    bench.check(&["withdraw", "foil-small-3", "--default", "foil-small-4"], OK);
+}
+
+/// Guards against bad arguments that end like a refusal.
+#[test]
+fn bad_arguments_have_an_exit_code_of_their_own() {
+    let bench = Bench::new("arguments");
+    for args in [
+        &["frobnicate"][..],
+        &["check"],
+        &["check", "/absent.json"],
+        &["status"],
+    ] {
+        assert_eq!(bench.run(args).status.code(), Some(USAGE), "{args:?}");
+    }
+}
--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -33,8 +33,10 @@
 pub struct Faults {
     /// Refuses every call without effect.
     pub outage: bool,
-    /// Appends and reads whose reply is withheld after they took effect, counted down.
+    /// Calls whose reply is withheld after they took effect, counted down.
     pub lose_replies: u32,
+    /// Appends whose reply is withheld after they took effect, counted down.
+    pub lose_appends: u32,
     /// Delay of every call in milliseconds, before it takes effect.
     pub delay_ms: u64,
     /// Records kept per stream if not zero; overrides the option.
@@ -132,7 +134,7 @@
         let Some(reply) = reply else {
             return call.refuse(400, "malformed");
         };
-        if self.loses_reply() {
+        if self.loses_reply(&call.method) {
             call.stay_silent(|| true);
             return;
         }
@@ -184,11 +186,13 @@
         json!({"first": stream.first, "end": stream.end(), "records": records})
     }
 
-    fn loses_reply(&self) -> bool {
+    fn loses_reply(&self, method: &str) -> bool {
         let mut lost = false;
         self.control.update(|faults| {
-            lost = faults.lose_replies > 0;
-            faults.lose_replies = faults.lose_replies.saturating_sub(1);
+            lost = take(&mut faults.lose_replies);
+            if method == "POST" {
+                lost |= take(&mut faults.lose_appends);
+            }
         });
         lost
     }
@@ -200,6 +204,13 @@
     }
 }
 
+/// Counts down, and tells whether there was anything left.
+fn take(count: &mut u32) -> bool {
+    let left = *count > 0;
+    *count = count.saturating_sub(1);
+    left
+}
+
 fn unix_ms() -> u64 {
     let since = SystemTime::now()
         .duration_since(SystemTime::UNIX_EPOCH)
