--- /dev/null
+++ b/crates/ledger/src/tests/size.rs
@@ -0,0 +1,71 @@
+//! Guards the compact encoding against growth; the bounds are the sizes measured when the encoding was made.
+
+use model::{Incarnation, Usage};
+
+use crate::billing::{Batch, Id, Key, Record, encode};
+
+const OWN: u128 = 0x9f86_d081_884c_7d65_9a2f_eaa0_c55a_d015;
+
+fn batch(number: u64, key: Key) -> Batch {
+    let id = Id {
+        incarnation: Incarnation::from_bits(OWN),
+        sequence: number,
+    };
+    let record = Record {
+        organisation: format!("organisation-{}", number % 10).into(),
+        key,
+        version: format!("model-{}-v3", number % 6).into(),
+        usage: Usage {
+            input: 900,
+            cached: 640,
+            output: 280,
+        },
+        cost: 4_250_000,
+        rejected: 120_000,
+    };
+    let records = vec![record];
+    Batch { id, records }
+}
+
+fn by_request(number: u64) -> Batch {
+    let incarnation = Incarnation::from_bits(OWN);
+    batch(number, Key::Request { incarnation, number })
+}
+
+fn by_key(number: u64) -> Batch {
+    let incarnation = Incarnation::from_bits(OWN);
+    // The caller part is a UUID without hyphens.
+    batch(
+        number,
+        Key::Idempotency(format!("{incarnation}.59.{number:032x}").into()),
+    )
+}
+
+/// Bytes of the payload of `count` batches of one record each.
+fn bytes(count: u64, make: impl Fn(u64) -> Batch) -> usize {
+    let batches: Vec<_> = (100_000..100_000 + count).map(make).collect();
+    encode(Incarnation::from_bits(OWN), &batches).unwrap().len()
+}
+
+/// One batch is what goes to each holder; 65 are the requests of an append interval at 340 nodes.
+#[test]
+fn sizes_are_as_measured() {
+    let sizes = [
+        bytes(1, by_request),
+        bytes(65, by_request),
+        bytes(1, by_key),
+        bytes(65, by_key),
+    ];
+    println!(
+        "1 and 65 batches by request: {:?}, by key: {:?}",
+        &sizes[..2],
+        &sizes[2..]
+    );
+    assert!(
+        sizes
+            .into_iter()
+            .zip([72, 1478, 105, 3751])
+            .all(|(size, bound)| size <= bound),
+        "{sizes:?}"
+    );
+}
