load: add the queueing model and the rush experiment

Cause: the overload targets of the design had no measurement. Change: event-driven model of engines, nodes and traffic; rush runs the policy from three first limits and two baselines.

--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -3,3 +3,5 @@
 //! Each experiment is a module with a function `run(seed)` that returns a [`report::Report`].
 
 pub mod report;
+pub mod rush;
+pub mod sim;
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -36,7 +36,8 @@
                 Duration::from_secs(2),
                 Duration::from_secs(5),
                 Duration::from_secs(20),
-                Duration::from_secs(60),
+                // With 60 s of batch work queued, the queue took 15 s to drain after a rush.
+                Duration::from_secs(20),
             ],
         }
     }
