policy: let limits grow in whole requests and shorten the standard queue

Cause: a limit a third of the right one never grew, because the growth of a node stayed below one request; a standard queue of 20 s held back batch work for 14 s after a rush. Change: grow by at least one request a report while nothing waits, round the limit, standard queue of 5 s.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -35,8 +35,8 @@
             wait: [
                 Duration::from_secs(2),
                 Duration::from_secs(5),
-                Duration::from_secs(20),
-                // With 60 s of batch work queued, the queue took 15 s to drain after a rush.
+                // A standard queue of 20 s held back batch work for 14 s after a rush.
+                Duration::from_secs(5),
                 Duration::from_secs(20),
             ],
         }
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -43,8 +43,9 @@
     /// arrival from a node 1 ms away, without a noticeable wait.
     const WANTED_QUEUE: f64 = 0.06;
 
-    /// Growth for each report until the first report with waiting requests.
-    const PROBE: f64 = 0.5;
+    /// Growth in one lag while nothing waits, as a fraction of the batch. Growth by the wanted queue alone left an
+    /// engine at 85% of its throughput for minutes after a first limit of a third of the right one.
+    const PROBE: f64 = 0.25;
 
     /// Smoothing factor for each report; 0.1 keeps the limit steady with a report every half second.
     const GAIN: f64 = 0.1;
@@ -84,9 +85,9 @@
         self.inflight
     }
 
-    /// Whether one more request fits.
+    /// Whether one more request fits into the limit, rounded to the nearest whole number.
     pub fn has_room(&self) -> bool {
-        f64::from(self.inflight) + 1.0 <= self.limit.max(1.0)
+        f64::from(self.inflight) + 1.0 <= self.limit.round().max(1.0)
     }
 
     /// Estimated requests at the engine now: others' at the last report plus own ones now.
@@ -130,11 +131,14 @@
             self.learn(running);
         }
         let wanted = (Self::WANTED_QUEUE * running).max(1.0);
-        let probe = match self.capacity {
-            Capacity::Unknown => (Self::PROBE * running).max(wanted),
-            Capacity::Batch(_) => wanted,
+        let sharers = sharers.max(1.0);
+        let growth = if load.waiting == 0 {
+            // At least one whole request, because only whole ones can be in flight at the next report.
+            (Self::PROBE * running / sharers).max(1.0)
+        } else {
+            wanted / sharers
         };
-        let target = own * running / total + probe / sharers.max(1.0);
+        let target = own * running / total + growth;
         // An idle node keeps its limit: the report says nothing about a load that it did not send.
         if target > self.limit || waiting > wanted {
             self.limit += Self::GAIN * (target - self.limit);
