load: add the faults experiment

Cause: the effect of engine faults on interactive latency and on the number of attempts had no measurement.

--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -25,7 +25,11 @@
 /// An experiment and its name on the command line.
 type Experiment = (&'static str, fn(u64) -> Report);
 
-const EXPERIMENTS: &[Experiment] = &[("rush", load::rush::run)];
+const EXPERIMENTS: &[Experiment] = &[
+    // Load.
+    ("rush", load::rush::run),
+    ("faults", load::faults::run),
+];
 
 const EXIT_MISSED: u8 = 1;
 const EXIT_USAGE: u8 = 2;
