ctl: add bills, which adds up each organisation's bill from the log

Cause: operators could not read the billing stream. Result: a batch in the log twice and a repeated idempotency key are counted once.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -37,6 +37,7 @@
     Withdraw(Withdraw),
     Rollout(Rollout),
     Drain(Drain),
+    Bills(Bills),
 }
 
 /// Checks objects in files as a whole configuration, without any connection.
@@ -184,6 +185,15 @@
     pub key_file: Option<PathBuf>,
 }
 
+/// Adds up the bill of each organisation from the billing log.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "bills")]
+pub struct Bills {
+    /// only this organisation
+    #[argh(option)]
+    pub organisation: Option<String>,
+}
+
 impl Args {
     /// Output format.
     pub fn format(&self) -> Format {
--- a/crates/ctl/src/journal.rs
+++ b/crates/ctl/src/journal.rs
@@ -14,7 +14,8 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
-const PAGE_RECORDS: usize = 500;
+/// Records asked for in one read.
+pub const PAGE_RECORDS: usize = 500;
 
 /// A folded state that follows the log.
 #[derive(Debug)]
@@ -37,7 +38,7 @@
 impl Journal {
     /// Connects and folds the whole log.
     pub fn open(args: &Args) -> Result<Self, Failure> {
-        let client = Client::new(args.log()?, CONNECT_TIMEOUT, CALL_TIMEOUT);
+        let client = client(args)?;
         let mut journal = Self {
             client,
             state: State::new(),
@@ -105,6 +106,11 @@
     }
 }
 
+/// Connection to the log service.
+pub fn client(args: &Args) -> Result<Client, Failure> {
+    Ok(Client::new(args.log()?, CONNECT_TIMEOUT, CALL_TIMEOUT))
+}
+
 fn is_snapshot(payload: &[u8]) -> bool {
     matches!(Record::parse(payload), Ok(Record::Snapshot(_)))
 }
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -6,6 +6,7 @@
 use std::process::ExitCode;
 
 mod args;
+mod bills;
 mod change;
 mod failure;
 mod input;
@@ -46,5 +47,6 @@
         Command::Withdraw(it) => change::withdraw(it, args, format),
         Command::Rollout(it) => change::rollout(it, args, format),
         Command::Drain(it) => nodes::drain(it, format),
+        Command::Bills(it) => bills::run(it, args, format),
     }
 }
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -5,7 +5,10 @@
 use std::path::PathBuf;
 use std::process::{Command, Output};
 
-use serde_json::Value;
+use ledger::billing::{Batch, Id, Key, Record, encode};
+use model::{Incarnation, Usage};
+use platform::log::Log as _;
+use serde_json::{Value, json};
 use standin::log::{Log, Options};
 
 const OK: i32 = 0;
@@ -171,3 +174,48 @@
         assert_eq!(bench.run(args).status.code(), Some(USAGE), "{args:?}");
     }
 }
+
+/// Guards against a request that is billed twice when its batch, or its idempotency key, is in the log twice.
+#[test]
+fn bills_count_each_request_once() {
+    let bench = Bench::new("bills");
+    let incarnation = Incarnation::from_bits(7);
+    let record = |key| Record {
+        organisation: "acme".into(),
+        key,
+        version: "v1".into(),
+        usage: Usage {
+            input: 10,
+            cached: 0,
+            output: 5,
+        },
+        cost: 100,
+        rejected: 0,
+    };
+    let batch = |sequence, records| Batch {
+        id: Id {
+            incarnation,
+            sequence,
+        },
+        records,
+    };
+    let keyed = || record(Key::Idempotency("booking-1".into()));
+    let plain = |number| record(Key::Request { incarnation, number });
+    let batches = [
+        batch(0, vec![plain(0), keyed()]),
+        batch(1, vec![plain(1), keyed()]),
+    ];
+    let payloads: Vec<_> = batches
+        .iter()
+        .map(|it| encode(incarnation, std::slice::from_ref(it)).unwrap())
+        .collect();
+    let timeout = std::time::Duration::from_secs(1);
+    let client = platform::http::log::Client::new(bench.log.address(), timeout, timeout);
+    client.append("bills", &payloads).unwrap();
+    client.append("bills", &payloads[..1]).unwrap();
+    let output = bench.check(&["bills"], OK);
+    assert_eq!(output["organisations"]["acme"]["requests"], json!(3));
+    assert_eq!(output["organisations"]["acme"]["cost"], json!(300));
+    assert_eq!(output["duplicate_batches"], json!(1));
+    assert_eq!(output["duplicate_records"], json!(1));
+}
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -10,6 +10,9 @@
 pub mod billing;
 pub mod once;
 
+/// Name of the log stream that holds the billing batches.
+pub const STREAM: &str = "bills";
+
 mod fault;
 
 #[cfg(test)]
