--- /dev/null
+++ b/crates/membership/tests/cost.rs
@@ -0,0 +1,144 @@
+//! Guards against a cost of membership that grows with the fleet: bytes and processor time per node and second.
+
+mod fleet;
+
+use std::time::Duration;
+
+use fleet::{Fleet, Traffic};
+use membership::{Body, Datagram, Member, Readiness, State};
+use prost::Message;
+use wire::peer;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Headers of IPv4 and UDP, and the tag that authenticates a datagram.
+const OVERHEAD: u64 = 28 + 32;
+
+/// Bytes per second and node, sent and received together, that membership may use of the 3 KB/s for all control.
+const BOUND: f64 = 2000.0;
+
+/// Datagrams above this size may be fragmented.
+const GREATEST_DATAGRAM: u64 = 1400;
+
+macro_rules! sizes {
+    ($($name:ident: $count:literal;)*) => {
+        $(#[test]
+        fn $name() {
+            measure($count);
+        })*
+    };
+}
+
+sizes! {
+    cost_at_8_nodes: 8;
+    cost_at_40_nodes: 40;
+    cost_at_120_nodes: 120;
+    cost_at_340_nodes: 340;
+}
+
+#[test]
+fn failure_is_detected_at_the_target_size() {
+    let mut fleet = grown(340);
+    // The first death happens while the introductions of all members still fill the datagrams.
+    for index in [7, 100, 333] {
+        fleet.nodes[index].running = false;
+        let start = fleet.now;
+        let first = fleet.run_until(SECOND * 60, |it| {
+            (0..7).any(|node| it.state(node, index) == Some(State::Dead))
+        });
+        let all = fleet.run_until(SECOND * 60, |it| {
+            let running = |node: &usize| it.nodes[*node].running;
+            (0..340)
+                .filter(running)
+                .all(|node| it.state(node, index) == Some(State::Dead))
+        });
+        println!(
+            "340 nodes: death of {index} known to a first node after {first:?}, to all after {:?}",
+            fleet.now - start
+        );
+        assert!(all.is_some());
+    }
+}
+
+fn grown(count: usize) -> Fleet {
+    let mut fleet = Fleet::with_seeds(count, if count > 100 { 13 } else { 3 }, count as u32, 1);
+    fleet.size = size;
+    let time = fleet.run_until(SECOND * 300, Fleet::agrees);
+    println!("{count} nodes started at once know each other after {time:?}");
+    assert!(time.is_some(), "the fleet did not form");
+    fleet
+}
+
+fn measure(count: usize) {
+    let mut fleet = grown(count);
+    // Introductions of the start are passed on for some minutes.
+    fleet.run(SECOND * 180);
+    let greatest = fleet
+        .nodes
+        .iter()
+        .map(|it| it.sent.greatest)
+        .max()
+        .unwrap_or_default();
+    fleet.busy = Duration::ZERO;
+    for node in &mut fleet.nodes {
+        (node.sent, node.received) = (Traffic::default(), Traffic::default());
+    }
+    let seconds = 60_u32;
+    fleet.run(SECOND * seconds);
+    let per_node = count as f64 * f64::from(seconds);
+    let sum =
+        |traffic: fn(&fleet::Node) -> u64| fleet.nodes.iter().map(traffic).sum::<u64>() as f64 / per_node;
+    let sent = sum(|it| it.sent.bytes);
+    let both = sent + sum(|it| it.received.bytes);
+    let datagrams = sum(|it| it.sent.datagrams);
+    let busy = 100.0 * fleet.busy.as_secs_f64() / per_node;
+    println!(
+        "{count} nodes: {datagrams:.2} datagrams/s and {sent:.0} bytes/s sent, {both:.0} bytes/s both ways, \
+         {busy:.4}% of a core per node, greatest datagram {greatest} bytes"
+    );
+    assert!(both <= BOUND, "{both} bytes/s");
+    assert!(greatest <= GREATEST_DATAGRAM, "{greatest} bytes");
+}
+
+fn size(datagram: &Datagram) -> u64 {
+    encode(datagram).encoded_len() as u64 + OVERHEAD
+}
+
+fn encode(datagram: &Datagram) -> peer::Datagram {
+    let body = match datagram.body.clone() {
+        Body::Ping { sequence } => peer::datagram::Body::Ping(peer::Ping { sequence }),
+        Body::Ack { sequence } => peer::datagram::Body::Ack(peer::Ack { sequence }),
+        Body::PingRequest { sequence, target } => peer::datagram::Body::PingRequest(peer::PingRequest {
+            sequence,
+            target_host: target.to_string(),
+        }),
+    };
+    peer::Datagram {
+        body: Some(body),
+        from: Some(encode_member(&datagram.from)),
+        updates: datagram.updates.iter().map(encode_member).collect(),
+    }
+}
+
+fn encode_member(member: &Member) -> peer::Member {
+    let state = match member.state {
+        State::Alive => peer::MemberState::Alive,
+        State::Suspect => peer::MemberState::Suspect,
+        State::Leaving => peer::MemberState::Leaving,
+        State::Dead => peer::MemberState::Dead,
+    };
+    peer::Member {
+        host: member.host.to_string(),
+        incarnation: member.incarnation.bits().to_be_bytes().to_vec(),
+        counter: member.version.counter(),
+        state: state.into(),
+        failure_domain: member.domain.to_string(),
+        gossip_address: member.addresses.gossip.to_string(),
+        peer_address: member.addresses.peer.to_string(),
+        entry_address: member.addresses.entry.to_string(),
+        revision: member.revision,
+        revision_age_ms: member.age.as_millis() as u32,
+        load_permille: u32::from(member.load),
+        ready: member.readiness == Readiness::Ready,
+    }
+}
