policy: value cached tokens higher and give sessions a home engine; load: add the affinity experiment

Cause: requests left the engine that held their prefix for small differences in load, and a gap in the cache events lost all knowledge about an engine. Change: a cached token counts three times; Request::session names a preferred engine by rendezvous hash for prompts that the index does not know. The better-of-two baseline corrects its reports by own sends. The node has to fill in Request::session.

--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Each experiment is a module with a function `run(seed)` that returns a [`report::Report`].
 
+pub mod affinity;
 pub mod faults;
 pub mod report;
 pub mod rush;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -29,6 +29,7 @@
     // Load.
     ("rush", load::rush::run),
     ("faults", load::faults::run),
+    ("affinity", load::affinity::run),
 ];
 
 const EXIT_MISSED: u8 = 1;
--- a/crates/load/src/sim/node.rs
+++ b/crates/load/src/sim/node.rs
@@ -57,6 +57,7 @@
     names: Vec<Upstream>,
     reported: Vec<f64>,
     own: Vec<f64>,
+    own_at_report: Vec<f64>,
     turn: usize,
 }
 
@@ -107,6 +108,7 @@
             names: (0..engines).map(engine_name).collect(),
             reported: vec![0.0; engines],
             own: vec![0.0; engines],
+            own_at_report: vec![0.0; engines],
             turn: idx,
         }
     }
@@ -178,6 +180,7 @@
         rng: &mut SmallRng,
     ) -> Vec<Action> {
         self.reported[engine] = f64::from(load.running + load.waiting);
+        self.own_at_report[engine] = self.own[engine];
         match self.strategy {
             Strategy::Policy => self.pool.report(&self.names[engine], load, age, now, rng),
             _ => Vec::new(),
@@ -206,7 +209,7 @@
             Strategy::SessionHash => hash::stable(&it.session.to_le_bytes()) as usize % engines,
             Strategy::BetterOfTwo => {
                 let (a, b) = (any(), any());
-                let load = |it: usize| self.reported[it] + self.own[it];
+                let load = |it: usize| self.reported[it] + self.own[it] - self.own_at_report[it];
                 if load(b) < load(a) { b } else { a }
             }
         }
@@ -224,5 +227,6 @@
         prompt: it.prompt,
         output: it.expected,
         blocks: it.blocks.clone(),
+        session: (!it.blocks.is_empty()).then_some(it.session),
     }
 }
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -121,7 +121,7 @@
 }
 
 /// Finaliser of SplitMix64: spreads a 64-bit value evenly.
-fn mix(value: u64) -> u64 {
+pub(crate) fn mix(value: u64) -> u64 {
     let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     value ^ (value >> 31)
--- a/crates/policy/src/pool/engines.rs
+++ b/crates/policy/src/pool/engines.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use model::object::service::Repeat;
-use model::{Class, Domain, Upstream};
+use model::{Class, Domain, Upstream, hash};
 use rand::Rng;
 
 use super::call::Call;
 use super::event::{Host, HostState};
 use super::settings::Settings;
 use crate::affinity::{Index, Slot};
+use crate::balance;
 use crate::eject::{self, Outlier, Standing};
 use crate::estimate::Estimate;
 use crate::fault::{Fault, fault};
@@ -25,6 +26,15 @@
 /// Factor by which an engine of another failure domain must be cheaper to be preferred; covers the longer way.
 const SPILL_FACTOR: f64 = 1.15;
 
+/// Value of a cached prompt token relative to the time that it saves for the request itself. A request sent elsewhere
+/// also displaces blocks of others and slows the whole batch by its prefill; at a value of 1 only 63% of the prompt
+/// tokens of conversations came from a cache, at 3 as many as with session hash (86%).
+const CACHED_VALUE: f64 = 3.0;
+
+/// Part of a prompt that the home engine of a session is expected to hold when the index does not say. With one batch
+/// of cache events in a hundred lost, the cached share is 0.77 at 0.5 and 0.84 at 0.8.
+const HOME_CACHED: f64 = 0.8;
+
 /// Random picks of each candidate before all engines are searched.
 const PICKS: usize = 6;
 
@@ -35,6 +45,7 @@
     pub limit: Limit,
     pub outlier: Outlier,
     domain: Domain,
+    hash: u64,
 }
 
 /// Relation of an engine to the subset.
@@ -180,11 +191,9 @@
             (Some(near), Some(far)) if far.0 * SPILL_FACTOR < near.0 => Some(far),
             (near, far) => near.or(far),
         };
-        let cached = self.cheapest_holder(call, now);
-        match (cheapest, cached) {
-            (Some(other), Some(cached)) if other.0 < cached.0 => Some(other.1),
-            (other, cached) => cached.or(other).map(|it| it.1),
-        }
+        let preferred = [self.cheapest_holder(call, now), self.home(call, now)];
+        let candidates = preferred.into_iter().flatten().chain(cheapest);
+        candidates.min_by(|a, b| a.0.total_cmp(&b.0)).map(|it| it.1)
     }
 
     /// An engine whose ejection is over and that has no attempt to test it yet. Only calls that may be repeated test.
@@ -212,6 +221,18 @@
             .min_by(|a, b| a.0.total_cmp(&b.0))
     }
 
+    /// Engine that all nodes with the same subset prefer for a session. It finds the cache again after a gap in the
+    /// events has dropped an engine from the index.
+    fn home(&self, call: &Call, now: Duration) -> Option<(f64, Slot)> {
+        let session = call.request.session?;
+        let healthy = |it: &Slot| self.table[*it].outlier.standing(now) == Standing::Healthy;
+        let weight = |it: &Slot| balance::mix(self.table[*it].hash ^ session);
+        let home = self.live().filter(healthy).max_by_key(weight)?;
+        let cached = f64::from(call.request.prompt) * HOME_CACHED;
+        self.takes(home, call, now)
+            .then(|| (self.cost(home, call, cached), home))
+    }
+
     /// The cheaper of two random engines that take the call.
     fn better_of_two(
         &self,
@@ -260,7 +281,7 @@
     fn cost(&self, slot: Slot, call: &Call, cached: f64) -> f64 {
         let engine = &self.table[slot];
         let fill = engine.limit.fill();
-        let prompt = (f64::from(call.request.prompt) - cached).max(0.0) * self.prompt_weight;
+        let prompt = (f64::from(call.request.prompt) - CACHED_VALUE * cached) * self.prompt_weight;
         let work = prompt + f64::from(call.request.output) + 1.0;
         let wait = (fill - 1.0).max(0.0) * work;
         (work * (1.0 - FILL_SLOPE + FILL_SLOPE * fill) + wait) * engine.outlier.slowdown().max(1.0)
@@ -294,6 +315,7 @@
         let engine = Engine {
             name: host.name.clone(),
             domain: host.domain.clone(),
+            hash: hash::stable(host.name.as_bytes()),
             membership: Membership::Live,
             limit: Limit::new(self.concurrency),
             outlier: Outlier::new(),
--- a/crates/policy/src/pool/event.rs
+++ b/crates/policy/src/pool/event.rs
@@ -41,6 +41,8 @@
     pub output: Tokens,
     /// Chained hashes of the prompt's whole blocks.
     pub blocks: Vec<u64>,
+    /// Hash of what stays the same in a conversation, such as the organisation and the first user message.
+    pub session: Option<u64>,
 }
 
 /// What the node has to do.
--- a/crates/policy/src/pool/tests.rs
+++ b/crates/policy/src/pool/tests.rs
@@ -43,6 +43,7 @@
         prompt: 100,
         output: 100,
         blocks: Vec::new(),
+        session: None,
     }
 }
 
