--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -30,6 +30,7 @@
     ("rush", load::rush::run),
     ("faults", load::faults::run),
     ("affinity", load::affinity::run),
+    ("decide", load::decide::run),
 ];
 
 const EXIT_MISSED: u8 = 1;
