--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -31,6 +31,8 @@
     // Load.
     ("rush", load::rush::run),
     ("faults", load::faults::run),
+    ("affinity", load::affinity::run),
+    ("decide", load::decide::run),
 ];
 
 const EXIT_MISSED: u8 = 1;
