--- /dev/null
+++ b/crates/load/src/capacity/balancing.rs
@@ -0,0 +1,102 @@
+//! State of one pool at the target's number of engines.
+
+use std::time::Duration;
+
+use policy::balance::Place;
+use policy::pool::{Host, HostState, Pool, Settings};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::measure::{bytes_per_unit, seconds_per_unit};
+use super::{ENGINES, Line, NODES, Resource, Sample, Scope};
+
+const MECHANISM: &str = "engine subset";
+const DOMAINS: usize = 13;
+const ROUNDS: usize = 3;
+
+/// Pools that a node uses.
+const POOLS: usize = 10;
+
+/// Engines and nodes that fail, leave or come in a day, each of which changes the lists: 58 and 360 nodes, and as
+/// many in proportion of the engines' hosts.
+const LIST_CHANGES_PER_SECOND: f64 = (58.0 + 360.0) * (1.0 + ENGINES as f64 / NODES as f64) / 86_400.0;
+
+/// Memory of the host list.
+pub fn list_memory() -> Line {
+    line(
+        Resource::Memory,
+        bytes_per_unit(ENGINES, hosts),
+        "engine in the host list",
+        ENGINES as f64,
+    )
+}
+
+/// Memory of the pool, which does not depend on the number of engines.
+pub fn pool_memory() -> Line {
+    let (engines, nodes) = (hosts(), places());
+    let state = bytes_per_unit(POOLS, || {
+        let filled = || {
+            let pool = pool();
+            pool.hosts(&engines, &nodes, Duration::ZERO, &mut SmallRng::seed_from_u64(1));
+            pool
+        };
+        (0..POOLS).map(|_| filled()).collect::<Vec<_>>()
+    });
+    line(Resource::Memory, state, "pool of 40 engines", POOLS as f64)
+}
+
+/// Time of a change of the lists.
+pub fn time() -> Line {
+    let (engines, nodes) = (hosts(), places());
+    let change = seconds_per_unit(
+        ROUNDS,
+        || (pool(), SmallRng::seed_from_u64(1)),
+        |(pool, rng)| {
+            for round in 0..ROUNDS {
+                pool.hosts(&engines, &nodes, Duration::from_secs(round as u64), rng);
+            }
+        },
+    );
+    line(
+        Resource::Cpu,
+        change,
+        "change of the lists",
+        LIST_CHANGES_PER_SECOND,
+    )
+}
+
+fn line(resource: Resource, slope: Sample, per: &'static str, units: f64) -> Line {
+    Line {
+        mechanism: MECHANISM,
+        scope: Scope::Control,
+        resource,
+        slope,
+        per,
+        units,
+    }
+}
+
+fn pool() -> Pool {
+    let node = Place {
+        name: "node-0".into(),
+        domain: "domain-0".into(),
+    };
+    Pool::new(Settings::default(), node)
+}
+
+fn hosts() -> Vec<Host> {
+    let host = |idx: usize| Host {
+        name: format!("engine-{idx}").into(),
+        domain: format!("domain-{}", idx % DOMAINS).into(),
+        state: HostState::Live,
+    };
+    (0..ENGINES).map(host).collect()
+}
+
+fn places() -> Vec<Place<model::Name>> {
+    let place = |idx: usize| Place {
+        name: format!("node-{idx}").into(),
+        domain: format!("domain-{}", idx % DOMAINS).into(),
+    };
+    (0..NODES).map(place).collect()
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each experiment is a module with a function `run(seed)` that returns a [`report::Report`].
 
 pub mod affinity;
+pub mod capacity;
 pub mod cascade;
 pub mod decide;
 pub mod faults;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -26,6 +26,8 @@
 type Experiment = (&'static str, fn(u64) -> Report);
 
 const EXPERIMENTS: &[Experiment] = &[
+    // Control plane.
+    ("capacity", load::capacity::run),
     // Cost.
     ("cascade", load::cascade::run),
     // Load.
