--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod eject;
 pub mod estimate;
 mod fault;
+mod id_map;
 pub mod limit;
 pub mod pool;
 pub mod retry;
