--- a/crates/load/src/capacity/billing.rs
+++ b/crates/load/src/capacity/billing.rs
@@ -154,7 +154,7 @@
                     let next = self.origin.appended(number, self.log, now);
                     self.execute(next, now);
                 }
-                Action::Settle { peer, ids } => self.settle(peer, &ids),
+                Action::Settle { peer, number, ids } => self.settle(peer, number, &ids),
                 Action::Release { .. } => {}
             }
         }
@@ -170,13 +170,13 @@
         now: Duration,
     ) {
         for (incarnation, held) in &mut self.holders {
-            if *incarnation == peer && held.hold(id, Arc::from(&payload[..]), rank, other, now).is_ok() {
+            if *incarnation == peer && held.hold(id, Box::from(&payload[..]), rank, other, now).is_ok() {
                 self.origin.held(peer, id, now);
             }
         }
     }
 
-    fn settle(&mut self, peer: Incarnation, ids: &[ledger::billing::Id]) {
+    fn settle(&mut self, peer: Incarnation, number: u64, ids: &[ledger::billing::Id]) {
         let message = SettleBatchRequest {
             ids: ids.iter().map(|_| batch_id()).collect(),
         };
@@ -186,7 +186,7 @@
                 held.settle(ids);
             }
         }
-        self.origin.settled(peer, ids);
+        self.origin.settled(peer, number);
     }
 }
 
