platform: bound the time in which a large prompt is written

Cause: attohttpc has no time-out for writing. A trial against a peer that does not read returned 'silent' in 0.3 s with prompts up to 2 MiB and did not return within 4 s with 4 MiB and more.

Change: a generation request with a body over 64 KiB is written by a thread of its own, and the caller waits for the connection and progress time-outs together. Exchanges had a time-out for the whole already; a test now shows that it ends a blocked write.

--- a/crates/platform/src/http/engine.rs
+++ b/crates/platform/src/http/engine.rs
@@ -146,7 +146,7 @@
             read: req.progress_timeout,
             whole: None,
         };
-        let reply = request::post(address, "/v1/chat/completions", &message, limits).map_err(error)?;
+        let reply = request::post_stream(address, "/v1/chat/completions", &message, limits).map_err(error)?;
         let reply = accepted(reply)?;
         let (_, _, reader) = reply.split();
         Ok(Box::new(Generation {
--- a/crates/platform/src/http/request.rs
+++ b/crates/platform/src/http/request.rs
@@ -3,6 +3,8 @@
 use std::cell::Cell;
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
+use std::sync::mpsc;
+use std::thread;
 use std::time::Duration;
 
 use attohttpc::body::{Body, BodyKind};
@@ -15,6 +17,9 @@
 /// Largest reply that is read into memory, in bytes.
 const REPLY_LIMIT: u64 = 16 << 20;
 
+/// Largest body that the buffers of a connection are taken to hold, in bytes; half of the usual receive buffer.
+const BUFFERED_BODY: usize = 64 << 10;
+
 /// How a request failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Failure {
@@ -101,12 +106,40 @@
     limits: Limits,
 ) -> Result<Response, Failure> {
     let body = serde_json::to_vec(message).map_err(|_| Failure::NotSent)?;
+    post_json(address, path, &body, limits)
+}
+
+/// Sends a JSON body and waits for the head of the reply no longer than both time-outs together.
+///
+/// There is no time-out for writing, and a peer that does not read blocks a write once the buffers of the connection
+/// are full: on loopback a body of 2 MiB passed and one of 4 MiB blocked. A large body is therefore written by a
+/// thread of its own, which is left behind if it does not end in time.
+pub(super) fn post_stream<T: Serialize>(
+    address: SocketAddr,
+    path: &'static str,
+    message: &T,
+    limits: Limits,
+) -> Result<Response, Failure> {
+    let body = serde_json::to_vec(message).map_err(|_| Failure::NotSent)?;
+    if body.len() <= BUFFERED_BODY {
+        return post_json(address, path, &body, limits);
+    }
+    let (sender, receiver) = mpsc::channel();
+    thread::spawn(move || {
+        // Without a receiver the reply is dropped, which closes the connection.
+        let _ = sender.send(post_json(address, path, &body, limits));
+    });
+    let reply = receiver.recv_timeout(limits.connect + limits.read);
+    reply.unwrap_or(Err(Failure::Timeout))
+}
+
+fn post_json(address: SocketAddr, path: &str, body: &[u8], limits: Limits) -> Result<Response, Failure> {
     Request {
         method: "POST",
         address,
         path,
         headers: vec![("Content-Type", "application/json")],
-        body: &body,
+        body,
         limits,
     }
     .send()
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -5,6 +5,7 @@
 mod common;
 
 use std::io::Write;
+use std::net::TcpListener;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -226,6 +227,34 @@
     assert!(start.elapsed() < SHORT * 4);
 }
 
+/// Guards against a thread that blocks for ever in a write.
+#[test]
+fn peer_that_does_not_read_a_large_prompt_is_silent() {
+    let listener = TcpListener::bind(any_port()).unwrap();
+    let large = Request {
+        progress_timeout: SHORT,
+        ..generation(&"x".repeat(16 << 20))
+    };
+    let start = Instant::now();
+    let result = client().generate(listener.local_addr().unwrap(), &large);
+    assert_eq!(result.unwrap_err(), Error::Silent);
+    assert!(start.elapsed() < LONG);
+}
+
+#[test]
+fn large_prompt_is_answered() {
+    let engine = engine(Options {
+        prefill_token: Duration::ZERO,
+        ..Options::default()
+    });
+    let mut stream = client()
+        .generate(engine.address(), &generation(&"x".repeat(1 << 20)))
+        .unwrap();
+    assert_eq!(read(&mut *stream).2.unwrap().input, 1 << 18);
+    let result = client().generate(closed_port(), &generation(&"x".repeat(1 << 20)));
+    assert_eq!(result.unwrap_err(), Error::Connect);
+}
+
 #[test]
 fn broken_stream_is_broken() {
     let engine = engine(Options::default());
--- a/crates/standin/tests/service.rs
+++ b/crates/standin/tests/service.rs
@@ -4,6 +4,8 @@
 
 mod common;
 
+use std::net::TcpListener;
+
 use common::{LONG, SHORT, any_port, call, closed_port, raw_server};
 use platform::http::service::Client;
 use platform::service::{Call, Error, Services};
@@ -115,6 +117,19 @@
     );
 }
 
+/// Guards against a thread that blocks for ever in a write.
+#[test]
+fn peer_that_does_not_read_a_large_body_is_unknown() {
+    let listener = TcpListener::bind(any_port()).unwrap();
+    let large = Call {
+        body: vec![b'x'; 16 << 20],
+        timeout: SHORT,
+        ..call("/bookings", None)
+    };
+    let result = Client.call(listener.local_addr().unwrap(), &large);
+    assert_eq!(result, Err(Error::Unknown));
+}
+
 #[test]
 fn head_has_no_body() {
     let address = raw_server(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n");
