--- a/crates/load/src/capacity.rs
+++ b/crates/load/src/capacity.rs
@@ -43,7 +43,11 @@
 pub fn run(seed: u64) -> Report {
     // Memory comes first, because memory that other measurements freed would be reused and hide the growth.
     let mut lines = vec![balancing::list_memory(), balancing::pool_memory(), keys::memory()];
-    lines.extend([configuration::memory(), billing::memory()]);
+    lines.extend([
+        configuration::memory(),
+        billing::memory(),
+        balancing::index_memory(),
+    ]);
     lines.extend(configuration::rates());
     lines.extend(billing::rates());
     lines.push(keys::time());
--- a/crates/load/src/capacity/balancing.rs
+++ b/crates/load/src/capacity/balancing.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use policy::affinity::{Change, Event, Index};
 use policy::balance::Place;
 use policy::pool::{Host, HostState, Pool, Settings};
 use rand::SeedableRng;
@@ -14,6 +15,9 @@
 const DOMAINS: usize = 13;
 const ROUNDS: usize = 3;
 
+/// Odd factor that spreads numbers over all hashes.
+const HASH_STEP: u64 = 0x9E37_79B9_7F4A_7C15;
+
 /// Pools that a node uses.
 const POOLS: usize = 10;
 
@@ -45,6 +49,32 @@
     line(Resource::Memory, state, "pool of 40 engines", POOLS as f64)
 }
 
+/// Memory of the index of cached prefixes, filled to its bound in every pool.
+pub fn index_memory() -> Line {
+    let blocks = Settings::default().blocks;
+    let memory = bytes_per_unit(blocks, || {
+        let mut index = Index::new(blocks);
+        for sequence in 0..blocks as u64 {
+            let block = sequence.wrapping_mul(HASH_STEP);
+            index.apply(
+                0,
+                &[Event {
+                    sequence,
+                    block,
+                    change: Change::Stored,
+                }],
+            );
+        }
+        index
+    });
+    line(
+        Resource::Memory,
+        memory,
+        "prefix block indexed",
+        (POOLS * blocks) as f64,
+    )
+}
+
 /// Time of a change of the lists.
 pub fn time() -> Line {
     let (engines, nodes) = (hosts(), places());
