--- a/crates/config/src/fold.rs
+++ b/crates/config/src/fold.rs
@@ -10,7 +10,7 @@
 use model::{Object, Offset, Revision};
 
 use crate::check::{self, Fault};
-use crate::record::{Change, Contents, Held, Outcome, ParseError, Proposal, Record, Snapshot};
+use crate::record::{Change, Contents, Held, Id, Outcome, ParseError, Proposal, Record, Snapshot};
 
 mod recent;
 #[cfg(test)]
@@ -86,20 +86,25 @@
 
     /// Folds the record at `offset`; offsets of a stream have no holes.
     pub fn apply(&mut self, offset: Offset, payload: &[u8]) -> Verdict {
+        self.apply_identified(offset, payload).0
+    }
+
+    /// As [`State::apply`], with the id if the record is a proposal that was judged.
+    pub fn apply_identified(&mut self, offset: Offset, payload: &[u8]) -> (Verdict, Option<Id>) {
         if offset < self.revision {
-            return Verdict::Skipped;
+            return (Verdict::Skipped, None);
         }
         if offset > self.revision {
-            return Verdict::Gap;
+            return (Verdict::Gap, None);
         }
         let Some(revision) = offset.checked_add(1) else {
-            return Verdict::Malformed;
+            return (Verdict::Malformed, None);
         };
         self.revision = revision;
         match Record::parse(payload) {
-            Ok(Record::Proposal(proposal)) => self.decide(&proposal),
-            Ok(Record::Snapshot(_)) => Verdict::Snapshot,
-            Err(_) => Verdict::Malformed,
+            Ok(Record::Proposal(proposal)) => (self.decide(&proposal), Some(proposal.id)),
+            Ok(Record::Snapshot(_)) => (Verdict::Snapshot, None),
+            Err(_) => (Verdict::Malformed, None),
         }
     }
 
@@ -127,7 +132,7 @@
     }
 
     /// Outcome of a proposal that was folded recently.
-    pub fn outcome(&self, id: crate::record::Id) -> Option<Outcome> {
+    pub fn outcome(&self, id: Id) -> Option<Outcome> {
         self.recent.get(id)
     }
 
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -7,6 +7,8 @@
 
 pub mod check;
 pub mod fold;
+pub mod follow;
+pub mod publish;
 pub mod record;
 pub mod view;
 
