lease: schedules with faults

Cause: leases must hold under any interleaving of faults. Change: nodes made of the real holder, fold and planner run against a log with late and lost appends, clock steps and retention, and against engines that check tokens or ignore them. Five rules are checked after every step, each shown to fail by a deliberate fault in the harness.

--- /dev/null
+++ b/crates/lease/tests/world/mod.rs
@@ -0,0 +1,403 @@
+//! A few nodes with the real holder, fold and planner, a log and engines in virtual time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, SystemTime};
+
+use lease::planner::{self, Reservation, Step};
+use lease::{Holder, Intent, Planner, Table, Token, holder};
+use model::{Incarnation, Name, Upstream};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+mod checks;
+pub mod schedule;
+
+use schedule::{Kind, Schedule};
+
+/// Resolution of the virtual time.
+const STEP: Duration = Duration::from_millis(250);
+
+/// Time of faults, and the quiet time after it in which everything has to settle.
+const ACTIVE: Duration = Duration::from_secs(100);
+const QUIET: Duration = Duration::from_secs(140);
+
+/// Time between two changes of the wanted versions.
+const GENERATION: Duration = Duration::from_secs(30);
+
+/// A deliberate fault that one of the checks has to notice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mutant {
+    None,
+    /// A node that held a lease sends orders without a check, with the newest token in the log.
+    ForeignToken,
+    /// A node checks its lease at times, not before each send.
+    CachedToken,
+    /// Neither does the holder stop early nor the successor wait.
+    NoMargins,
+    /// The planner assumes that its orders are carried out instead of reading the state back.
+    NoReadBack,
+    /// Nodes do not request leases.
+    NoRequests,
+}
+
+/// The rule that was broken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Violation {
+    /// An engine that checks tokens acted on an order of an earlier lease after one of a later lease.
+    Fencing,
+    /// Two nodes held the lease at the same time.
+    Exclusive,
+    /// An order that was delivered in time arrived while another node held the lease.
+    Delivery,
+    /// An engine was left in a wrong state for too long.
+    Repair,
+    /// Nobody held the lease at the end.
+    Settles,
+}
+
+#[derive(Debug)]
+struct Node {
+    holder: Holder,
+    table: Table,
+    planner: Planner,
+    running: bool,
+    paused_since: Option<Duration>,
+    /// Start and rate of the node's clock.
+    clock: (Duration, f64),
+    cached: Option<(Token, Duration)>,
+    /// Last order to each engine.
+    ordered: BTreeMap<Upstream, BTreeSet<Name>>,
+}
+
+#[derive(Debug)]
+struct Engine {
+    name: Upstream,
+    checks: bool,
+    newest: Token,
+    versions: BTreeSet<Name>,
+    applied: Token,
+    /// Since when the state is wrong while a node holds the lease without late orders arriving.
+    wrong_since: Option<Duration>,
+}
+
+#[derive(Debug, Clone)]
+struct Order {
+    node: usize,
+    engine: usize,
+    /// Lease that the sender acted under, and the token that it sent.
+    lease: Token,
+    token: Token,
+    versions: BTreeSet<Name>,
+    late: bool,
+}
+
+#[derive(Debug)]
+pub struct World {
+    now: Duration,
+    nodes: Vec<Node>,
+    engines: Vec<Engine>,
+    log: Vec<(SystemTime, Vec<u8>)>,
+    first: u64,
+    log_clock: Duration,
+    orders: BTreeMap<(Duration, u64), Order>,
+    appends: BTreeMap<(Duration, u64), Vec<u8>>,
+    serial: u64,
+    rng: SmallRng,
+    schedule: Schedule,
+    mutant: Mutant,
+}
+
+/// Runs a schedule and returns the first rule that was broken.
+pub fn run(schedule: Schedule, mutant: Mutant) -> Result<(), Violation> {
+    let mut world = World::new(schedule, mutant);
+    while world.now < ACTIVE + QUIET {
+        world.step()?;
+    }
+    world.check_settled()
+}
+
+impl World {
+    fn new(schedule: Schedule, mutant: Mutant) -> Self {
+        let mut world = Self {
+            now: Duration::ZERO,
+            nodes: Vec::new(),
+            engines: Vec::new(),
+            log: Vec::new(),
+            first: 0,
+            log_clock: Duration::from_secs(1_000_000),
+            orders: BTreeMap::new(),
+            appends: BTreeMap::new(),
+            serial: 0,
+            rng: SmallRng::seed_from_u64(schedule.seed),
+            mutant,
+            schedule,
+        };
+        for _ in 0..world.schedule.nodes {
+            let node = world.start();
+            world.nodes.push(node);
+        }
+        world.engines = (0..4).map(engine).collect();
+        world
+    }
+
+    fn start(&mut self) -> Node {
+        let incarnation = Incarnation::from_bits(self.rng.random());
+        let mut settings = holder::Settings::default();
+        if self.mutant == Mutant::NoMargins {
+            settings.margin = Duration::ZERO;
+            settings.delivery = Duration::ZERO;
+        }
+        let planner = planner::Settings {
+            completion: Duration::from_secs(10),
+            reservation_interval: Duration::from_millis(250),
+            ..planner::Settings::default()
+        };
+        let start = Duration::from_millis(self.rng.random_range(0..1_000_000));
+        Node {
+            holder: Holder::new(settings, "gpu".into(), incarnation, "host".into()),
+            table: Table::new(self.first),
+            planner: Planner::new(planner),
+            running: true,
+            paused_since: None,
+            clock: (start, self.rng.random_range(0.999..1.001)),
+            cached: None,
+            ordered: BTreeMap::new(),
+        }
+    }
+
+    fn step(&mut self) -> Result<(), Violation> {
+        self.now += STEP;
+        self.change_processes();
+        self.change_log();
+        self.land_appends();
+        for index in 0..self.nodes.len() {
+            if self.nodes[index].running && self.nodes[index].paused_since.is_none() {
+                self.run_node(index);
+            }
+        }
+        self.check_exclusive()?;
+        self.deliver_orders()?;
+        self.check_repair()
+    }
+
+    fn active(&self, kind: Kind, node: Option<usize>) -> bool {
+        let time = self.now.as_millis() as u64;
+        self.schedule.faults.iter().any(|it| {
+            let matches = it.kind == kind && node.is_none_or(|node| it.node % self.nodes.len() == node);
+            matches && (it.start..it.start + it.length).contains(&time)
+        })
+    }
+
+    fn starts(&self, kind: Kind, node: Option<usize>) -> bool {
+        let (time, step) = (self.now.as_millis() as u64, STEP.as_millis() as u64);
+        self.schedule.faults.iter().any(|it| {
+            let matches = it.kind == kind && node.is_none_or(|node| it.node % self.nodes.len() == node);
+            matches && (it.start..it.start + step).contains(&time)
+        })
+    }
+
+    fn change_processes(&mut self) {
+        for index in 0..self.nodes.len() {
+            if self.starts(Kind::Replace, Some(index)) {
+                self.nodes[index] = self.start();
+            }
+            let paused = self.active(Kind::Pause, Some(index));
+            let node = &mut self.nodes[index];
+            node.paused_since = paused.then(|| node.paused_since.unwrap_or(self.now));
+        }
+    }
+
+    fn change_log(&mut self) {
+        self.log_clock += STEP;
+        if self.starts(Kind::ClockStep, None) {
+            self.log_clock += Duration::from_secs(20);
+        }
+        if self.starts(Kind::Retention, None) {
+            self.first = self.log.len() as u64;
+        }
+    }
+
+    fn land_appends(&mut self) {
+        let later = self.appends.split_off(&(self.now, u64::MAX));
+        let landed = std::mem::replace(&mut self.appends, later);
+        let time = SystemTime::UNIX_EPOCH + self.log_clock;
+        self.log.extend(landed.into_values().map(|it| (time, it)));
+    }
+
+    fn local(&self, index: usize) -> Duration {
+        let (start, rate) = self.nodes[index].clock;
+        start + self.now.mul_f64(rate)
+    }
+
+    /// The first node that others do not take for dead holds the lease.
+    fn intent(&self, index: usize) -> Intent {
+        let dead = |it: &Node| {
+            it.paused_since
+                .is_some_and(|it| self.now > it + Duration::from_secs(4))
+        };
+        let chosen = self.nodes.iter().position(|it| it.running && !dead(it));
+        if chosen == Some(index) || self.active(Kind::Split, Some(index)) {
+            return Intent::Hold;
+        }
+        Intent::Yield
+    }
+
+    fn run_node(&mut self, index: usize) {
+        let now = self.local(index);
+        if !self.active(Kind::Outage, None) {
+            self.read_log(index, now);
+        }
+        let intent = self.intent(index);
+        let node = &mut self.nodes[index];
+        let payload = node.holder.tick(now, intent, &node.table);
+        if let Some(payload) = payload.filter(|_| self.mutant != Mutant::NoRequests) {
+            self.append(payload);
+        }
+        let Some(token) = self.token(index) else {
+            return;
+        };
+        self.plan(index, token, now);
+    }
+
+    fn read_log(&mut self, index: usize, now: Duration) {
+        let node = &mut self.nodes[index];
+        if node.table.next() < self.first {
+            node.table = Table::new(self.first);
+        }
+        let from = node.table.next();
+        for (offset, (time, payload)) in (0..).zip(&self.log).skip(from as usize) {
+            let verdict = node.table.apply(offset, *time, payload, now);
+            node.holder.folded(&verdict);
+        }
+    }
+
+    fn append(&mut self, payload: Vec<u8>) {
+        if self.active(Kind::Outage, None) {
+            return;
+        }
+        self.serial += 1;
+        let mut at = self.now + STEP;
+        if self.active(Kind::LateAppends, None) {
+            if self.rng.random_bool(0.3) {
+                return;
+            }
+            at += Duration::from_millis(self.rng.random_range(0..20_000));
+        }
+        self.appends.insert((at, self.serial), payload);
+    }
+
+    /// The token under which a node would send an order now.
+    fn token(&mut self, index: usize) -> Option<Token> {
+        let now = self.local(index);
+        let node = &mut self.nodes[index];
+        let token = node.holder.token(now);
+        if let Some(token) = token {
+            node.cached = Some((token, now));
+        }
+        match self.mutant {
+            Mutant::CachedToken => node
+                .cached
+                .filter(|it| now < it.1 + Duration::from_secs(20))
+                .map(|it| it.0),
+            Mutant::ForeignToken => node.cached.map(|it| it.0),
+            _ => token,
+        }
+    }
+
+    fn plan(&mut self, index: usize, token: Token, now: Duration) {
+        let wanted = self.wanted();
+        let engines: Vec<_> = self
+            .engines
+            .iter()
+            .map(|it| (it.name.clone(), it.versions.clone()))
+            .collect();
+        let node = &mut self.nodes[index];
+        node.planner
+            .want(engines.iter().map(|it| (it.0.clone(), wanted.clone())).collect());
+        for (name, versions) in engines {
+            let assumed = node
+                .ordered
+                .get(&name)
+                .filter(|_| self.mutant == Mutant::NoReadBack);
+            node.planner
+                .observe(&name, assumed.cloned().unwrap_or(versions), now);
+        }
+        for step in node.planner.steps(now) {
+            match step {
+                Step::Reserve { engine, version } => {
+                    self.nodes[index]
+                        .planner
+                        .reserved(&engine, &version, Reservation::Granted, now);
+                }
+                Step::Order { engine, versions } => self.send(index, &engine, token, versions),
+            }
+        }
+    }
+
+    fn send(&mut self, node: usize, engine: &str, lease: Token, versions: BTreeSet<Name>) {
+        let late = self.active(Kind::LateOrders, None);
+        let greatest = if late { 30_000 } else { 1900 };
+        let at = self.now + Duration::from_millis(self.rng.random_range(10..greatest));
+        let newest = self.nodes[node].table.grant("gpu").map_or(0, |it| it.token);
+        let order = Order {
+            node,
+            engine: self
+                .engines
+                .iter()
+                .position(|it| *it.name == *engine)
+                .unwrap_or_default(),
+            lease,
+            token: if self.mutant == Mutant::ForeignToken {
+                newest
+            } else {
+                lease
+            },
+            versions,
+            late,
+        };
+        self.nodes[node]
+            .ordered
+            .insert(engine.into(), order.versions.clone());
+        self.serial += 1;
+        self.orders.insert((at, self.serial), order);
+    }
+
+    fn deliver_orders(&mut self) -> Result<(), Violation> {
+        let later = self.orders.split_off(&(self.now, u64::MAX));
+        for order in std::mem::replace(&mut self.orders, later).into_values() {
+            self.check_delivery(&order)?;
+            let engine = &mut self.engines[order.engine];
+            if engine.checks && order.token < engine.newest {
+                self.nodes[order.node].holder.fenced(order.token);
+                continue;
+            }
+            if engine.checks && order.lease < engine.applied {
+                return Err(Violation::Fencing);
+            }
+            engine.newest = engine.newest.max(order.token);
+            engine.applied = order.lease;
+            engine.versions = order.versions;
+            if order.late {
+                engine.wrong_since = None;
+            }
+        }
+        Ok(())
+    }
+
+    fn wanted(&self) -> BTreeSet<Name> {
+        // The faults end before the last change, so that the repair of all of them is seen.
+        let generation = self.now.min(ACTIVE).as_secs() / GENERATION.as_secs();
+        BTreeSet::from([format!("v{generation}").into()])
+    }
+}
+
+fn engine(number: usize) -> Engine {
+    Engine {
+        name: format!("e{number}").into(),
+        checks: number < 2,
+        newest: 0,
+        versions: BTreeSet::new(),
+        applied: 0,
+        wrong_since: None,
+    }
+}
