--- a/crates/membership/tests/fleet/mod.rs
+++ b/crates/membership/tests/fleet/mod.rs
@@ -72,6 +72,11 @@
 
     /// A fleet of which each node knows the addresses of the first `seeds` hosts.
     pub fn with_seeds(count: usize, domains: usize, seeds: u32, seed: u64) -> Self {
+        Self::with_settings(count, domains, seeds, seed, Settings::default())
+    }
+
+    /// A fleet with other settings than those of production.
+    pub fn with_settings(count: usize, domains: usize, seeds: u32, seed: u64, settings: Settings) -> Self {
         let mut fleet = Self {
             now: Duration::ZERO,
             nodes: Vec::new(),
@@ -81,7 +86,7 @@
             duplication: 0.0,
             groups: BTreeMap::new(),
             size: |_| 0,
-            settings: Settings::default(),
+            settings,
             busy: Duration::ZERO,
             domains,
             seeds,
