policy: add property tests; cover engines evenly; tell cancelled attempts from proven ones

Cause: the property test of the facade found a refusal that denied a run after a hedged request's first attempt was cancelled and its second one was not started. The test of the subsets found engines that no node used. Change: a cancelled or answered attempt counts as one that may have run; subsets take the least used engines first.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -15,6 +15,9 @@
 
 pub mod fair;
 
+#[cfg(test)]
+mod tests;
+
 use fair::{Fair, FlowId};
 
 /// Bounds and shares.
--- a/crates/policy/src/affinity.rs
+++ b/crates/policy/src/affinity.rs
@@ -7,8 +7,12 @@
 
 use std::collections::VecDeque;
 
+use crate::fault::{Fault, fault};
 use crate::id_map::IdMap;
 
+#[cfg(test)]
+mod tests;
+
 /// Position of an engine in the pool's table.
 pub type Slot = usize;
 
@@ -132,7 +136,7 @@
             match engine.next {
                 // Repeated or overtaken events say nothing new.
                 Some(next) if event.sequence < next => continue,
-                Some(next) if event.sequence > next => engine.epoch += 1,
+                Some(next) if event.sequence > next && !fault(Fault::KeepAfterGap) => engine.epoch += 1,
                 _ => {}
             }
             engine.next = Some(event.sequence + 1);
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -2,11 +2,14 @@
 //!
 //! Each node uses at most a fixed number of engines. All nodes compute the same assignment from the same lists: half
 //! of a node's places go to engines of its own failure domain and the rest to the other domains in turn. Within a
-//! domain a node takes the engines of highest rendezvous weight that are not yet taken by their fair number of nodes,
-//! so that all engines are covered evenly and a change of the lists moves few places.
+//! domain a node takes the engines that the fewest nodes before it took, by rendezvous weight among equals, so that all
+//! engines are covered evenly and a change of the lists moves few places.
 
 use model::{Domain, Name, Upstream, hash};
 
+#[cfg(test)]
+mod tests;
+
 /// A node or an engine with its failure domain.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Place<N = Upstream> {
@@ -36,7 +39,6 @@
         domains: &domains,
         hashes: &hashes,
         cover: vec![0; engines.len()],
-        fair: (order.len() * size).div_ceil(engines.len()) as u32,
     };
     for (rank, it) in order.into_iter().enumerate() {
         let taken = assignment.take(it, rank, size);
@@ -51,7 +53,6 @@
     domains: &'a [(Domain, Vec<usize>)],
     hashes: &'a [u64],
     cover: Vec<u32>,
-    fair: u32,
 }
 
 impl Assignment<'_> {
@@ -89,17 +90,12 @@
         quotas
     }
 
+    /// Takes the engines used by the fewest nodes so far, and among them those of highest weight.
     fn take_from(&mut self, domain: usize, key: u64, quota: usize, taken: &mut Vec<usize>) {
         let mut ranked: Vec<_> = self.domains[domain]
             .1
             .iter()
-            .map(|idx| {
-                (
-                    self.cover[*idx].max(self.fair - 1),
-                    mix(self.hashes[*idx] ^ key),
-                    *idx,
-                )
-            })
+            .map(|idx| (self.cover[*idx], mix(self.hashes[*idx] ^ key), *idx))
             .collect();
         if quota < ranked.len() {
             ranked.select_nth_unstable(quota);
--- a/crates/policy/src/fault.rs
+++ b/crates/policy/src/fault.rs
@@ -13,10 +13,16 @@
     HedgeAll,
     /// Non-idempotent calls are sent again after any failure.
     ResendAll,
-    /// Leaving and ejected engines get work.
-    AnyEngine,
+    /// Ejected engines get work.
+    UseEjected,
+    /// Leaving signs are ignored.
+    IgnoreLeaving,
     /// Every refusal says that nothing ran.
     AlwaysNotRun,
+    /// Complete answers are reported twice.
+    FinishTwice,
+    /// A gap in the cache events keeps what is known about the engine.
+    KeepAfterGap,
     /// Requests that expire in the queue get no answer.
     SilentExpiry,
 }
@@ -27,12 +33,15 @@
 }
 
 #[cfg(test)]
-pub(crate) use switch::fault;
+pub(crate) use switch::{check, fault, with_fault};
 
 #[cfg(test)]
 mod switch {
     use std::cell::Cell;
 
+    use proptest::strategy::Strategy;
+    use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
+
     use super::Fault;
 
     thread_local! {
@@ -42,4 +51,28 @@
     pub(crate) fn fault(which: Fault) -> bool {
         ACTIVE.get() == Some(which)
     }
+
+    /// Runs `body` with a fault in effect.
+    pub(crate) fn with_fault<T>(which: Fault, body: impl FnOnce() -> T) -> T {
+        ACTIVE.set(Some(which));
+        let result = body();
+        ACTIVE.set(None);
+        result
+    }
+
+    /// Runs a property on generated cases from a fixed seed; `PROPTEST_CASES` sets their number.
+    pub(crate) fn check<S: Strategy>(
+        cases: S,
+        property: impl Fn(S::Value) -> Result<(), String>,
+    ) -> Result<(), String> {
+        let config = Config {
+            failure_persistence: None,
+            max_shrink_iters: 200,
+            ..Config::default()
+        };
+        let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+        TestRunner::new_with_rng(config, rng)
+            .run(&cases, |case| property(case).map_err(TestCaseError::fail))
+            .map_err(|err| err.to_string())
+    }
 }
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -8,6 +8,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+#[cfg(test)]
+mod tests;
+
 /// Load of an engine at the time of a report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Load {
--- /dev/null
+++ b/crates/policy/src/limit/tests.rs
@@ -0,0 +1,73 @@
+//! Tests of the concurrency limit.
+
+use super::*;
+
+const LAG: Duration = Duration::from_secs(2);
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn busy(initial: u32) -> Limit {
+    let mut limit = Limit::new(initial);
+    while limit.has_room() {
+        limit.sent(at(0));
+    }
+    limit
+}
+
+/// Guards against reports of one state that add up and drive the limit to zero or beyond the excess.
+#[test]
+fn repeated_reports_of_one_state_converge() {
+    let mut limit = busy(20);
+    let load = Load {
+        running: 64,
+        waiting: 96,
+    };
+    for idx in 0..100 {
+        limit.report(load, LAG, 8.0, at(3_000 + idx * 500));
+    }
+    assert!((8.0..=9.0).contains(&limit.get()), "{}", limit.get());
+}
+
+/// Guards against a limit that stays low although nothing waits at the engine.
+#[test]
+fn limit_grows_while_nothing_waits() {
+    let mut limit = busy(2);
+    let load = Load {
+        running: 16,
+        waiting: 0,
+    };
+    for idx in 0..200 {
+        while limit.has_room() {
+            limit.sent(at(3_000 + idx * 500));
+        }
+        limit.report(load, LAG, 8.0, at(3_000 + idx * 500));
+    }
+    assert!(limit.get() > 6.0, "{}", limit.get());
+}
+
+/// Guards against own sends since the report that are missing in the load estimate.
+#[test]
+fn own_sends_correct_a_lagging_report() {
+    let mut limit = busy(8);
+    for _ in 0..8 {
+        limit.ended(at(2_000));
+    }
+    let load = Load {
+        running: 20,
+        waiting: 0,
+    };
+    limit.report(load, LAG, 8.0, at(3_000));
+    assert_eq!(limit.load(), 12.0);
+}
+
+/// Guards against a report that overtakes a newer one.
+#[test]
+fn older_report_is_ignored() {
+    let mut limit = busy(8);
+    let report = |running| Load { running, waiting: 0 };
+    limit.report(report(30), LAG, 8.0, at(5_000));
+    limit.report(report(60), LAG * 2, 8.0, at(5_500));
+    assert_eq!(limit.load(), 30.0);
+}
--- a/crates/policy/src/pool/engines.rs
+++ b/crates/policy/src/pool/engines.rs
@@ -153,7 +153,7 @@
 
     /// Marks an engine that is about to stop.
     pub fn leaving(&mut self, slot: Slot, now: Duration) {
-        if self.table[slot].membership == Membership::Live {
+        if self.table[slot].membership == Membership::Live && !fault(Fault::IgnoreLeaving) {
             self.table[slot].membership = Membership::Leaving(now);
             self.index.drop_engine(slot);
             self.relist();
@@ -287,9 +287,8 @@
 
     fn takes(&self, slot: Slot, call: &Call, now: Duration) -> bool {
         let engine = &self.table[slot];
-        let healthy =
-            engine.membership == Membership::Live && engine.outlier.standing(now) == Standing::Healthy;
-        (healthy || fault(Fault::AnyEngine)) && engine.limit.has_room() && !call.tried(slot)
+        let healthy = engine.outlier.standing(now) == Standing::Healthy || fault(Fault::UseEjected);
+        engine.membership == Membership::Live && healthy && engine.limit.has_room() && !call.tried(slot)
     }
 
     /// Expected time of a call at an engine, in generated tokens of an idle engine.
--- a/crates/policy/src/pool/state.rs
+++ b/crates/policy/src/pool/state.rs
@@ -94,6 +94,7 @@
         let (slot, sent, kind) = (it.slot, it.sent, it.kind);
         let latency = now.saturating_sub(sent);
         call.winner = Some(attempt.number);
+        call.may_have_run = true;
         let rivals: Vec<u16> = call.live_numbers();
         self.engines.first_token(slot, class, latency, now);
         if kind == Kind::First {
--- a/crates/policy/src/pool/state/attempt.rs
+++ b/crates/policy/src/pool/state/attempt.rs
@@ -126,6 +126,9 @@
         self.queue
             .correct(class, &call.request.organisation, call.cost, actual);
         out.push(Action::Finish { attempt });
+        if fault(Fault::FinishTwice) {
+            out.push(Action::Finish { attempt });
+        }
         self.end(attempt.ticket, now, out);
     }
 
@@ -146,6 +149,7 @@
             return;
         };
         call.may_have_run |= proof == Proof::None;
+        let proof = if call.may_have_run { Proof::None } else { proof };
         if call.winner == Some(attempt.number) {
             call.winner = None;
         }
@@ -178,6 +182,8 @@
         let Some(it) = call.live(number) else { return };
         it.progress = Progress::Ended;
         let (slot, kind) = (it.slot, it.kind);
+        // Nothing proves that the cancelled attempt did not start.
+        call.may_have_run = true;
         let engine = self.engines.get_mut(slot);
         engine.limit.ended(now);
         self.full = false;
--- a/crates/policy/src/pool/tests.rs
+++ b/crates/policy/src/pool/tests.rs
@@ -7,6 +7,8 @@
 
 use super::*;
 
+mod properties;
+
 pub(super) const SECOND: Duration = Duration::from_secs(1);
 
 pub(super) fn pool(engines: usize, concurrency: u32) -> (Pool, Vec<Host>, SmallRng) {
