policy: compare engines by urgent first tokens and token times; equalise limits between nodes

Limits of nodes on one engine stayed at 3 and 14. Change: only urgent classes' first tokens and the time per token count for slowness; a fifth of the batch is divided equally.

--- a/crates/policy/src/eject.rs
+++ b/crates/policy/src/eject.rs
@@ -72,10 +72,14 @@
         self.slowdown
     }
 
+    /// Notes that the engine answered at all.
+    pub fn reached(&mut self) {
+        self.failures = 0;
+    }
+
     /// Counts an answer with its latency relative to the pool's usual one.
     pub fn answered(&mut self, slowdown: f64, now: Duration) {
         let sample = slowdown.clamp(0.1, Self::MOST_SAMPLE);
-        self.failures = 0;
         self.samples += 1;
         self.slowdown += Self::GAIN * (sample - self.slowdown);
         if self.standing(now) == Standing::Testing && sample < Self::SLOWDOWN {
--- a/crates/policy/src/estimate.rs
+++ b/crates/policy/src/estimate.rs
@@ -31,6 +31,14 @@
         self.mean += gain * (sample - self.mean);
     }
 
+    /// Adds a sample, and returns it relative to the mean before it. A far outlier moves the mean by a bounded amount.
+    pub fn relative(&mut self, sample: f64) -> f64 {
+        const MOST: f64 = 10.0;
+        let relative = if self.mean > 0.0 { sample / self.mean } else { 1.0 };
+        self.add(if relative > MOST { self.mean * MOST } else { sample });
+        relative
+    }
+
     /// Number of samples so far.
     pub fn samples(&self) -> u64 {
         self.samples
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -50,6 +50,11 @@
     /// engine at 85% of its throughput for minutes after a first limit of a third of the right one.
     const PROBE: f64 = 0.25;
 
+    /// Part of the batch that is divided equally between the nodes instead of in proportion to what each has. Without
+    /// it, limits of 3 and 14 on one engine stayed so for five minutes, because the wanted queue alone moves them by
+    /// less than one request.
+    const EQUAL_PART: f64 = 0.2;
+
     /// Smoothing factor for each report; 0.1 keeps the limit steady with a report every half second.
     const GAIN: f64 = 0.1;
 
@@ -135,13 +140,13 @@
         }
         let wanted = (Self::WANTED_QUEUE * running).max(1.0);
         let sharers = sharers.max(1.0);
-        let growth = if load.waiting == 0 {
+        let target = if load.waiting == 0 {
             // At least one whole request, because only whole ones can be in flight at the next report.
-            (Self::PROBE * running / sharers).max(1.0)
+            own + (Self::PROBE * running / sharers).max(1.0)
         } else {
-            wanted / sharers
+            let equal = Self::EQUAL_PART * running;
+            own * (running - equal) / total + (equal + wanted) / sharers
         };
-        let target = own * running / total + growth;
         // An idle node keeps its limit: the report says nothing about a load that it did not send.
         if target > self.limit || waiting > wanted {
             self.limit += Self::GAIN * (target - self.limit);
--- a/crates/policy/src/pool/call.rs
+++ b/crates/policy/src/pool/call.rs
@@ -34,6 +34,8 @@
 pub(super) struct Try {
     pub slot: Slot,
     pub sent: Duration,
+    /// Time of the first token; the time of sending before it.
+    pub started: Duration,
     pub progress: Progress,
     pub kind: Kind,
 }
--- a/crates/policy/src/pool/engines.rs
+++ b/crates/policy/src/pool/engines.rs
@@ -70,6 +70,7 @@
     far: Vec<Slot>,
     outliers: Vec<Slot>,
     first_token: [Estimate; Class::ALL.len()],
+    token: Estimate,
     domain: Domain,
     concurrency: u32,
     prompt_weight: f64,
@@ -87,6 +88,7 @@
             far: Vec::new(),
             outliers: Vec::new(),
             first_token: Default::default(),
+            token: Estimate::default(),
             domain,
             concurrency: settings.concurrency,
             prompt_weight: settings.prompt_weight,
@@ -160,14 +162,23 @@
         }
     }
 
-    /// Adds a time to first token.
+    /// Adds a time to first token. Only urgent classes count: others wait at the engine behind them, which says nothing
+    /// about its speed and ejected healthy engines in a rush.
     pub fn first_token(&mut self, slot: Slot, class: Class, latency: Duration, now: Duration) {
-        let usual = &mut self.first_token[class.index()];
-        let slowdown = match usual.mean() {
-            0.0 => 1.0,
-            mean => latency.as_secs_f64() / mean,
-        };
-        usual.add(latency.as_secs_f64().min(usual.mean().max(1e-4) * 10.0));
+        self.table[slot].outlier.reached();
+        if matches!(class, Class::Interactive | Class::Transaction) {
+            let usual = self.first_token[class.index()].relative(latency.as_secs_f64());
+            self.compare(slot, usual, now);
+        }
+    }
+
+    /// Adds the time for each token after the first.
+    pub fn token_time(&mut self, slot: Slot, time: Duration, now: Duration) {
+        let usual = self.token.relative(time.as_secs_f64());
+        self.compare(slot, usual, now);
+    }
+
+    fn compare(&mut self, slot: Slot, slowdown: f64, now: Duration) {
         let engine = &mut self.table[slot];
         engine.outlier.answered(slowdown, now);
         engine.limit.latency(engine.outlier.slowdown(), now);
--- a/crates/policy/src/pool/state.rs
+++ b/crates/policy/src/pool/state.rs
@@ -23,6 +23,9 @@
 
 use admit::cost;
 
+/// Tokens of an answer from which its time for each token is compared; shorter ones are too noisy.
+const LEAST_TOKENS: model::Tokens = 8;
+
 #[derive(Debug)]
 pub(super) struct State {
     settings: Settings,
@@ -91,6 +94,7 @@
             return;
         }
         it.progress = Progress::Started;
+        it.started = now;
         let (slot, sent, kind) = (it.slot, it.sent, it.kind);
         let latency = now.saturating_sub(sent);
         call.winner = Some(attempt.number);
@@ -121,11 +125,15 @@
             return;
         };
         it.progress = Progress::Ended;
-        let (slot, sent) = (it.slot, it.sent);
+        let (slot, sent, started) = (it.slot, it.sent, it.started);
         self.engines.get_mut(slot).limit.ended(now);
         self.full = false;
         match outcome {
             Outcome::Done(usage) => {
+                if usage.output >= LEAST_TOKENS && started > sent {
+                    let time = now.saturating_sub(started) / usage.output;
+                    self.engines.token_time(slot, time, now);
+                }
                 let actual = cost(
                     &self.settings,
                     usage.input.saturating_sub(usage.cached),
--- a/crates/policy/src/pool/state/attempt.rs
+++ b/crates/policy/src/pool/state/attempt.rs
@@ -65,6 +65,7 @@
         call.tries.push(Try {
             slot,
             sent: now,
+            started: now,
             progress: Progress::Sent,
             kind,
         });
