policy: keep a node's equal part of a batch from the reach of long requests

Cause: after a too high first limit, long requests left an engine slowly, and nodes whose requests ended first fell to limits of 2.9 where 8 is their share; they recovered only after the settling time. Change: a report does not lower a limit below the node's equal part of the batch.

--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -145,7 +145,10 @@
             own + (Self::PROBE * running / sharers).max(1.0)
         } else {
             let equal = Self::EQUAL_PART * running;
-            own * (running - equal) / total + (equal + wanted) / sharers
+            let target = own * (running - equal) / total + (equal + wanted) / sharers;
+            // Long requests leave a falling limit slowly. Without this bound, nodes whose requests ended first made
+            // room for the others' and fell to a third of their share.
+            target.max(running / sharers)
         };
         // An idle node keeps its limit: the report says nothing about a load that it did not send.
         if target > self.limit || waiting > wanted {
