policy: note prefixes in ticks and search engines only when room is unknown

Cause: p99 of a decision with a full queue was 7.2 us (target 5) on a busy machine; index entries of long prompts and the search of 40 full engines took most of it. Change: prefixes are noted in the index at the next tick; after an end under full load only the freed engine is tried; limits are kept rounded; the home engine is not computed when half of the prompt is known to be cached.

--- a/crates/load/src/decide.rs
+++ b/crates/load/src/decide.rs
@@ -20,6 +20,9 @@
 /// Decisions in a round.
 const DECISIONS: u64 = 50_000;
 
+/// Period of [`Pool::tick`], which is not part of a decision.
+const TICK: Duration = Duration::from_millis(5);
+
 /// Greatest time that the histogram tells apart.
 const LONGEST_NANOS: u64 = 1_000_000_000;
 
@@ -204,6 +207,10 @@
 
     fn step(&mut self) {
         self.now += Duration::from_micros(100);
+        if self.now.as_micros().is_multiple_of(TICK.as_micros()) {
+            let actions = self.pool.tick(self.now, &mut self.rng);
+            self.take(actions);
+        }
         if self.open < self.target {
             self.submit();
         } else {
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -24,6 +24,8 @@
 #[derive(Debug, Clone)]
 pub struct Limit {
     limit: f64,
+    /// The limit, rounded to whole requests.
+    places: u32,
     inflight: u32,
     history: VecDeque<(Duration, u32)>,
     others: f64,
@@ -74,6 +76,7 @@
     pub fn new(initial: u32) -> Self {
         Self {
             limit: f64::from(initial.max(1)),
+            places: initial.max(1),
             inflight: 0,
             history: VecDeque::new(),
             others: 0.0,
@@ -95,7 +98,7 @@
 
     /// Whether one more request fits into the limit, rounded to the nearest whole number.
     pub fn has_room(&self) -> bool {
-        f64::from(self.inflight) + 1.0 <= self.limit.round().max(1.0)
+        self.inflight < self.places
     }
 
     /// Estimated requests at the engine now: others' at the last report plus own ones now.
@@ -152,9 +155,8 @@
         };
         // An idle node keeps its limit: the report says nothing about a load that it did not send.
         if target > self.limit || waiting > wanted {
-            self.limit += Self::GAIN * (target - self.limit);
+            self.set(self.limit + Self::GAIN * (target - self.limit));
         }
-        self.limit = self.limit.max(1.0);
     }
 
     /// Takes the engine's latency relative to the pool's usual one.
@@ -167,12 +169,17 @@
             .reported
             .is_some_and(|it| now.saturating_sub(it) < Self::REPORT_VALIDITY);
         if slowdown > Self::SLOWDOWN {
-            self.limit = (self.limit * 0.9).max(1.0);
+            self.set(self.limit * 0.9);
         } else if !fresh && !self.has_room() {
-            self.limit += 1.0;
+            self.set(self.limit + 1.0);
         }
     }
 
+    fn set(&mut self, limit: f64) {
+        self.limit = limit.max(1.0);
+        self.places = self.limit.round() as u32;
+    }
+
     fn learn(&mut self, running: f64) {
         self.capacity = Capacity::Batch(match self.capacity {
             Capacity::Unknown => running,
--- a/crates/policy/src/pool/engines.rs
+++ b/crates/policy/src/pool/engines.rs
@@ -202,8 +202,10 @@
             (Some(near), Some(far)) if far.0 * SPILL_FACTOR < near.0 => Some(far),
             (near, far) => near.or(far),
         };
-        let preferred = [self.cheapest_holder(call, now), self.home(call, now)];
-        let candidates = preferred.into_iter().flatten().chain(cheapest);
+        let (held, holder) = self.cheapest_holder(call, now);
+        // The home engine is a guess, which a long known prefix makes unnecessary.
+        let home = if held < 0.5 { self.home(call, now) } else { None };
+        let candidates = [holder, home, cheapest].into_iter().flatten();
         candidates.min_by(|a, b| a.0.total_cmp(&b.0)).map(|it| it.1)
     }
 
@@ -220,16 +222,19 @@
         })
     }
 
-    fn cheapest_holder(&self, call: &Call, now: Duration) -> Option<(f64, Slot)> {
-        if call.request.blocks.is_empty() {
-            return None;
+    /// Part of the prompt's blocks that some engine holds, and the cheapest such engine with room.
+    fn cheapest_holder(&self, call: &Call, now: Duration) -> (f64, Option<(f64, Slot)>) {
+        let blocks = &call.request.blocks;
+        if blocks.is_empty() {
+            return (0.0, None);
         }
-        let (held, holders) = self.index.longest(&call.request.blocks);
+        let (held, holders) = self.index.longest(blocks);
         let cached = held as f64 * self.block_tokens;
-        holders
+        let cheapest = holders
             .filter(|it| self.takes(*it, call, now))
             .map(|it| (self.cost(it, call, cached), it))
-            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .min_by(|a, b| a.0.total_cmp(&b.0));
+        (held as f64 / blocks.len() as f64, cheapest)
     }
 
     /// Engine that all nodes with the same subset prefer for a session. It finds the cache again after a gap in the
@@ -296,7 +301,8 @@
         pair
     }
 
-    fn takes(&self, slot: Slot, call: &Call, now: Duration) -> bool {
+    /// Whether an engine may get a call and has room for it.
+    pub fn takes(&self, slot: Slot, call: &Call, now: Duration) -> bool {
         let engine = &self.table[slot];
         let healthy = engine.outlier.standing(now) == Standing::Healthy || fault(Fault::UseEjected);
         engine.membership == Membership::Live && healthy && engine.limit.has_room() && !call.tried(slot)
--- a/crates/policy/src/pool/state.rs
+++ b/crates/policy/src/pool/state.rs
@@ -23,9 +23,34 @@
 
 use admit::cost;
 
+/// Greatest number of prefixes that wait for the next tick; later ones are left to the cache events.
+const MOST_UNNOTED: usize = 1_024;
+
 /// Tokens of an answer from which its time for each token is compared; shorter ones are too noisy.
 const LEAST_TOKENS: model::Tokens = 8;
 
+/// Which engines may have room for the head of the queue. Under full load an end makes room at one engine, and the
+/// search of all others would take most of the time of a decision.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Room {
+    /// Any engine may.
+    Unknown,
+    /// No engine has.
+    None,
+    /// At most this engine has.
+    Only(Slot),
+}
+
+impl Room {
+    fn freed(&mut self, slot: Slot) {
+        *self = match *self {
+            Self::None => Self::Only(slot),
+            Self::Only(known) if known == slot => Self::Only(slot),
+            Self::Only(_) | Self::Unknown => Self::Unknown,
+        };
+    }
+}
+
 #[derive(Debug)]
 pub(super) struct State {
     settings: Settings,
@@ -41,8 +66,11 @@
     /// Seconds for each unit of cost over all classes.
     place: Estimate,
     dispatched: [Rate; 4],
-    /// Whether no engine had room for the head of the queue; cleared by every event that may make room.
-    full: bool,
+    room: Room,
+    /// Requests whose prefixes are still to be noted in the index, with their engines.
+    unnoted: Vec<(Slot, Ticket)>,
+    /// Sum of the limits of the engines that take work.
+    places: f64,
 }
 
 impl State {
@@ -58,7 +86,9 @@
             service: Default::default(),
             place: Estimate::default(),
             dispatched: Default::default(),
-            full: false,
+            room: Room::Unknown,
+            places: 0.0,
+            unnoted: Vec::new(),
             settings,
         }
     }
@@ -127,7 +157,7 @@
         it.progress = Progress::Ended;
         let (slot, sent, started) = (it.slot, it.sent, it.started);
         self.engines.get_mut(slot).limit.ended(now);
-        self.full = false;
+        self.room.freed(slot);
         match outcome {
             Outcome::Done(usage) => {
                 if usage.output >= LEAST_TOKENS && started > sent {
@@ -149,13 +179,14 @@
     pub fn cancel(&mut self, ticket: Ticket, now: Duration, rng: &mut impl Rng, out: &mut Vec<Action>) {
         self.queue.remove(ticket);
         self.end(ticket, now, out);
-        self.full = false;
+        self.room = Room::Unknown;
         self.dispatch(now, rng, out);
     }
 
     pub fn tick(&mut self, now: Duration, rng: &mut impl Rng, out: &mut Vec<Action>) {
+        self.note_prefixes();
         // Ejections end as time passes.
-        self.full = false;
+        self.recount(now);
         self.expire(now, rng, out);
         while let Some((at, ticket)) = self.timers.first().copied() {
             if at > now {
@@ -184,7 +215,7 @@
         let sharers = self.engines.sharers;
         if let Some(slot) = self.engines.slot(upstream) {
             self.engines.get_mut(slot).limit.report(load, age, sharers, now);
-            self.full = false;
+            self.recount(now);
             self.dispatch(now, rng, out);
         }
     }
@@ -204,7 +235,7 @@
         out: &mut Vec<Action>,
     ) {
         self.engines.replace(hosts, sharers, now);
-        self.full = false;
+        self.recount(now);
         self.dispatch(now, rng, out);
     }
 
@@ -233,4 +264,10 @@
             engines: self.engines.live().map(engine).collect(),
         }
     }
+
+    /// Takes into account that the engines' limits or standings may have changed.
+    fn recount(&mut self, now: Duration) {
+        self.room = Room::Unknown;
+        self.places = self.engines.places(now);
+    }
 }
--- a/crates/policy/src/pool/state/admit.rs
+++ b/crates/policy/src/pool/state/admit.rs
@@ -155,7 +155,7 @@
         let ahead = self
             .queue
             .ahead(request.class, &request.organisation, request.weight);
-        let rate = self.engines.places(now) / self.place.mean();
+        let rate = self.places / self.place.mean();
         let dispatched = self.dispatched.map(|it| it.per_second(now));
         let rate = self.queue.class_rate(request.class, rate, dispatched).max(1e-3);
         Duration::from_secs_f64((ahead / rate).min(3600.0))
--- a/crates/policy/src/pool/state/attempt.rs
+++ b/crates/policy/src/pool/state/attempt.rs
@@ -6,7 +6,7 @@
 use model::{Class, Ran, Refusal};
 use rand::Rng;
 
-use super::{Action, Attempt, Cause, Kind, Outcome, Phase, Progress, State, Ticket, Try};
+use super::{Action, Attempt, Cause, Kind, MOST_UNNOTED, Outcome, Phase, Progress, Room, State, Ticket, Try};
 use crate::affinity::Slot;
 use crate::fault::{Fault, fault};
 use crate::retry::{Proof, may_resend};
@@ -14,7 +14,7 @@
 impl State {
     pub(super) fn dispatch(&mut self, now: Duration, rng: &mut impl Rng, out: &mut Vec<Action>) {
         self.expire(now, rng, out);
-        if self.full {
+        if self.room == Room::None {
             return;
         }
         while let Some(ticket) = self.waiting.front().copied() {
@@ -31,8 +31,13 @@
             let Some(call) = self.calls.get(&ticket) else {
                 break;
             };
-            let Some(slot) = self.engines.choose(call, now, rng) else {
-                self.full = true;
+            let chosen = match self.room {
+                Room::None => None,
+                Room::Only(slot) => self.engines.takes(slot, call, now).then_some(slot),
+                Room::Unknown => self.engines.choose(call, now, rng),
+            };
+            let Some(slot) = chosen else {
+                self.room = Room::None;
                 break;
             };
             let (class, cost) = (call.request.class, call.cost);
@@ -81,7 +86,19 @@
             upstream: engine.name.clone(),
             kind,
         });
-        self.engines.index.expect(slot, &call.request.blocks);
+        if !call.request.blocks.is_empty() && self.unnoted.len() < MOST_UNNOTED {
+            self.unnoted.push((slot, ticket));
+        }
+    }
+
+    /// Notes in the index which prefixes the engines are about to hold. Done in ticks, because the entries of a long
+    /// prompt took half of the time of a dispatch.
+    pub(super) fn note_prefixes(&mut self) {
+        for (slot, ticket) in self.unnoted.drain(..) {
+            if let Some(call) = self.calls.get(&ticket) {
+                self.engines.index.expect(slot, &call.request.blocks);
+            }
+        }
     }
 
     /// Hedges a request without an answer, or gives up one that waits for a further attempt.
@@ -187,7 +204,7 @@
         call.may_have_run = true;
         let engine = self.engines.get_mut(slot);
         engine.limit.ended(now);
-        self.full = false;
+        self.room.freed(slot);
         out.push(Action::Cancel {
             attempt,
             upstream: engine.name.clone(),
@@ -223,9 +240,10 @@
         for number in call.live_numbers() {
             let attempt = call.attempt(number);
             let Some(it) = call.live(number) else { continue };
-            let engine = self.engines.get_mut(it.slot);
+            let slot = it.slot;
+            let engine = self.engines.get_mut(slot);
             engine.limit.ended(now);
-            self.full = false;
+            self.room.freed(slot);
             out.push(Action::Cancel {
                 attempt,
                 upstream: engine.name.clone(),
