policy: keep lone requests out of the eviction order

Change: organisations with a single request are not candidates for eviction; calls remember their account.

--- a/crates/load/src/decide.rs
+++ b/crates/load/src/decide.rs
@@ -15,10 +15,10 @@
 use crate::sim::traffic::organisation;
 
 /// Rounds of each size, in turn; the best round counts, because other work on the machine only adds time.
-const ROUNDS: usize = 5;
+const ROUNDS: usize = 11;
 
 /// Decisions in a round.
-const DECISIONS: u64 = 50_000;
+const DECISIONS: u64 = 30_000;
 
 /// Period of [`Pool::tick`], which is not part of a decision.
 const TICK: Duration = Duration::from_millis(5);
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -18,7 +18,9 @@
 #[cfg(test)]
 mod tests;
 
-use fair::{Fair, FlowId};
+pub use fair::FlowId;
+
+use fair::Fair;
 
 /// Bounds and shares.
 #[derive(Debug, Clone)]
@@ -68,9 +70,9 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Push {
     /// The request is queued.
-    Queued,
+    Queued(FlowId),
     /// The request is queued in place of another one, which is refused.
-    Replaced(Ticket),
+    Replaced(FlowId, Ticket),
     /// The queue is full.
     Full,
 }
@@ -132,24 +134,27 @@
     pub fn push(&mut self, entry: Entry) -> Push {
         let idx = entry.class.index();
         let full = self.classes[idx].len() >= self.settings.length && !fault(Fault::UnboundedQueue);
-        let mut result = Push::Queued;
+        let mut replaced = None;
         if full {
             let Some(evicted) = self.classes[idx].evict_for(&entry.organisation, entry.weight) else {
                 return Push::Full;
             };
             self.unlist(&evicted);
-            result = Push::Replaced(evicted.ticket);
+            replaced = Some(evicted.ticket);
         }
         let (ticket, class) = (entry.ticket, entry.class);
         self.expiry.insert((entry.give_up, ticket));
         let flow = self.classes[idx].push(entry);
         self.places.insert(ticket, (class, flow));
-        result
+        match replaced {
+            Some(ticket) => Push::Replaced(flow, ticket),
+            None => Push::Queued(flow),
+        }
     }
 
     /// Charges a request that is sent without waiting, while nothing is queued.
-    pub fn pass(&mut self, class: Class, organisation: &Name, weight: u32, cost: u64) {
-        self.classes[class.index()].pass(organisation, weight, cost);
+    pub fn pass(&mut self, class: Class, organisation: &Name, weight: u32, cost: u64) -> FlowId {
+        self.classes[class.index()].pass(organisation, weight, cost)
     }
 
     /// Request that [`Queue::pop`] returns next.
@@ -190,8 +195,8 @@
     }
 
     /// Corrects an organisation's account when the true cost of a request is known.
-    pub fn correct(&mut self, class: Class, organisation: &Name, estimated: u64, actual: u64) {
-        self.classes[class.index()].correct(organisation, estimated, actual);
+    pub fn correct(&mut self, class: Class, flow: FlowId, estimated: u64, actual: u64) {
+        self.classes[class.index()].correct(flow, estimated, actual);
     }
 
     fn next_class(&self) -> Option<usize> {
--- a/crates/policy/src/admission/fair.rs
+++ b/crates/policy/src/admission/fair.rs
@@ -21,7 +21,8 @@
     flows: Vec<Flow>,
     /// Organisations with work, by the start tag of their first request.
     active: BTreeSet<(u64, FlowId)>,
-    /// Organisations with work, by queue length for their weight.
+    /// Organisations with more than one request, by queue length for their weight. Those with one are left out, because
+    /// they are never evicted and a thousand of them would make each change slow.
     lengths: BTreeSet<(u64, FlowId)>,
     virtual_time: u64,
     len: usize,
@@ -40,7 +41,7 @@
 #[derive(Debug, PartialEq, Eq)]
 struct Keys {
     start: u64,
-    length: u64,
+    length: Option<u64>,
     weight: u64,
 }
 
@@ -50,7 +51,7 @@
         let weight = u64::from(self.weight.max(1));
         (!self.entries.is_empty()).then(|| Keys {
             start: self.start,
-            length: self.entries.len() as u64 * SCALE / weight,
+            length: (self.entries.len() > 1).then(|| self.entries.len() as u64 * SCALE / weight),
             weight,
         })
     }
@@ -100,7 +101,7 @@
     }
 
     /// Charges a request that did not have to wait.
-    pub fn pass(&mut self, organisation: &Name, weight: u32, cost: u64) {
+    pub fn pass(&mut self, organisation: &Name, weight: u32, cost: u64) -> FlowId {
         let id = self.id(organisation);
         let virtual_time = self.virtual_time;
         let flow = &mut self.flows[id as usize];
@@ -108,6 +109,7 @@
         flow.start = flow.start.max(virtual_time);
         self.virtual_time = flow.start;
         flow.start += flow.span(cost);
+        id
     }
 
     /// Request that [`Fair::pop`] returns next.
@@ -145,7 +147,7 @@
     }
 
     /// Removes the newest request of the organisation with the longest queue for its weight, unless the new request
-    /// would make the queue of its own organisation at least as long.
+    /// would make the queue of its own organisation at least as long. An organisation keeps its only request.
     pub fn evict_for(&mut self, organisation: &Name, weight: u32) -> Option<Entry> {
         let own = self.flow(organisation).map_or(0, |it| it.entries.len());
         let key = (own as u64 + 1) * SCALE / u64::from(weight.max(1));
@@ -163,10 +165,7 @@
     }
 
     /// Moves an organisation's account by the difference between actual and estimated cost.
-    pub fn correct(&mut self, organisation: &Name, estimated: u64, actual: u64) {
-        let Some(id) = self.ids.get(organisation).copied() else {
-            return;
-        };
+    pub fn correct(&mut self, id: FlowId, estimated: u64, actual: u64) {
         self.update(id, |flow, virtual_time| {
             let start = flow.start + flow.span(actual);
             // An account never falls behind the virtual time, or an idle organisation would save up a claim.
@@ -206,12 +205,16 @@
         }
         if let Some(keys) = before {
             self.active.remove(&(keys.start, id));
-            self.lengths.remove(&(keys.length, id));
+            if let Some(length) = keys.length {
+                self.lengths.remove(&(length, id));
+            }
             self.weight -= keys.weight;
         }
         if let Some(keys) = after {
             self.active.insert((keys.start, id));
-            self.lengths.insert((keys.length, id));
+            if let Some(length) = keys.length {
+                self.lengths.insert((length, id));
+            }
             self.weight += keys.weight;
         }
         result
--- a/crates/policy/src/admission/tests.rs
+++ b/crates/policy/src/admission/tests.rs
@@ -91,7 +91,7 @@
     let mut expected: usize = 0;
     for (ticket, (class, organisation)) in pushes.into_iter().enumerate() {
         let pushed = queue.push(entry(ticket as Ticket, Class::ALL[class], organisation, 1, 10));
-        expected += usize::from(pushed == Push::Queued);
+        expected += usize::from(matches!(pushed, Push::Queued(_)));
         if Class::ALL.iter().any(|it| queue.class_len(*it) > LENGTH) || queue.len() != expected {
             return Err("a queue is longer than its bound, or lost a request".into());
         }
--- a/crates/policy/src/pool/call.rs
+++ b/crates/policy/src/pool/call.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::event::{Attempt, Kind, Request};
+use crate::admission::FlowId;
 use crate::affinity::Slot;
 
 /// A request that has not ended.
@@ -10,6 +11,8 @@
 pub(super) struct Call {
     pub request: Request,
     pub cost: u64,
+    /// Account of the organisation within the class.
+    pub flow: FlowId,
     pub phase: Phase,
     pub tries: Vec<Try>,
     /// Whether an attempt may have run.
@@ -53,6 +56,7 @@
         Self {
             request,
             cost,
+            flow: 0,
             phase: Phase::Queued,
             tries: Vec::new(),
             may_have_run: false,
--- a/crates/policy/src/pool/state/admit.rs
+++ b/crates/policy/src/pool/state/admit.rs
@@ -60,14 +60,15 @@
         rng: &mut impl Rng,
         out: &mut Vec<Action>,
     ) {
-        let call = Call::new(request, cost);
+        let mut call = Call::new(request, cost);
         let Some(slot) = self.engines.choose(&call, now, rng) else {
             self.enqueue(call.request, cost, give_up, now, rng, out);
             return;
         };
         let request = &call.request;
         let (ticket, class) = (request.ticket, request.class);
-        self.queue
+        call.flow = self
+            .queue
             .pass(class, &request.organisation, request.weight, cost);
         self.calls.insert(ticket, call);
         self.first(ticket, slot, class, cost, now, out);
@@ -91,9 +92,10 @@
             cost,
             give_up,
         };
-        let refused = match self.queue.push(entry) {
-            Push::Queued => None,
-            Push::Replaced(other) => Some(other),
+        let pushed = self.queue.push(entry);
+        let refused = match pushed {
+            Push::Queued(_) => None,
+            Push::Replaced(_, other) => Some(other),
             Push::Full => Some(ticket),
         };
         if let Some(refused) = refused {
@@ -104,8 +106,10 @@
                 refusal: Refusal::not_run(Reason::Overloaded).retry_after(jittered(wait, rng)),
             });
         }
-        if refused != Some(ticket) {
-            self.calls.insert(ticket, Call::new(request, cost));
+        if let Push::Queued(flow) | Push::Replaced(flow, _) = pushed {
+            let mut call = Call::new(request, cost);
+            call.flow = flow;
+            self.calls.insert(ticket, call);
         }
     }
 
--- a/crates/policy/src/pool/state/attempt.rs
+++ b/crates/policy/src/pool/state/attempt.rs
@@ -141,8 +141,7 @@
         let seconds = took.as_secs_f64() / call.cost as f64;
         self.service[class.index()].add(seconds);
         self.place.add(seconds);
-        self.queue
-            .correct(class, &call.request.organisation, call.cost, actual);
+        self.queue.correct(class, call.flow, call.cost, actual);
         out.push(Action::Finish { attempt });
         if fault(Fault::FinishTwice) {
             out.push(Action::Finish { attempt });
