policy: look an organisation's account up once for each request

Cause: the name was hashed up to three times for each request. Change: entries and calls carry the account's number.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -56,8 +56,8 @@
     pub ticket: Ticket,
     /// Class.
     pub class: Class,
-    /// Organisation.
-    pub organisation: Name,
+    /// Account of the organisation within the class.
+    pub flow: FlowId,
     /// Share of the organisation.
     pub weight: u32,
     /// Estimated cost, at least 1.
@@ -70,9 +70,9 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Push {
     /// The request is queued.
-    Queued(FlowId),
+    Queued,
     /// The request is queued in place of another one, which is refused.
-    Replaced(FlowId, Ticket),
+    Replaced(Ticket),
     /// The queue is full.
     Full,
 }
@@ -114,9 +114,14 @@
         self.classes[class.index()].len()
     }
 
+    /// Account of an organisation within a class, opened on first use.
+    pub fn account(&mut self, class: Class, organisation: &Name) -> FlowId {
+        self.classes[class.index()].account(organisation)
+    }
+
     /// Cost that goes before a new request: the least of what weighted fairness and a common queue would put there.
-    pub fn ahead(&self, class: Class, organisation: &Name, weight: u32) -> f64 {
-        self.classes[class.index()].ahead(organisation, weight)
+    pub fn ahead(&self, class: Class, flow: FlowId, weight: u32) -> f64 {
+        self.classes[class.index()].ahead(flow, weight)
     }
 
     /// Share of the pool's rate that a class gets, given the rate at which each class was dispatched.
@@ -136,25 +141,21 @@
         let full = self.classes[idx].len() >= self.settings.length && !fault(Fault::UnboundedQueue);
         let mut replaced = None;
         if full {
-            let Some(evicted) = self.classes[idx].evict_for(&entry.organisation, entry.weight) else {
+            let Some(evicted) = self.classes[idx].evict_for(entry.flow, entry.weight) else {
                 return Push::Full;
             };
             self.unlist(&evicted);
             replaced = Some(evicted.ticket);
         }
-        let (ticket, class) = (entry.ticket, entry.class);
-        self.expiry.insert((entry.give_up, ticket));
-        let flow = self.classes[idx].push(entry);
-        self.places.insert(ticket, (class, flow));
-        match replaced {
-            Some(ticket) => Push::Replaced(flow, ticket),
-            None => Push::Queued(flow),
-        }
+        self.expiry.insert((entry.give_up, entry.ticket));
+        self.places.insert(entry.ticket, (entry.class, entry.flow));
+        self.classes[idx].push(entry);
+        replaced.map_or(Push::Queued, Push::Replaced)
     }
 
     /// Charges a request that is sent without waiting, while nothing is queued.
-    pub fn pass(&mut self, class: Class, organisation: &Name, weight: u32, cost: u64) -> FlowId {
-        self.classes[class.index()].pass(organisation, weight, cost)
+    pub fn pass(&mut self, class: Class, flow: FlowId, weight: u32, cost: u64) {
+        self.classes[class.index()].pass(flow, weight, cost);
     }
 
     /// Request that [`Queue::pop`] returns next.
--- a/crates/policy/src/admission/fair.rs
+++ b/crates/policy/src/admission/fair.rs
@@ -72,12 +72,21 @@
         self.len == 0
     }
 
+    /// Account of an organisation, opened on first use.
+    pub fn account(&mut self, organisation: &Name) -> FlowId {
+        if let Some(id) = self.ids.get(organisation) {
+            return *id;
+        }
+        let id = self.flows.len() as FlowId;
+        self.flows.push(Flow::default());
+        self.ids.insert(organisation.clone(), id);
+        id
+    }
+
     /// Cost that goes before a new request of an organisation.
-    pub fn ahead(&self, organisation: &Name, weight: u32) -> f64 {
-        let (own, known) = match self.flow(organisation) {
-            Some(flow) if !flow.entries.is_empty() => (flow.cost, true),
-            _ => (0, false),
-        };
+    pub fn ahead(&self, id: FlowId, weight: u32) -> f64 {
+        let flow = &self.flows[id as usize];
+        let (own, known) = (flow.cost, !flow.entries.is_empty());
         let weight = u64::from(weight.max(1));
         let weights = if known { self.weight } else { self.weight + weight };
         let by_share = own as f64 * weights as f64 / weight as f64;
@@ -85,8 +94,8 @@
     }
 
     /// Queues a request.
-    pub fn push(&mut self, entry: Entry) -> FlowId {
-        let id = self.id(&entry.organisation);
+    pub fn push(&mut self, entry: Entry) {
+        let id = entry.flow;
         self.len += 1;
         self.cost += entry.cost;
         self.update(id, |flow, virtual_time| {
@@ -97,19 +106,16 @@
             flow.cost += entry.cost;
             flow.entries.push_back(entry);
         });
-        id
     }
 
     /// Charges a request that did not have to wait.
-    pub fn pass(&mut self, organisation: &Name, weight: u32, cost: u64) -> FlowId {
-        let id = self.id(organisation);
+    pub fn pass(&mut self, id: FlowId, weight: u32, cost: u64) {
         let virtual_time = self.virtual_time;
         let flow = &mut self.flows[id as usize];
         flow.weight = weight;
         flow.start = flow.start.max(virtual_time);
         self.virtual_time = flow.start;
         flow.start += flow.span(cost);
-        id
     }
 
     /// Request that [`Fair::pop`] returns next.
@@ -148,8 +154,8 @@
 
     /// Removes the newest request of the organisation with the longest queue for its weight, unless the new request
     /// would make the queue of its own organisation at least as long. An organisation keeps its only request.
-    pub fn evict_for(&mut self, organisation: &Name, weight: u32) -> Option<Entry> {
-        let own = self.flow(organisation).map_or(0, |it| it.entries.len());
+    pub fn evict_for(&mut self, id: FlowId, weight: u32) -> Option<Entry> {
+        let own = self.flows[id as usize].entries.len();
         let key = (own as u64 + 1) * SCALE / u64::from(weight.max(1));
         let (longest, id) = *self.lengths.last()?;
         if longest <= key {
@@ -175,20 +181,6 @@
         });
     }
 
-    fn flow(&self, organisation: &Name) -> Option<&Flow> {
-        self.ids.get(organisation).map(|it| &self.flows[*it as usize])
-    }
-
-    fn id(&mut self, organisation: &Name) -> FlowId {
-        if let Some(id) = self.ids.get(organisation) {
-            return *id;
-        }
-        let id = self.flows.len() as FlowId;
-        self.flows.push(Flow::default());
-        self.ids.insert(organisation.clone(), id);
-        id
-    }
-
     fn discount(&mut self, entry: &Entry) {
         self.len -= 1;
         self.cost -= entry.cost;
--- a/crates/policy/src/admission/tests.rs
+++ b/crates/policy/src/admission/tests.rs
@@ -7,11 +7,12 @@
 
 const POPS: usize = 2_000;
 
-fn entry(ticket: Ticket, class: Class, organisation: usize, weight: u32, cost: u64) -> Entry {
+fn entry(queue: &mut Queue, ticket: Ticket, flow: (Class, usize, u32, u64)) -> Entry {
+    let (class, organisation, weight, cost) = flow;
     Entry {
         ticket,
         class,
-        organisation: format!("org{organisation}").into(),
+        flow: queue.account(class, &format!("org{organisation}").into()),
         weight,
         cost,
         give_up: Duration::from_secs(100),
@@ -24,9 +25,9 @@
     let mut served = vec![0.0; flows.len()];
     let mut ticket = 0;
     let mut push = |queue: &mut Queue, idx: usize| {
-        let (class, organisation, weight, cost) = flows[idx];
         ticket += 1;
-        queue.push(entry(ticket, class, organisation, weight, cost));
+        let entry = entry(queue, ticket, flows[idx]);
+        queue.push(entry);
     };
     for idx in 0..flows.len() {
         push(&mut queue, idx);
@@ -34,9 +35,9 @@
     }
     for _ in 0..POPS {
         let Some(popped) = queue.pop() else { break };
-        let name = |idx: usize| format!("org{}", flows[idx].1);
+        let mut account = |idx: usize| queue.account(flows[idx].0, &format!("org{}", flows[idx].1).into());
         let idx = (0..flows.len())
-            .find(|it| flows[*it].0 == popped.class && name(*it) == *popped.organisation)
+            .find(|it| flows[*it].0 == popped.class && account(*it) == popped.flow)
             .expect("only listed flows are queued");
         served[idx] += popped.cost as f64;
         push(&mut queue, idx);
@@ -90,8 +91,13 @@
     });
     let mut expected: usize = 0;
     for (ticket, (class, organisation)) in pushes.into_iter().enumerate() {
-        let pushed = queue.push(entry(ticket as Ticket, Class::ALL[class], organisation, 1, 10));
-        expected += usize::from(matches!(pushed, Push::Queued(_)));
+        let entry = entry(
+            &mut queue,
+            ticket as Ticket,
+            (Class::ALL[class], organisation, 1, 10),
+        );
+        let pushed = queue.push(entry);
+        expected += usize::from(pushed == Push::Queued);
         if Class::ALL.iter().any(|it| queue.class_len(*it) > LENGTH) || queue.len() != expected {
             return Err("a queue is longer than its bound, or lost a request".into());
         }
--- a/crates/policy/src/pool/call.rs
+++ b/crates/policy/src/pool/call.rs
@@ -52,11 +52,11 @@
 }
 
 impl Call {
-    pub fn new(request: Request, cost: u64) -> Self {
+    pub fn new(request: Request, cost: u64, flow: FlowId) -> Self {
         Self {
             request,
             cost,
-            flow: 0,
+            flow,
             phase: Phase::Queued,
             tries: Vec::new(),
             may_have_run: false,
--- a/crates/policy/src/pool/state.rs
+++ b/crates/policy/src/pool/state.rs
@@ -98,12 +98,16 @@
             return;
         }
         let cost = self.cost_of(&request);
-        match self.admit(&request, cost, now, rng) {
-            Ok(give_up) if self.queue.is_empty() && self.waiting.is_empty() => {
-                self.pass_or_enqueue(request, cost, give_up, now, rng, out);
-                return;
+        let flow = self.queue.account(request.class, &request.organisation);
+        match self.admit(&request, cost, flow, now, rng) {
+            Ok(give_up) => {
+                let call = Call::new(request, cost, flow);
+                if self.queue.is_empty() && self.waiting.is_empty() {
+                    self.pass_or_enqueue(call, give_up, now, rng, out);
+                    return;
+                }
+                self.enqueue(call, give_up, now, rng, out);
             }
-            Ok(give_up) => self.enqueue(request, cost, give_up, now, rng, out),
             Err(refusal) => out.push(Action::Refuse {
                 ticket: request.ticket,
                 refusal,
--- a/crates/policy/src/pool/state/admit.rs
+++ b/crates/policy/src/pool/state/admit.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 
 use super::{Action, Call, Request, State};
-use crate::admission::{Entry, Push};
+use crate::admission::{Entry, FlowId, Push};
 use crate::fault::{Fault, fault};
 use crate::pool::Settings;
 
@@ -23,6 +23,7 @@
         &self,
         request: &Request,
         cost: u64,
+        flow: FlowId,
         now: Duration,
         rng: &mut impl Rng,
     ) -> Result<Duration, Refusal> {
@@ -37,7 +38,7 @@
             return Err(Refusal::not_run(Reason::DeadlineUnreachable));
         };
         let give_up = latest.min(longest);
-        let wait = self.expected_wait(request, now);
+        let wait = self.expected_wait(request, flow, now);
         if now + wait <= give_up {
             return Ok(give_up);
         }
@@ -53,64 +54,53 @@
     /// Sends a request at once if an engine has room, and queues it otherwise.
     pub(super) fn pass_or_enqueue(
         &mut self,
-        request: Request,
-        cost: u64,
+        call: Call,
         give_up: Duration,
         now: Duration,
         rng: &mut impl Rng,
         out: &mut Vec<Action>,
     ) {
-        let mut call = Call::new(request, cost);
         let Some(slot) = self.engines.choose(&call, now, rng) else {
-            self.enqueue(call.request, cost, give_up, now, rng, out);
+            self.enqueue(call, give_up, now, rng, out);
             return;
         };
-        let request = &call.request;
-        let (ticket, class) = (request.ticket, request.class);
-        call.flow = self
-            .queue
-            .pass(class, &request.organisation, request.weight, cost);
+        let (ticket, class, cost) = (call.request.ticket, call.request.class, call.cost);
+        self.queue.pass(class, call.flow, call.request.weight, cost);
         self.calls.insert(ticket, call);
         self.first(ticket, slot, class, cost, now, out);
     }
 
     pub(super) fn enqueue(
         &mut self,
-        request: Request,
-        cost: u64,
+        call: Call,
         give_up: Duration,
         now: Duration,
         rng: &mut impl Rng,
         out: &mut Vec<Action>,
     ) {
-        let ticket = request.ticket;
+        let ticket = call.request.ticket;
         let entry = Entry {
             ticket,
-            class: request.class,
-            organisation: request.organisation.clone(),
-            weight: request.weight,
-            cost,
+            class: call.request.class,
+            flow: call.flow,
+            weight: call.request.weight,
+            cost: call.cost,
             give_up,
         };
-        let pushed = self.queue.push(entry);
-        let refused = match pushed {
-            Push::Queued(_) => None,
-            Push::Replaced(_, other) => Some(other),
+        let refused = match self.queue.push(entry) {
+            Push::Queued => None,
+            Push::Replaced(other) => Some(other),
             Push::Full => Some(ticket),
         };
-        if let Some(refused) = refused {
-            let wait = self.expected_wait(&request, now);
+        let wait = refused.map(|_| self.expected_wait(&call.request, call.flow, now));
+        self.calls.insert(ticket, call);
+        if let (Some(refused), Some(wait)) = (refused, wait) {
             self.calls.remove(&refused);
             out.push(Action::Refuse {
                 ticket: refused,
                 refusal: Refusal::not_run(Reason::Overloaded).retry_after(jittered(wait, rng)),
             });
         }
-        if let Push::Queued(flow) | Push::Replaced(flow, _) = pushed {
-            let mut call = Call::new(request, cost);
-            call.flow = flow;
-            self.calls.insert(ticket, call);
-        }
     }
 
     /// Refuses queued requests that cannot be answered in time any more.
@@ -122,7 +112,7 @@
             if fault(Fault::SilentExpiry) {
                 continue;
             }
-            let wait = self.expected_wait(&call.request, now);
+            let wait = self.expected_wait(&call.request, call.flow, now);
             let refusal = Refusal::not_run(Reason::DeadlineUnreachable).retry_after(jittered(wait, rng));
             out.push(Action::Refuse {
                 ticket: entry.ticket,
@@ -152,13 +142,11 @@
     }
 
     /// Time until a new request would be sent, by the work ahead of it and the rate at which places become free.
-    pub(super) fn expected_wait(&self, request: &Request, now: Duration) -> Duration {
+    pub(super) fn expected_wait(&self, request: &Request, flow: FlowId, now: Duration) -> Duration {
         if self.queue.is_empty() || self.place.samples() < LEAST_SAMPLES {
             return Duration::ZERO;
         }
-        let ahead = self
-            .queue
-            .ahead(request.class, &request.organisation, request.weight);
+        let ahead = self.queue.ahead(request.class, flow, request.weight);
         let rate = self.places / self.place.mean();
         let dispatched = self.dispatched.map(|it| it.per_second(now));
         let rate = self.queue.class_rate(request.class, rate, dispatched).max(1e-3);
