policy: reserve engines for urgent requests in proportion to their work

Cause: with all faults at once, half of the engines carried twice their load, and the batches there made interactive answers 1.45 times as slow as in the healthy pool.

--- a/crates/policy/src/pool/state.rs
+++ b/crates/policy/src/pool/state.rs
@@ -26,6 +26,12 @@
 /// Greatest number of prefixes that wait for the next tick; later ones are left to the cache events.
 const MOST_UNNOTED: usize = 1_024;
 
+/// Share of engines reserved for urgent requests, relative to these requests' share of the dispatched cost.
+const RESERVE: f64 = 2.0;
+
+/// Greatest share of reserved engines.
+const MOST_RESERVED: f64 = 0.3;
+
 /// Tokens of an answer from which its time for each token is compared; shorter ones are too noisy.
 const LEAST_TOKENS: model::Tokens = 8;
 
@@ -273,5 +279,9 @@
     fn recount(&mut self, now: Duration) {
         self.room = Room::Unknown;
         self.places = self.engines.places(now);
+        let rates = self.dispatched.map(|it| it.per_second(now));
+        let urgent = rates[Class::Interactive.index()] + rates[Class::Transaction.index()];
+        let share = urgent / rates.iter().sum::<f64>().max(f64::MIN_POSITIVE);
+        self.engines.reserve((share * RESERVE).min(MOST_RESERVED), now);
     }
 }
