--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -4,3 +4,4 @@
 
 pub mod cascade;
 pub mod report;
+pub mod rollout;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -25,7 +25,7 @@
 /// An experiment and its name on the command line.
 type Experiment = (&'static str, fn(u64) -> Report);
 
-const EXPERIMENTS: &[Experiment] = &[("cascade", load::cascade::run)];
+const EXPERIMENTS: &[Experiment] = &[("cascade", load::cascade::run), ("rollout", load::rollout::run)];
 
 const EXIT_MISSED: u8 = 1;
 const EXIT_USAGE: u8 = 2;
