--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod decide;
 pub mod faults;
 pub mod report;
+pub mod rollout;
 pub mod rush;
 pub mod sim;
