node: gossip, peer calls, replicated billing and at-most-once calls

Cause: bills existed only at their origin until the log had them, keyed calls were refused, and nodes did not know one another.

Change: membership runs over authenticated UDP datagrams, and the Peer service of tonic over calls whose tag covers method, receiver and message. Billing uses the state machines of ledger, with two holders. Keyed calls go to the node that issued the key; a planned stop hands its sealed table to two peers. Entry answers come from membership. A node that cannot read the log takes records and the age of its configuration from peers, and one without log and peers for 10 s counts as stale. The billing key of a chat request with an idempotency key is a digest of key and body.

wire: Datagram carries the sender's epoch, HoldBatchRequest the incarnation of the other holder. config: an entry and a peer address that both ask for any free port do not contradict. tonic gets its feature `router`, which the server needs (adds axum, axum-core, matchit and mime).

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -364,7 +364,8 @@
         upstream,
         ..
     } = settings;
-    if node.entry == node.peer {
+    // Port 0 asks for any free port, so that the addresses differ in the end.
+    if node.entry == node.peer && node.entry.port() != 0 {
         reader.contradiction("node", "peer", "node.entry");
     }
     if node.seeds.contains(&node.gossip) {
--- a/crates/demo/src/cluster.rs
+++ b/crates/demo/src/cluster.rs
@@ -15,6 +15,9 @@
 /// Number of nodes.
 pub const NODES: u16 = 3;
 
+/// Pool of the entry hosts in the host list.
+const ENTRY_POOL: &str = "entry";
+
 /// Greatest wait for the nodes to take over the configuration.
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -62,6 +65,8 @@
     pub weights: Weights,
     /// Nodes that were not stopped.
     pub nodes: Vec<Handle>,
+    /// What the host list shows.
+    entries: Vec<Entry>,
 }
 
 impl Cluster {
@@ -76,6 +81,7 @@
             let node = cluster.node(options, index)?;
             cluster.nodes.push(node);
         }
+        cluster.list_nodes();
         cluster.wait_ready()?;
         Ok(cluster)
     }
@@ -126,7 +132,14 @@
         let lag = Duration::ZERO;
         Ok(Self {
             log: Log::bind(any(), standin::log::Options::default())?,
-            hosts: Hosts::bind(any(), standin::hosts::Options { entries, lag })?,
+            hosts: Hosts::bind(
+                any(),
+                standin::hosts::Options {
+                    entries: entries.clone(),
+                    lag,
+                },
+            )?,
+            entries,
             engines,
             services,
             rating: Rating::bind(any(), standin::rating::Options::default())?,
@@ -143,7 +156,7 @@
         // The keys come from `secrets`, so the named files are never read.
         let text = format!(
             "[node]\nhost = node-{index}\nfailure_domain = {}\n\
-             entry = 127.0.0.1:{port}\npeer = 127.0.0.1:1\ngossip = 127.0.0.1:1\n\
+             entry = 127.0.0.1:{port}\npeer = 127.0.0.1:0\ngossip = 127.0.0.1:0\n\
              [keys]\nsession_file = session\ncluster_file = cluster\n\
              [platform]\nlog = {}\nhosts = {}\nrating = {}\nweights = {}\n{}",
             domain(usize::from(index)),
@@ -158,9 +171,25 @@
         Ok(node::spawn(settings, secrets(), ports)?)
     }
 
+    /// Adds the nodes to the host list.
+    fn list_nodes(&mut self) {
+        for (index, node) in self.nodes.iter().enumerate() {
+            let entry = Entry {
+                name: format!("node-{index}").into(),
+                pool: ENTRY_POOL.into(),
+                address: node.gossip_address(),
+                domain: domain(index).into(),
+                state: State::Live,
+            };
+            self.entries.push(entry);
+        }
+        self.hosts.set(self.entries.clone());
+    }
+
     fn wait_ready(&self) -> Result<()> {
         let end = Instant::now() + READY_TIMEOUT;
-        while !self.nodes.iter().all(Handle::is_ready) {
+        let ready = |it: &Handle| it.is_ready() && it.members() == usize::from(NODES);
+        while !self.nodes.iter().all(ready) {
             if Instant::now() >= end {
                 bail!("the nodes are not ready after {READY_TIMEOUT:?}");
             }
--- a/crates/demo/tests/common/mod.rs
+++ b/crates/demo/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Calls and readers that the end-to-end tests share.
 
 #![allow(clippy::unwrap_used, reason = "a failed set-up ends the test")]
+#![allow(dead_code, reason = "each test program uses a part")]
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader};
@@ -8,6 +9,9 @@
 use std::time::{Duration, Instant};
 
 use demo::Cluster;
+use ledger::STREAM;
+use ledger::bill::Reader;
+use ledger::billing::{Key, decode};
 use platform::log::Log;
 use serde_json::{Value, json};
 
@@ -98,22 +102,36 @@
 
 /// Number of bills of each billing key, as a reader counts them: repeated batches are discarded.
 pub fn bills(cluster: &Cluster) -> BTreeMap<String, usize> {
-    let page = cluster.log_client().read("bills", 0, 100_000).unwrap();
+    let page = cluster.log_client().read(STREAM, 0, 100_000).unwrap();
     let mut seen = BTreeSet::new();
     let mut bills = BTreeMap::new();
     for record in page.records {
-        let batch: Value = serde_json::from_slice(&record.payload).unwrap();
-        let identity = (batch["incarnation"].to_string(), batch["sequence"].to_string());
-        if !seen.insert(identity) {
-            continue;
-        }
-        for bill in batch["records"].as_array().unwrap() {
-            *bills.entry(bill["key"].as_str().unwrap().to_owned()).or_default() += 1;
+        for batch in decode(&record.payload).unwrap() {
+            if !seen.insert(batch.id) {
+                continue;
+            }
+            for bill in batch.records {
+                let key = match bill.key {
+                    Key::Idempotency(text) => text.to_string(),
+                    Key::Request { incarnation, number } => format!("{incarnation}-{number}"),
+                };
+                *bills.entry(format!("{}/{key}", bill.organisation)).or_default() += 1;
+            }
         }
     }
     bills
 }
 
+/// Requests that an organisation pays for, as the bill reader adds them up.
+pub fn billed(cluster: &Cluster, organisation: &str) -> u64 {
+    let page = cluster.log_client().read(STREAM, 0, 100_000).unwrap();
+    let mut reader = Reader::default();
+    for record in page.records {
+        reader.read(&record.payload).unwrap();
+    }
+    reader.bills().get(organisation).map_or(0, |it| it.requests)
+}
+
 /// Waits until `done` holds.
 pub fn wait(what: &str, bound: Duration, done: impl Fn() -> bool) {
     let end = Instant::now() + bound;
--- a/crates/membership/tests/cost.rs
+++ b/crates/membership/tests/cost.rs
@@ -117,6 +117,8 @@
         body: Some(body),
         from: Some(encode_member(&datagram.from)),
         updates: datagram.updates.iter().map(encode_member).collect(),
+        // The longest encoding.
+        epoch: u32::MAX,
     }
 }
 
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -16,6 +16,19 @@
     let metrics = &shared.metrics;
     metrics.open.set(signed(shared.open.load(Ordering::SeqCst)));
     metrics.billing_unsettled.set(signed(shared.biller.unsettled()));
+    let peers = &metrics.peers;
+    let (batches, bytes) = shared.biller.held();
+    peers.held_batches.set(signed(batches));
+    peers.held_bytes.set(signed(bytes));
+    let stats = shared.biller.stats();
+    peers
+        .same_domain_copies
+        .set(i64::try_from(stats.same_domain).unwrap_or(i64::MAX));
+    peers
+        .billing_logged
+        .set(i64::try_from(stats.logged).unwrap_or(i64::MAX));
+    peers.keys.set(signed(shared.once.len()));
+    peers.isolated.set(i64::from(shared.is_isolated()));
     let age = shared.catalog.age(shared.now());
     metrics
         .config_age
@@ -54,6 +67,7 @@
             "revision": shared.catalog.revision(),
             "age_ms": age.map(|it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX)),
         },
+        "members": shared.peers.live(shared.now()).len() + 1,
         "open_requests": shared.open.load(Ordering::SeqCst),
         "billing_unsettled": shared.biller.unsettled(),
         "available_upstreams": pools,
--- a/crates/node/src/billing.rs
+++ b/crates/node/src/billing.rs
@@ -1,32 +1,40 @@
 //! Billing records on their way into the log.
 //!
-//! Records collect in an open batch. The appender thread closes it, gives it a sequence number and appends it until
-//! the log confirms; a batch never changes after that, so that readers can discard a repeated append.
+//! The state machines of `ledger::billing` decide; this module carries out their actions. One thread polls them. It
+//! never blocks: calls to peers run on the runtime, appends on a thread of their own.
 
-use std::collections::VecDeque;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Mutex, PoisonError};
+use std::collections::HashMap;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use config::settings::Billing;
 use crossbeam::channel::{Receiver, Sender, bounded};
-use model::{Class, Cost, Incarnation, Name, Usage};
-use serde::{Deserialize, Serialize};
+use ledger::billing::{Action, Held, Hold, Id, Key, Limits, Member, Origin, Permit, Stats};
+use model::{Class, Cost, Domain, Incarnation, Name, Usage};
+use wire::peer::HoldBatchRequest;
 
-use crate::phase::Phase;
+use crate::peers::convert;
 use crate::shared::Shared;
 
-/// Log stream of billing batches.
-const STREAM: &str = "bills";
+mod actions;
+mod driver;
+mod identity;
 
-/// Least interval between appends; it grows with the number of nodes so that the log's append budget holds.
-const APPEND_INTERVAL: Duration = Duration::from_millis(250);
+pub(crate) use driver::{append, run};
+pub(crate) use identity::identity;
+
+/// Bytes of batches held for other nodes. One hour at 28.5 requests/s, in two copies of about 100 bytes each, takes
+/// 21 MB.
+const HELD_BYTES: usize = 32 << 20;
+
+/// Longest wait for the release of an answer, above the greatest hold time-out of the settings.
+pub(crate) const RELEASE_TIMEOUT: Duration = Duration::from_secs(11);
 
 /// What an organisation owes for one request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Record {
-    /// Identity for discarding repetitions: organisation plus idempotency key or request id.
-    pub key: String,
+    /// Identity for discarding repetitions, within the organisation.
+    pub key: Key,
     pub organisation: Name,
     pub version: Name,
     pub class: Class,
@@ -36,145 +44,188 @@
     pub rejected_cost: Cost,
 }
 
-/// An immutable set of records.
-#[derive(Debug, Serialize)]
-struct Batch {
-    incarnation: String,
-    sequence: u64,
-    records: Vec<Record>,
-}
-
 /// No room for another record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Full;
 
-#[derive(Debug, Default)]
-struct Queue {
-    open: Vec<Record>,
-    /// Answers that wait for the open batch.
-    waiting: Vec<Sender<()>>,
-    /// Encoded batches that the log has not confirmed, with the number of their records.
-    closed: VecDeque<(Vec<u8>, usize)>,
-    next_sequence: u64,
+/// Who asked for an append.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Side {
+    Origin,
+    Held,
+}
+
+/// A payload for the log.
+#[derive(Debug)]
+struct Job {
+    side: Side,
+    number: u64,
+    payload: Vec<u8>,
+}
+
+#[derive(Debug)]
+struct State {
+    origin: Origin,
+    held: Held,
+    /// Room of requests under way.
+    permits: Vec<Permit>,
+    /// Answers that wait for the release of a batch.
+    waiting: HashMap<u64, Vec<Sender<()>>>,
+    /// Whether something was reported since the last poll.
+    is_due: bool,
 }
 
-/// Billing records of this node that the log does not have yet.
+/// Billing records of this node and of others that the log does not have yet.
 #[derive(Debug)]
 pub(crate) struct Biller {
-    incarnation: Incarnation,
-    bound: usize,
-    /// Records of requests under way and records that the log does not have.
-    reserved: AtomicUsize,
-    queue: Mutex<Queue>,
+    state: Mutex<State>,
+    /// Wakes the thread that polls.
+    changed: Condvar,
+    jobs: (Sender<Job>, Receiver<Job>),
 }
 
 impl Biller {
-    /// An empty biller.
-    pub(crate) fn new(incarnation: Incarnation, settings: &Billing) -> Self {
+    /// An empty biller of a node that starts now.
+    pub(crate) fn new(incarnation: Incarnation, domain: Domain, settings: &Billing) -> Self {
+        let own = Member { incarnation, domain };
+        let limits = Limits {
+            records: settings.max_pending_records,
+            release: settings.hold_timeout,
+            ..Limits::default()
+        };
         Self {
-            incarnation,
-            bound: settings.max_pending_records,
-            reserved: AtomicUsize::new(0),
-            queue: Mutex::default(),
+            state: Mutex::new(State {
+                origin: Origin::new(own, limits, Duration::ZERO),
+                held: Held::new(HELD_BYTES, Duration::ZERO),
+                permits: Vec::new(),
+                waiting: HashMap::new(),
+                is_due: false,
+            }),
+            changed: Condvar::new(),
+            // Each side has at most one append under way.
+            jobs: bounded(2),
         }
     }
 
     /// Reserves room for the record of a request before it starts, so that no record is ever dropped.
     pub(crate) fn reserve(&self) -> Result<(), Full> {
-        let room = |it: usize| (it < self.bound).then_some(it + 1);
-        let reserved = self
-            .reserved
-            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, room);
-        reserved.map(|_| ()).map_err(|_| Full)
+        let mut state = self.lock();
+        let permit = state.origin.admit().map_err(|_| Full)?;
+        state.permits.push(permit);
+        Ok(())
     }
 
     /// Returns the room of a request that is not billed.
     pub(crate) fn release(&self) {
-        self.reserved.fetch_sub(1, Ordering::SeqCst);
+        let mut state = self.lock();
+        if let Some(permit) = state.permits.pop() {
+            state.origin.release(permit);
+        }
     }
 
-    /// Adds a record to the open batch; the receiver reports when the log has it.
-    pub(crate) fn add(&self, record: Record) -> Receiver<()> {
+    /// Adds a record in reserved room; the receiver reports when the answer may end.
+    pub(crate) fn add(&self, record: Record, now: Duration) -> Receiver<()> {
         let (done, wait) = bounded(1);
-        let mut queue = self.lock();
-        queue.open.push(record);
-        queue.waiting.push(done);
+        let mut state = self.lock();
+        let Some(permit) = state.permits.pop() else {
+            log::error!("a record without reserved room is not billed");
+            return wait;
+        };
+        let record = ledger::billing::Record {
+            organisation: record.organisation,
+            key: record.key,
+            version: record.version,
+            usage: record.usage,
+            cost: record.cost,
+            rejected: record.rejected_cost,
+        };
+        let sequence = state.origin.record(permit, record, now);
+        state.waiting.entry(sequence).or_default().push(done);
+        self.report(state);
         wait
     }
 
+    /// Takes a batch of another node; `None` if it is malformed.
+    pub(crate) fn hold(&self, shared: &Shared, message: HoldBatchRequest) -> Option<bool> {
+        let id = convert::id(message.id.as_ref()?)?;
+        let other = match message.other_holder.as_slice() {
+            [] => None,
+            bytes => Some(convert::incarnation(bytes)?),
+        };
+        let rank = u8::try_from(message.rank).ok()?;
+        let payload: Arc<[u8]> = message.payload.into();
+        let mut state = self.lock();
+        let hold = state.held.hold(id, payload, rank, other, shared.now());
+        self.report(state);
+        let held = hold.ok()? == Hold::Held;
+        if !held {
+            shared.metrics.peers.hold_refusals.inc();
+        }
+        Some(held)
+    }
+
+    /// The log has batches of another node.
+    pub(crate) fn settle(&self, ids: &[Id]) {
+        self.lock().held.settle(ids);
+    }
+
+    /// Takes over the present members.
+    pub(crate) fn set_members(&self, members: &[membership::Member], own: Incarnation, now: Duration) {
+        let holder = |it: &&membership::Member| it.incarnation != own && it.state == membership::State::Alive;
+        let peers: Vec<_> = members
+            .iter()
+            .filter(holder)
+            .map(|it| Member {
+                incarnation: it.incarnation,
+                domain: it.domain.clone(),
+            })
+            .collect();
+        // A suspected origin may still refute; only a dead one is taken over.
+        let known = members.iter().filter(|it| it.state != membership::State::Dead);
+        let known: Vec<_> = known.map(|it| it.incarnation).collect();
+        let mut state = self.lock();
+        state.origin.set_peers(&peers, known.len(), now);
+        state.held.set_live(known, now);
+        self.report(state);
+    }
+
     /// Number of records that are reserved or not in the log.
     pub(crate) fn unsettled(&self) -> usize {
-        self.reserved.load(Ordering::SeqCst)
+        let state = self.lock();
+        state.permits.len() + state.origin.unsettled()
     }
 
-    fn close_batch(&self) -> Vec<Sender<()>> {
-        let mut queue = self.lock();
-        if queue.open.is_empty() {
-            return Vec::new();
-        }
-        let records = std::mem::take(&mut queue.open);
-        let count = records.len();
-        let batch = Batch {
-            incarnation: self.incarnation.to_string(),
-            sequence: queue.next_sequence,
-            records,
-        };
-        queue.next_sequence += 1;
-        let payload = serde_json::to_vec(&batch).unwrap_or_default();
-        queue.closed.push_back((payload, count));
-        std::mem::take(&mut queue.waiting)
+    /// Whether every record is in the log or at two peers.
+    pub(crate) fn is_safe(&self) -> bool {
+        self.lock().origin.is_safe()
     }
 
-    fn unsent(&self) -> Vec<(Vec<u8>, usize)> {
-        self.lock().closed.iter().cloned().collect()
+    /// Makes the next append due at once.
+    pub(crate) fn flush(&self, now: Duration) {
+        let mut state = self.lock();
+        state.origin.flush(now);
+        self.report(state);
     }
 
-    fn settle(&self, batches: usize) {
-        let mut queue = self.lock();
-        let records: usize = queue.closed.drain(..batches).map(|(_, count)| count).sum();
-        self.reserved.fetch_sub(records, Ordering::SeqCst);
+    /// Counts of the own records.
+    pub(crate) fn stats(&self) -> Stats {
+        self.lock().origin.stats()
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, Queue> {
-        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Batches and bytes held for other nodes.
+    pub(crate) fn held(&self) -> (usize, usize) {
+        let state = self.lock();
+        (state.held.len(), state.held.bytes())
     }
-}
 
-/// Appends batches until the node stops; then appends once more what is left.
-pub(crate) fn run(shared: &Shared) {
-    let mut waiting = Vec::new();
-    loop {
-        let stopped = shared.phase.get() == Phase::Stopped;
-        waiting.append(&mut shared.biller.close_batch());
-        if append(shared) {
-            for done in waiting.drain(..) {
-                // The answer may have stopped waiting.
-                done.try_send(()).ok();
-            }
-        }
-        if stopped {
-            return;
-        }
-        std::thread::sleep(APPEND_INTERVAL);
+    /// Has the state machines polled after a report to them.
+    fn report(&self, mut state: MutexGuard<'_, State>) {
+        state.is_due = true;
+        drop(state);
+        self.changed.notify_one();
     }
-}
 
-/// Appends all closed batches; returns whether the log has them.
-fn append(shared: &Shared) -> bool {
-    let unsent = shared.biller.unsent();
-    if unsent.is_empty() {
-        return true;
-    }
-    let count = unsent.len();
-    let payloads: Vec<_> = unsent.into_iter().map(|(payload, _)| payload).collect();
-    match shared.ports.log.append(STREAM, &payloads) {
-        Ok(_) => {
-            shared.biller.settle(count);
-            true
-        }
-        Err(_) => {
-            shared.metrics.billing_append_failures.inc();
-            false
-        }
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/node/src/catalog.rs
+++ b/crates/node/src/catalog.rs
@@ -9,11 +9,17 @@
 use config::view::View;
 use model::{Offset, Revision};
 
+mod tail;
+
+use tail::Tail;
+
 /// The folded configuration and its view.
 #[derive(Debug, Default)]
 pub(crate) struct Catalog {
     state: Mutex<State>,
     view: Mutex<Arc<View>>,
+    /// Last folded records, for nodes that lack them.
+    tail: Mutex<Tail>,
     /// When this node last held the end of the log, as time since its start.
     confirmed: Mutex<Option<Duration>>,
 }
@@ -33,6 +39,9 @@
     pub(crate) fn apply(&self, offset: Offset, payload: &[u8]) -> Verdict {
         let mut state = lock(&self.state);
         let verdict = state.apply(offset, payload);
+        if !matches!(verdict, Verdict::Skipped | Verdict::Gap) {
+            lock(&self.tail).push(offset, payload);
+        }
         if verdict == Verdict::Accepted {
             *lock(&self.view) = Arc::new(View::new(&state));
         }
@@ -49,9 +58,24 @@
         *state = snapshot;
     }
 
+    /// The records after a revision; `None` if one is not kept.
+    pub(crate) fn records_after(&self, revision: Revision) -> Option<Vec<(Offset, Vec<u8>)>> {
+        let state = lock(&self.state);
+        if revision >= state.revision() {
+            return Some(Vec::new());
+        }
+        lock(&self.tail).after(revision)
+    }
+
+    /// Payload of a snapshot of the state held.
+    pub(crate) fn snapshot(&self) -> Vec<u8> {
+        lock(&self.state).to_snapshot()
+    }
+
     /// Notes that the end of the log was held at `now`.
     pub(crate) fn confirm(&self, now: Duration) {
-        *lock(&self.confirmed) = Some(now);
+        let mut confirmed = lock(&self.confirmed);
+        *confirmed = (*confirmed).max(Some(now));
     }
 
     /// Time since the end of the log was last held; `None` before the first time.
--- a/crates/node/src/chat.rs
+++ b/crates/node/src/chat.rs
@@ -4,11 +4,12 @@
 use std::time::Instant;
 
 use config::view::{Tenant, View};
+use ledger::billing::Key;
 use model::object::Version;
 use model::refusal::Reason;
 use model::{Class, Cost, Refusal, Tokens, Usage};
 
-use crate::billing::Record;
+use crate::billing::{RELEASE_TIMEOUT, Record, identity};
 use crate::engine::generation::{self, Job, Outcome};
 use crate::http::dispatch::refuse;
 use crate::http::exchange::Exchange;
@@ -32,7 +33,7 @@
     request: Request,
     job: Job,
     session: String,
-    billing_key: String,
+    billing_key: Key,
 }
 
 /// Answers one request.
@@ -83,9 +84,14 @@
         version: version.name.clone(),
         revision: view.revision(),
     };
-    let id = shared.request_id();
-    let identity = exchange.header("Idempotency-Key").unwrap_or(&id);
-    let billing_key = format!("{}/{identity}", tenant.name());
+    let number = shared.request_number();
+    let id = shared.request_id_of(number);
+    let billing_key = identity(
+        exchange.header("Idempotency-Key"),
+        &body,
+        shared.incarnation,
+        number,
+    );
     Ok(Admitted {
         session: shared.sessions.sign(&session).unwrap_or_default(),
         billing_key,
@@ -138,10 +144,9 @@
         cost: cost(version, usage),
         rejected_cost: 0,
     };
-    let safe = shared.biller.add(record);
-    if safe.recv_timeout(shared.settings.billing.hold_timeout).is_err() {
-        shared.metrics.billing_underreplicated.inc();
-    }
+    let safe = shared.biller.add(record, shared.now());
+    // Billing itself releases the answer in time, so that only a fault of this node ends the wait here.
+    safe.recv_timeout(RELEASE_TIMEOUT).ok();
 }
 
 fn finish(shared: &Shared, answer: Answer, usage: Usage) {
--- a/crates/node/src/config_log.rs
+++ b/crates/node/src/config_log.rs
@@ -8,26 +8,36 @@
 use crate::phase::Phase;
 use crate::shared::Shared;
 
+pub(crate) mod catch_up;
+mod snapshot;
+
 /// Greatest number of records in one read.
 const PAGE: usize = 256;
 
 /// Reads the log until the node stops.
 pub(crate) fn run(shared: &Shared) {
+    let mut snapshots = snapshot::Schedule::default();
     while shared.phase.get() < Phase::Stopped {
-        if catch_up(shared).is_err() {
-            shared.metrics.config_read_failures.inc();
+        match follow(shared, &mut snapshots) {
+            Ok(()) => snapshots.write(shared),
+            Err(_) => {
+                shared.metrics.config_read_failures.inc();
+                catch_up::run(shared);
+            }
         }
         shared.pause(shared.settings.config.poll);
     }
 }
 
 /// Folds all records that the log has beyond the revision held.
-fn catch_up(shared: &Shared) -> Result<(), Error> {
+fn follow(shared: &Shared, snapshots: &mut snapshot::Schedule) -> Result<(), Error> {
     loop {
         // The end of the log is confirmed as of the moment before the read.
         let now = shared.now();
         let from = shared.catalog.revision();
         let page = shared.ports.log.read(STREAM, from, PAGE)?;
+        shared.note_log_read();
+        snapshots.note_first(page.first, shared.now());
         if page.end < from {
             shared.metrics.config_log_behind.inc();
             return Ok(());
@@ -36,7 +46,9 @@
             restore(shared, &page)?;
         }
         for record in &page.records {
-            apply(shared, record.offset, &record.payload);
+            if apply(shared, record.offset, &record.payload) == Verdict::Snapshot {
+                snapshots.note_snapshot(record, shared.now());
+            }
         }
         let revision = shared.catalog.revision();
         shared
@@ -54,14 +66,16 @@
     }
 }
 
-fn apply(shared: &Shared, offset: Offset, payload: &[u8]) {
-    match shared.catalog.apply(offset, payload) {
+fn apply(shared: &Shared, offset: Offset, payload: &[u8]) -> Verdict {
+    let verdict = shared.catalog.apply(offset, payload);
+    match verdict {
         Verdict::Accepted => log::info!("configuration revision {}", offset + 1),
         Verdict::Conflict(_) | Verdict::Invalid(_) | Verdict::Malformed => {
             shared.metrics.config_rejected.inc();
         }
         Verdict::Repeated(_) | Verdict::Snapshot | Verdict::Skipped | Verdict::Gap => {}
     }
+    verdict
 }
 
 /// Takes over the newest retained snapshot that the retained records continue.
--- a/crates/node/src/http/dispatch.rs
+++ b/crates/node/src/http/dispatch.rs
@@ -120,5 +120,6 @@
 /// Counts a refusal and sends it.
 pub(crate) fn refuse(shared: &Shared, exchange: Exchange, refusal: &Refusal) {
     shared.metrics.refusal(refusal.reason);
-    exchange.respond(Reply::refusal(refusal));
+    let refusal = services::proof::unproven(&exchange, refusal);
+    exchange.respond(Reply::refusal(&refusal));
 }
--- a/crates/node/src/http/gate.rs
+++ b/crates/node/src/http/gate.rs
@@ -30,6 +30,9 @@
     let Some(age) = shared.catalog.age(shared.now()) else {
         return true;
     };
+    if shared.is_isolated() {
+        return true;
+    }
     let bound = shared.settings.config.max_staleness;
     !bound.is_zero() && age > bound
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,8 @@
 mod http;
 mod metrics;
 mod models;
+mod once;
+mod peers;
 mod phase;
 mod ports;
 mod secrets;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -89,6 +89,8 @@
     pub billing_underreplicated: Counter,
     /// Failed appends of billing batches.
     pub billing_append_failures: Counter,
+    /// What nodes do for one another.
+    pub peers: crate::peers::metrics::Metrics,
 }
 
 impl Metrics {
@@ -113,6 +115,7 @@
             billing_unsettled: Gauge::default(),
             billing_underreplicated: Counter::default(),
             billing_append_failures: Counter::default(),
+            peers: crate::peers::metrics::Metrics::default(),
         };
         for reason in Reason::ALL {
             drop(metrics.refusals.get_or_create(&[("reason", reason.code())]));
@@ -145,6 +148,7 @@
 
     fn register(&mut self) {
         let registry = &mut self.registry;
+        self.peers.register(registry);
         registry.register("refusals", "Refused requests by reason", self.refusals.clone());
         registry.register("retries", "Repeated attempts by reason", self.retries.clone());
         registry.register("requests", "Requests received", self.requests.clone());
--- /dev/null
+++ b/crates/node/src/peers.rs
@@ -0,0 +1,167 @@
+//! Other nodes: who they are, calls to them, and the answers to theirs.
+//!
+//! Membership datagrams are handled by a thread of their own. Calls run on one small asynchronous runtime; threads
+//! of requests wait for their outcome, each with a deadline.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use config::settings::Settings;
+use ledger::once::EPOCH;
+use membership::{Addresses, Event, Listed, Member, Readiness, Seed, State, Table, Version};
+use model::{Incarnation, hash};
+use platform::hosts::{Entry, State as HostState};
+use rand::rngs::SmallRng;
+
+pub(crate) mod auth;
+pub(crate) mod client;
+pub(crate) mod convert;
+pub(crate) mod gossip;
+pub(crate) mod metrics;
+pub(crate) mod server;
+
+use client::Target;
+
+/// Pool of the entry hosts in the host list.
+const ENTRY_POOL: &str = "entry";
+
+/// Epochs remembered; members beyond it are named with the answering node's own prefix.
+const EPOCH_LIMIT: usize = 1_024;
+
+/// The other nodes as this one knows them.
+#[derive(Debug)]
+pub(crate) struct Peers {
+    table: Mutex<Table>,
+    /// Last known epoch of each member's keys, and when it was reported.
+    epochs: Mutex<BTreeMap<Incarnation, (u32, Duration)>>,
+    seeds: Vec<Seed>,
+}
+
+impl Peers {
+    /// A node that knows no other one yet.
+    pub(crate) fn new(settings: &Settings, incarnation: Incarnation, rng: &mut SmallRng) -> Self {
+        let node = &settings.node;
+        let local = Member {
+            host: node.host.clone(),
+            incarnation,
+            version: Version::default(),
+            state: State::Alive,
+            domain: node.failure_domain.clone(),
+            addresses: Addresses {
+                gossip: node.gossip,
+                peer: node.peer,
+                entry: node.entry,
+            },
+            revision: 0,
+            age: Duration::MAX,
+            load: 0,
+            readiness: Readiness::NotReady,
+        };
+        let times = membership::Settings {
+            entry_lifetime: settings.stop.entry_lifetime,
+            ..membership::Settings::default()
+        };
+        let peers = Self {
+            table: Mutex::new(Table::new(times, local, Duration::ZERO, rng)),
+            epochs: Mutex::default(),
+            seeds: node.seeds.iter().copied().map(Seed::address).collect(),
+        };
+        peers
+            .table()
+            .handle(Event::Hosts(peers.seeds.clone()), Duration::ZERO, rng);
+        peers
+    }
+
+    /// The membership table; not to be held during I/O.
+    pub(crate) fn table(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes over a new host list.
+    pub(crate) fn update(&self, entries: &[Entry], now: Duration, rng: &mut SmallRng) {
+        let listed = entries.iter().filter(|it| &*it.pool == ENTRY_POOL).map(seed);
+        let seeds = listed.chain(self.seeds.iter().cloned()).collect();
+        self.table().handle(Event::Hosts(seeds), now, rng);
+    }
+
+    /// Notes the epoch that a member stated.
+    pub(crate) fn note_epoch(&self, incarnation: Incarnation, epoch: u32, now: Duration) {
+        let mut epochs = lock(&self.epochs);
+        let oldest = epochs.iter().min_by_key(|it| it.1.1).map(|it| *it.0);
+        if epochs.len() >= EPOCH_LIMIT
+            && !epochs.contains_key(&incarnation)
+            && let Some(oldest) = oldest
+        {
+            epochs.remove(&oldest);
+        }
+        epochs.insert(incarnation, (epoch, now));
+    }
+
+    /// Epoch of a member's keys, never later than the true one.
+    pub(crate) fn epoch(&self, incarnation: Incarnation, now: Duration) -> Option<u32> {
+        let (epoch, reported) = *lock(&self.epochs).get(&incarnation)?;
+        let since = now.saturating_sub(reported).as_secs() / EPOCH.as_secs();
+        Some(epoch.saturating_add(u32::try_from(since).ok()?))
+    }
+
+    /// A member to which a call may get through; one that is only suspected may still be alive.
+    pub(crate) fn target(&self, incarnation: Incarnation) -> Option<Target> {
+        let table = self.table();
+        let member = table.members().find(|it| it.incarnation == incarnation)?;
+        (member.state != State::Dead).then(|| target(member))
+    }
+
+    /// Live members in the order in which they keep what `issuer` hands over, the issuer excluded.
+    pub(crate) fn keepers(&self, issuer: Incarnation) -> Vec<Target> {
+        let key = issuer.to_string();
+        let table = self.table();
+        let mut members: Vec<_> = table
+            .members()
+            .filter(|it| it.is_live() && it.incarnation != issuer)
+            .collect();
+        members.sort_by_cached_key(|it| {
+            let rank = hash::rendezvous(&key, &it.incarnation.to_string());
+            // A member that is about to leave would lose what it is given.
+            (it.state != State::Alive, std::cmp::Reverse(rank))
+        });
+        members.into_iter().map(target).collect()
+    }
+
+    /// Live members other than this node, with the ages of their revisions at `now`.
+    pub(crate) fn live(&self, now: Duration) -> Vec<Member> {
+        let table = self.table();
+        let own = table.local().incarnation;
+        let mut live = table.live(now);
+        live.retain(|it| it.incarnation != own);
+        live
+    }
+
+    /// Time since any other node was heard of.
+    pub(crate) fn silence(&self, now: Duration) -> Option<Duration> {
+        self.table().silence(now)
+    }
+}
+
+/// Where a member accepts calls.
+pub(crate) fn target(member: &Member) -> Target {
+    Target {
+        incarnation: member.incarnation,
+        address: member.addresses.peer,
+    }
+}
+
+fn seed(entry: &Entry) -> Seed {
+    Seed {
+        host: Some(entry.name.clone()),
+        gossip: entry.address,
+        listed: match entry.state {
+            HostState::Live => Listed::Live,
+            HostState::Leaving => Listed::Leaving,
+        },
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/node/src/peers/server.rs
@@ -0,0 +1,145 @@
+//! Answers to calls of other nodes.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+
+use model::Refusal;
+use model::refusal::Reason;
+use prost::Message;
+use tokio::sync::oneshot;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::Server;
+use tonic::{Request, Response, Status};
+use wire::peer::peer_server::{Peer, PeerServer};
+use wire::peer::{
+    ExecuteReply, ExecuteRequest, FetchConfigReply, FetchConfigRequest, HandOverReply, HandOverRequest,
+    HoldBatchReply, HoldBatchRequest, MergeEvidenceReply, MergeEvidenceRequest, SettleBatchReply,
+    SettleBatchRequest, execute_reply,
+};
+
+use super::client::{MAX_MESSAGE_BYTES, TAG};
+use super::convert;
+use crate::services::keyed;
+use crate::shared::Shared;
+use crate::{config_log, once};
+
+/// The service of a node.
+#[derive(Debug)]
+struct Service {
+    shared: Arc<Shared>,
+}
+
+/// Serves calls until `stop` fires or its sender is dropped.
+///
+/// # Errors
+/// The listener cannot be used.
+pub(crate) fn spawn(
+    shared: &Arc<Shared>,
+    listener: TcpListener,
+    stop: oneshot::Receiver<()>,
+) -> std::io::Result<()> {
+    let runtime = shared.client.runtime();
+    listener.set_nonblocking(true)?;
+    let _entered = runtime.enter();
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    let service = PeerServer::new(Service {
+        shared: Arc::clone(shared),
+    })
+    .max_decoding_message_size(MAX_MESSAGE_BYTES);
+    let server = Server::builder()
+        .add_service(service)
+        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), async move {
+            stop.await.ok();
+        });
+    runtime.spawn(async move {
+        if let Err(err) = server.await {
+            log::error!("calls of other nodes are not served any more: {err}");
+        }
+    });
+    Ok(())
+}
+
+impl Service {
+    /// The message, if the cluster key signed it for this process.
+    fn open<M: Message>(&self, method: &str, request: Request<M>) -> Result<M, Status> {
+        let tag = request.metadata().get(TAG).cloned();
+        let message = request.into_inner();
+        let bytes = message.encode_to_vec();
+        let shared = &self.shared;
+        let signed = |tag: &[u8]| shared.cluster_key.verify(method, shared.incarnation, &bytes, tag);
+        if tag.is_some_and(|it| signed(it.as_bytes())) {
+            return Ok(message);
+        }
+        shared.metrics.peers.calls_rejected.inc();
+        Err(Status::unauthenticated("the tag is missing or wrong"))
+    }
+
+    fn malformed(&self) -> Status {
+        self.shared.metrics.peers.calls_rejected.inc();
+        Status::invalid_argument("malformed message")
+    }
+}
+
+#[tonic::async_trait]
+impl Peer for Service {
+    async fn fetch_config(
+        &self,
+        request: Request<FetchConfigRequest>,
+    ) -> Result<Response<FetchConfigReply>, Status> {
+        let message = self.open("FetchConfig", request)?;
+        Ok(Response::new(config_log::catch_up::reply(
+            &self.shared,
+            message.revision,
+        )))
+    }
+
+    async fn hold_batch(
+        &self,
+        request: Request<HoldBatchRequest>,
+    ) -> Result<Response<HoldBatchReply>, Status> {
+        let message = self.open("HoldBatch", request)?;
+        let held = self.shared.biller.hold(&self.shared, message);
+        let held = held.ok_or_else(|| self.malformed())?;
+        Ok(Response::new(HoldBatchReply { held }))
+    }
+
+    async fn settle_batch(
+        &self,
+        request: Request<SettleBatchRequest>,
+    ) -> Result<Response<SettleBatchReply>, Status> {
+        let message = self.open("SettleBatch", request)?;
+        let ids: Vec<_> = message.ids.iter().filter_map(convert::id).collect();
+        self.shared.biller.settle(&ids);
+        Ok(Response::new(SettleBatchReply {}))
+    }
+
+    async fn execute(&self, request: Request<ExecuteRequest>) -> Result<Response<ExecuteReply>, Status> {
+        let message = self.open("Execute", request)?;
+        let shared = Arc::clone(&self.shared);
+        // The execution goes on if the caller gives up, so that its outcome gets into the table.
+        let run = move || keyed::answer_peer(&shared, message);
+        let result = tokio::task::spawn_blocking(run).await;
+        let result = result.unwrap_or(Err(Refusal::unknown(Reason::OutcomeUnknown)));
+        let outcome = match result {
+            Ok(response) => execute_reply::Outcome::Reply(convert::reply_message(&response)),
+            Err(refusal) => execute_reply::Outcome::Refusal(convert::refusal_message(&refusal)),
+        };
+        Ok(Response::new(ExecuteReply {
+            outcome: Some(outcome),
+        }))
+    }
+
+    async fn hand_over(&self, request: Request<HandOverRequest>) -> Result<Response<HandOverReply>, Status> {
+        let message = self.open("HandOver", request)?;
+        let table = convert::hand_over(message).ok_or_else(|| self.malformed())?;
+        once::keep(&self.shared, table);
+        Ok(Response::new(HandOverReply {}))
+    }
+
+    async fn merge_evidence(
+        &self,
+        _: Request<MergeEvidenceRequest>,
+    ) -> Result<Response<MergeEvidenceReply>, Status> {
+        Err(Status::unimplemented("evidence is not exchanged yet"))
+    }
+}
--- a/crates/node/src/services.rs
+++ b/crates/node/src/services.rs
@@ -1,7 +1,9 @@
 //! `/v1/services/NAME/...`: calls to plain services.
 
+use std::sync::Arc;
 use std::time::Instant;
 
+use config::view::Tenant;
 use model::object::service::Repeat;
 use model::refusal::Reason;
 use model::{Class, Name, Refusal};
@@ -14,6 +16,9 @@
 use crate::metrics::Retry;
 use crate::shared::Shared;
 
+pub(crate) mod keyed;
+pub(crate) mod proof;
+
 /// Path prefix of all services.
 pub(crate) const PREFIX: &str = "/v1/services/";
 
@@ -22,6 +27,8 @@
 
 /// An admitted call.
 struct Admitted {
+    tenant: Arc<Tenant>,
+    service: Name,
     pool: Name,
     repeat: Repeat,
     deadline: Instant,
@@ -30,8 +37,14 @@
 
 /// Answers one call.
 pub(crate) fn serve(shared: &Shared, mut exchange: Exchange) {
-    let result = admit(shared, &mut exchange).and_then(|it| run(shared, &it));
-    match result {
+    let admitted = match admit(shared, &mut exchange) {
+        Ok(admitted) => admitted,
+        Err(refusal) => return refuse(shared, exchange, &refusal),
+    };
+    if admitted.repeat == Repeat::NonIdempotent {
+        return keyed::serve(shared, exchange, admitted);
+    }
+    match run(shared, &admitted) {
         Ok(it) => exchange.respond(Reply::new(it.status, &it.content_type, it.body)),
         Err(refusal) => refuse(shared, exchange, &refusal),
     }
@@ -39,21 +52,23 @@
 
 fn admit(shared: &Shared, exchange: &mut Exchange) -> Result<Admitted, Refusal> {
     let received = Instant::now();
-    gate::open(shared)?;
+    if exchange.header(keyed::HEADER).is_none() {
+        gate::open(shared)?;
+    }
     let view = shared.catalog.view();
     let tenant = crate::auth::tenant(&view, exchange)?;
     let rest = exchange.url().strip_prefix(PREFIX).unwrap_or_default().to_owned();
     let end = rest.find(['/', '?']).unwrap_or(rest.len());
     let (service, path) = rest.split_at(end);
     let found = view.service_call(&tenant, service, exchange.method(), path)?;
-    if exchange.header("Idempotency-Key").is_some() && found.call.repeat == Repeat::NonIdempotent {
-        // Keys are not issued yet, so no key has a known prefix.
-        return Err(Refusal::not_run(Reason::KeyInvalid));
+    if found.call.repeat == Repeat::Idempotent {
+        gate::open(shared)?;
     }
     let deadline = received + gate::time_allowed(shared, exchange, Class::Transaction)?;
     let body = body::read(exchange, &shared.settings.http)?;
     let timeouts = &shared.settings.upstream;
     Ok(Admitted {
+        service: found.service.name.clone(),
         pool: found.service.pool.clone(),
         repeat: found.call.repeat,
         deadline,
@@ -62,10 +77,11 @@
             path: path.to_owned(),
             content_type: exchange.header("Content-Type").unwrap_or_default().to_owned(),
             body,
-            idempotency_key: exchange.header("Idempotency-Key").map(ToOwned::to_owned),
+            idempotency_key: exchange.header(keyed::HEADER).map(ToOwned::to_owned),
             connect_timeout: timeouts.connect_timeout,
             timeout: timeouts.service_timeout,
         },
+        tenant,
     })
 }
 
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,7 +1,7 @@
 //! State that all threads of a node share.
 
-use std::sync::Mutex;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use config::settings::Settings;
@@ -9,11 +9,16 @@
 use model::Incarnation;
 use rand::rngs::{OsRng, SmallRng};
 use rand::{Rng, SeedableRng, TryRngCore};
+use tokio::runtime::Handle;
 
 use crate::billing::Biller;
 use crate::catalog::Catalog;
 use crate::http::gate;
 use crate::metrics::Metrics;
+use crate::once::Once;
+use crate::peers::Peers;
+use crate::peers::auth::Key;
+use crate::peers::client::Client;
 use crate::phase::{Cell, Phase};
 use crate::ports::Ports;
 use crate::secrets::Secrets;
@@ -23,6 +28,9 @@
 /// Interval at which a sleeping thread checks whether the node stops.
 const STOP_CHECK: Duration = Duration::from_millis(100);
 
+/// Time without the log and without any other node after which this node may have missed a withdrawal.
+const ISOLATION: Duration = Duration::from_secs(10);
+
 /// State that all threads of a node share.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -33,6 +41,12 @@
     pub catalog: Catalog,
     pub upstreams: Directory,
     pub biller: Biller,
+    pub once: Once,
+    pub peers: Peers,
+    pub client: Client,
+    pub cluster_key: Key,
+    /// Whether the node was ended without a planned stop.
+    pub killed: AtomicBool,
     pub phase: Cell,
     pub sessions: Keys,
     pub admin_key: Option<KeyHash>,
@@ -40,6 +54,8 @@
     pub open: AtomicUsize,
     /// When an entry answer last named this node.
     pub named_at: Mutex<Option<Instant>>,
+    /// When the log was last read.
+    log_read_at: Mutex<Option<Duration>>,
     start: Instant,
     next_request: AtomicU64,
     next_seed: AtomicU64,
@@ -47,14 +63,26 @@
 
 impl Shared {
     /// State of a node that starts now.
-    pub(crate) fn new(settings: Settings, secrets: Secrets, ports: Ports) -> Self {
+    pub(crate) fn new(settings: Settings, secrets: Secrets, ports: Ports, runtime: Handle) -> Self {
         let session_keys = [Some(secrets.session), secrets.previous_session];
         let session_keys = session_keys.into_iter().flatten().collect();
         let incarnation = Incarnation::from_bits(OsRng.unwrap_err().random());
+        let cluster_key = Key::new(secrets.cluster);
+        let mut rng = SmallRng::from_rng(&mut OsRng.unwrap_err());
         Self {
+            once: Once::new(incarnation),
+            peers: Peers::new(&settings, incarnation, &mut rng),
+            client: Client::new(runtime, cluster_key.clone(), settings.upstream.connect_timeout),
+            cluster_key,
+            killed: AtomicBool::new(false),
+            log_read_at: Mutex::new(None),
             sessions: Keys::new(session_keys),
             admin_key: secrets.admin.as_deref().map(hash_key),
-            biller: Biller::new(incarnation, &settings.billing),
+            biller: Biller::new(
+                incarnation,
+                settings.node.failure_domain.clone(),
+                &settings.billing,
+            ),
             upstreams: Directory::new(settings.node.failure_domain.clone()),
             settings,
             ports,
@@ -80,6 +108,41 @@
         self.phase.get() == Phase::Serving && self.upstreams.is_known() && !gate::is_stale(self)
     }
 
+    /// Notes that the log was read.
+    pub(crate) fn note_log_read(&self) {
+        *self.log_read_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(self.now());
+    }
+
+    /// Whether the node has had neither the log nor any other node for [`ISOLATION`].
+    pub(crate) fn is_isolated(&self) -> bool {
+        let now = self.now();
+        let log = *self.log_read_at.lock().unwrap_or_else(PoisonError::into_inner);
+        let log = log.map(|it| now.saturating_sub(it));
+        let contacts = [log, self.peers.silence(now)];
+        contacts.into_iter().flatten().all(|it| it > ISOLATION)
+    }
+
+    /// Passes a change of the members on to those who depend on it.
+    pub(crate) fn members_changed(&self) {
+        let now = self.now();
+        let members: Vec<_> = {
+            let table = self.peers.table();
+            let others = table.members().cloned();
+            std::iter::once(table.local().clone()).chain(others).collect()
+        };
+        let known = |incarnation| {
+            let found = members.iter().find(|it| it.incarnation == incarnation);
+            found.is_some_and(|it| it.state != membership::State::Dead)
+        };
+        self.client.retain(known);
+        let live = members.iter().filter(|it| it.is_live()).count();
+        self.metrics
+            .peers
+            .members
+            .set(i64::try_from(live).unwrap_or(i64::MAX));
+        self.biller.set_members(&members, self.incarnation, now);
+    }
+
     /// Sleeps for `time`, or less if the node stops.
     pub(crate) fn pause(&self, time: Duration) {
         let end = Instant::now() + time;
@@ -99,7 +162,16 @@
 
     /// Identity of a new request, unique over all nodes and restarts.
     pub(crate) fn request_id(&self) -> String {
-        let number = self.next_request.fetch_add(1, Ordering::Relaxed);
+        self.request_id_of(self.request_number())
+    }
+
+    /// Number of a new request, unique in this incarnation.
+    pub(crate) fn request_number(&self) -> u64 {
+        self.next_request.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Identity of the request with a number.
+    pub(crate) fn request_id_of(&self, number: u64) -> String {
         format!("{}-{number}", self.incarnation)
     }
 }
