--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -5,6 +5,7 @@
 mod common;
 
 use std::io::Write;
+use std::net::TcpListener;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -55,7 +56,9 @@
     let (indexes, _, usage) = read(&mut *stream);
     assert_eq!(indexes, [7, 8, 9]);
     assert_eq!(usage.unwrap().cached, 48);
-    assert_eq!(engine.counts().completed, 2);
+    // The engine counts an answer after it sent the end.
+    eventually(|| engine.counts().completed == 2);
+    assert_eq!(engine.counts().cancelled, 0);
 }
 
 #[test]
@@ -224,6 +227,34 @@
     assert!(start.elapsed() < SHORT * 4);
 }
 
+/// Guards against a thread that blocks for ever in a write.
+#[test]
+fn peer_that_does_not_read_a_large_prompt_is_silent() {
+    let listener = TcpListener::bind(any_port()).unwrap();
+    let large = Request {
+        progress_timeout: SHORT,
+        ..generation(&"x".repeat(16 << 20))
+    };
+    let start = Instant::now();
+    let result = client().generate(listener.local_addr().unwrap(), &large);
+    assert_eq!(result.unwrap_err(), Error::Silent);
+    assert!(start.elapsed() < LONG);
+}
+
+#[test]
+fn large_prompt_is_answered() {
+    let engine = engine(Options {
+        prefill_token: Duration::ZERO,
+        ..Options::default()
+    });
+    let mut stream = client()
+        .generate(engine.address(), &generation(&"x".repeat(1 << 20)))
+        .unwrap();
+    assert_eq!(read(&mut *stream).2.unwrap().input, 1 << 18);
+    let result = client().generate(closed_port(), &generation(&"x".repeat(1 << 20)));
+    assert_eq!(result.unwrap_err(), Error::Connect);
+}
+
 #[test]
 fn broken_stream_is_broken() {
     let engine = engine(Options::default());
@@ -278,6 +309,21 @@
     assert!(start.elapsed() >= Duration::from_millis(300));
 }
 
+/// A fake that does not go away, or does not come back on its address, would hide faults of replaced hosts.
+#[test]
+fn stopped_engine_breaks_its_streams_and_can_be_replaced() {
+    let first = engine(Options::default());
+    let address = first.address();
+    let mut open = client().generate(address, &impatient()).unwrap();
+    open.next().unwrap();
+    drop(first);
+    assert_eq!(read(&mut *open).2, Err(Error::Broken));
+    eventually(|| client().generate(address, &generation("hi")).map(drop) == Err(Error::Connect));
+    let _second = Engine::bind(address, Options::default()).unwrap();
+    let mut fresh = client().generate(address, &generation("hi")).unwrap();
+    assert!(read(&mut *fresh).2.is_ok());
+}
+
 #[test]
 fn cache_events_come_late_and_with_gaps() {
     let engine = engine(Options {
