--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -4,7 +4,7 @@
 //! same result, hence it depends on the objects only. Deleting an object that others refer to shows as a dangling
 //! reference at each of these.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 use model::object::{Cascade, Key, Kind, Model, Organisation, Pool, Service, Version, pool};
 use model::{Name, Object};
@@ -39,12 +39,15 @@
 #[derive(Debug, Default)]
 struct Checker<'a> {
     objects: BTreeMap<Key, &'a Object>,
+    /// The same objects for lookups, of which there are many per organisation.
+    index: HashMap<(Kind, &'a str), &'a Object>,
     faults: Vec<Fault>,
 }
 
 impl<'a> Checker<'a> {
     fn add(&mut self, object: &'a Object) {
         let key = object.key();
+        self.index.insert((key.kind, name(object)), object);
         if self.objects.insert(key.clone(), object).is_some() {
             self.report(key, Problem::Duplicate);
         }
@@ -79,7 +82,7 @@
     }
 
     fn find(&self, kind: Kind, name: &Name) -> Option<&'a Object> {
-        self.objects.get(&Key::new(kind, name.clone())).copied()
+        self.index.get(&(kind, &**name)).copied()
     }
 
     fn version(&self, name: &Name) -> Option<&'a Version> {
@@ -219,6 +222,18 @@
         && text.bytes().next().is_some_and(|it| it.is_ascii_alphanumeric())
 }
 
+fn name(object: &Object) -> &Name {
+    match object {
+        Object::Organisation(it) => &it.name,
+        Object::Model(it) => &it.name,
+        Object::Version(it) => &it.name,
+        Object::Cascade(it) => &it.name,
+        Object::Rollout(it) => &it.name,
+        Object::Pool(it) => &it.name,
+        Object::Service(it) => &it.name,
+    }
+}
+
 fn is_withdrawn(version: &Version) -> bool {
     version.state == model::object::version::State::Withdrawn
 }
--- a/crates/config/src/view.rs
+++ b/crates/config/src/view.rs
@@ -105,8 +105,9 @@
             }
         }
         view.steps = expand::expand(&view);
+        let by_model = tenant::versions_by_model(&view.versions);
         for organisation in organisations {
-            view.add_tenant(organisation);
+            view.add_tenant(organisation, &by_model);
         }
         view
     }
@@ -283,13 +284,13 @@
         }
     }
 
-    fn add_tenant(&mut self, organisation: &Organisation) {
+    fn add_tenant(&mut self, organisation: &Organisation, by_model: &HashMap<Name, Vec<usize>>) {
         let index = self.tenants.len();
         self.by_name.insert(organisation.name.clone(), index);
         for hash in organisation.key_hashes.iter().filter_map(|it| parse_key_hash(it)) {
             self.by_key.insert(hash, index);
         }
-        let tenant = Tenant::new(organisation, &self.versions, &self.version_index);
+        let tenant = Tenant::new(organisation, &self.version_index, by_model);
         self.tenants.push(Arc::new(tenant));
     }
 
--- a/crates/config/src/view/tenant.rs
+++ b/crates/config/src/view/tenant.rs
@@ -17,19 +17,28 @@
     services: HashSet<Name>,
 }
 
+/// Positions of the versions of each model.
+pub(super) fn versions_by_model(versions: &[Arc<Version>]) -> HashMap<Name, Vec<usize>> {
+    let mut by_model = HashMap::<_, Vec<_>>::new();
+    for (index, version) in versions.iter().enumerate() {
+        by_model.entry(version.model.clone()).or_default().push(index);
+    }
+    by_model
+}
+
 impl Tenant {
     pub(super) fn new(
         organisation: &Organisation,
-        versions: &[Arc<Version>],
         index: &HashMap<Name, usize>,
+        by_model: &HashMap<Name, Vec<usize>>,
     ) -> Self {
-        let mut bits = vec![0; versions.len().div_ceil(64)].into_boxed_slice();
+        let mut bits = vec![0; index.len().div_ceil(64)].into_boxed_slice();
         let single = organisation
             .versions
             .iter()
             .filter_map(|it| index.get(it).copied());
-        let models: HashSet<_> = organisation.models.iter().collect();
-        let whole = (0..versions.len()).filter(|it| models.contains(&versions[*it].model));
+        let models = organisation.models.iter().filter_map(|it| by_model.get(it));
+        let whole = models.flatten().copied();
         for index in single.chain(whole) {
             bits[index / 64] |= 1_u64 << (index % 64);
         }
