lease: show that trusting a log that retention has cut is noticed

Cause: no deliberate fault showed that the uncertain fold is needed. Change: a harness fault that folds a cut log as if it were whole, which the check of exclusive leases notices; the engines of the harness have their own file.

--- a/crates/lease/tests/schedules.rs
+++ b/crates/lease/tests/schedules.rs
@@ -60,4 +60,5 @@
     missing_margins_are_noticed: NoMargins => Delivery;
     missing_read_back_is_noticed: NoReadBack => Repair;
     missing_requests_are_noticed: NoRequests => Settles;
+    trusted_tail_is_noticed: TrustedTail => Exclusive;
 }
--- a/crates/lease/tests/world/mod.rs
+++ b/crates/lease/tests/world/mod.rs
@@ -10,6 +10,7 @@
 use rand::{Rng, SeedableRng};
 
 mod checks;
+mod engines;
 pub mod schedule;
 
 use schedule::{Kind, Schedule};
@@ -38,6 +39,8 @@
     NoReadBack,
     /// Nodes do not request leases.
     NoRequests,
+    /// The fold takes a log that retention has cut for a whole one.
+    TrustedTail,
 }
 
 /// The rule that was broken.
@@ -136,7 +139,7 @@
             let node = world.start();
             world.nodes.push(node);
         }
-        world.engines = (0..4).map(engine).collect();
+        world.engines = (0..4).map(engines::engine).collect();
         world
     }
 
@@ -155,7 +158,7 @@
         let start = Duration::from_millis(self.rng.random_range(0..1_000_000));
         Node {
             holder: Holder::new(settings, "gpu".into(), incarnation, "host".into()),
-            table: Table::new(self.first),
+            table: self.table(),
             planner: Planner::new(planner),
             running: true,
             paused_since: None,
@@ -165,6 +168,18 @@
         }
     }
 
+    /// The fold of the log from its first record on.
+    fn table(&self) -> Table {
+        if self.mutant != Mutant::TrustedTail {
+            return Table::new(self.first);
+        }
+        let mut table = Table::new(0);
+        for offset in 0..self.first {
+            table.apply(offset, SystemTime::UNIX_EPOCH, b"", Duration::ZERO);
+        }
+        table
+    }
+
     fn step(&mut self) -> Result<(), Violation> {
         self.now += STEP;
         self.change_processes();
@@ -260,10 +275,10 @@
     }
 
     fn read_log(&mut self, index: usize, now: Duration) {
-        let node = &mut self.nodes[index];
-        if node.table.next() < self.first {
-            node.table = Table::new(self.first);
+        if self.nodes[index].table.next() < self.first {
+            self.nodes[index].table = self.table();
         }
+        let node = &mut self.nodes[index];
         let from = node.table.next();
         for (offset, (time, payload)) in (0..).zip(&self.log).skip(from as usize) {
             let verdict = node.table.apply(offset, *time, payload, now);
@@ -333,71 +348,4 @@
             }
         }
     }
-
-    fn send(&mut self, node: usize, engine: &str, lease: Token, versions: BTreeSet<Name>) {
-        let late = self.active(Kind::LateOrders, None);
-        let greatest = if late { 30_000 } else { 1900 };
-        let at = self.now + Duration::from_millis(self.rng.random_range(10..greatest));
-        let newest = self.nodes[node].table.grant("gpu").map_or(0, |it| it.token);
-        let order = Order {
-            node,
-            engine: self
-                .engines
-                .iter()
-                .position(|it| *it.name == *engine)
-                .unwrap_or_default(),
-            lease,
-            token: if self.mutant == Mutant::ForeignToken {
-                newest
-            } else {
-                lease
-            },
-            versions,
-            late,
-        };
-        self.nodes[node]
-            .ordered
-            .insert(engine.into(), order.versions.clone());
-        self.serial += 1;
-        self.orders.insert((at, self.serial), order);
-    }
-
-    fn deliver_orders(&mut self) -> Result<(), Violation> {
-        let later = self.orders.split_off(&(self.now, u64::MAX));
-        for order in std::mem::replace(&mut self.orders, later).into_values() {
-            self.check_delivery(&order)?;
-            let engine = &mut self.engines[order.engine];
-            if engine.checks && order.token < engine.newest {
-                self.nodes[order.node].holder.fenced(order.token);
-                continue;
-            }
-            if engine.checks && order.lease < engine.applied {
-                return Err(Violation::Fencing);
-            }
-            engine.newest = engine.newest.max(order.token);
-            engine.applied = order.lease;
-            engine.versions = order.versions;
-            if order.late {
-                engine.wrong_since = None;
-            }
-        }
-        Ok(())
-    }
-
-    fn wanted(&self) -> BTreeSet<Name> {
-        // The faults end before the last change, so that the repair of all of them is seen.
-        let generation = self.now.min(ACTIVE).as_secs() / GENERATION.as_secs();
-        BTreeSet::from([format!("v{generation}").into()])
-    }
-}
-
-fn engine(number: usize) -> Engine {
-    Engine {
-        name: format!("e{number}").into(),
-        checks: number < 2,
-        newest: 0,
-        versions: BTreeSet::new(),
-        applied: 0,
-        wrong_since: None,
-    }
 }
