rollout: give the first judge most of the error probability and space trial starts

Cause: two judges with full bounds halted 1.2% of equal versions at 340 nodes; failures, which are known sooner than answers, halted equal versions while traffic was rising; 340 nodes exposed twice as many requests to a failing version.

Change: judges share the error probability 95 to 5; a request counts as good for the error test when it starts; 2 s between first trial starts at a node; restarts of the bets after 30 blocks on average.

--- a/crates/policy/src/rollout/controller.rs
+++ b/crates/policy/src/rollout/controller.rs
@@ -12,12 +12,15 @@
 use super::sequential::{Process, Tally};
 
 /// Probability with which the ratings of a version that is not worse ever cross the bound in a run. Errors and latency
-/// have [`SIDE_ALPHA`] each, so that the sum is 1%. The bounds hold for the view of each judge; over both, the sum is
-/// at most 2%, and less as far as their views agree.
-const RATING_ALPHA: f64 = 0.008;
+/// have [`SIDE_ALPHA`] each, so that the sum is 1%.
+const RATING_ALPHA: f64 = 0.009;
 
 /// Like [`RATING_ALPHA`] for errors, and for latency.
-const SIDE_ALPHA: f64 = 0.001;
+const SIDE_ALPHA: f64 = 0.0005;
+
+/// Shares of these probabilities for the first and the second judge. Their views differ, so that equal shares of the
+/// whole would halt up to 2% of equal versions; the second judge guards against a first one that is stuck.
+const JUDGE_SHARES: [f64; exposure::JUDGES] = [0.95, 0.05];
 
 /// Loss of successes, as a share, that an advance has to make implausible.
 const TOLERATED_LOSS: f64 = 0.1;
@@ -33,8 +36,8 @@
 const OLD_RATINGS: u64 = 100;
 
 /// Alternatives as share of successes lost, with prior probabilities.
-const RATING_LOSSES: [(f64, f64); 4] = [(0.1, 0.1), (0.22, 0.65), (0.4, 0.15), (0.95, 0.1)];
-const SIDE_LOSSES: [(f64, f64); 4] = [(0.03, 0.2), (0.1, 0.3), (0.3, 0.2), (0.95, 0.3)];
+const RATING_LOSSES: [(f64, f64); 4] = [(0.1, 0.1), (0.2, 0.7), (0.4, 0.1), (0.95, 0.1)];
+const SIDE_LOSSES: [(f64, f64); 4] = [(0.03, 0.2), (0.1, 0.2), (0.3, 0.2), (0.5, 0.4)];
 
 /// Prior guesses of the old version's shares of adequate, successful and fast answers.
 const GUESSES: [f64; 3] = [0.9, 0.99, 0.95];
@@ -267,8 +270,8 @@
         if self.rollout.state != State::Running {
             return Decision::Hold(Reason::NotRunning);
         }
-        if self.place.judge.is_some() {
-            self.look(rng);
+        if let Some(rank) = self.place.judge {
+            self.look(JUDGE_SHARES[rank], rng);
         }
         if let Some(cause) = self.crossed {
             let base = self.revision;
@@ -324,7 +327,7 @@
             && old.adequate + old.inadequate >= OLD_RATINGS
     }
 
-    fn look(&mut self, rng: &mut impl Rng) {
+    fn look(&mut self, share: f64, rng: &mut impl Rng) {
         let old = tallies(&self.evidence.total(Arm::Old));
         let new = tallies(&self.evidence.total(Arm::New));
         for ((test, old), new) in self.tests.iter_mut().zip(old).zip(new) {
@@ -335,7 +338,7 @@
         }
         let alphas = [RATING_ALPHA, SIDE_ALPHA, SIDE_ALPHA];
         let causes = [Cause::Ratings, Cause::Errors, Cause::Latency];
-        let crossed = |idx: &usize| self.tests[*idx].e_value() >= 1.0 / alphas[*idx];
+        let crossed = |idx: &usize| self.tests[*idx].e_value() >= 1.0 / (share * alphas[*idx]);
         self.crossed = (0..causes.len()).find(crossed).map(|it| causes[it]);
     }
 
@@ -361,8 +364,10 @@
             good: counter.adequate,
             bad: counter.inadequate,
         },
+        // A request counts as good when it starts, and a failure counts besides. Failures are known sooner than answers;
+        // compared with answers, a version with rising traffic would seem to fail more often.
         Tally {
-            good: counter.answered,
+            good: counter.started,
             bad: counter.failed,
         },
         Tally {
--- a/crates/policy/src/rollout/exposure.rs
+++ b/crates/policy/src/rollout/exposure.rs
@@ -20,7 +20,7 @@
 const FIRST_ALLOWANCE: u64 = 2;
 
 /// Time between two starts of trial requests at one node under the first allowance.
-const FIRST_PACE: Duration = Duration::from_millis(1500);
+const FIRST_PACE: Duration = Duration::from_millis(2000);
 
 /// Good outcomes of the fleet for each further request with unknown outcome of the fleet.
 const GOOD_PER_SLOT: u64 = 16;
--- a/crates/policy/src/rollout/sequential.rs
+++ b/crates/policy/src/rollout/sequential.rs
@@ -29,10 +29,10 @@
 
 /// Share of the wealth that bets from the start; the rest starts later, so that evidence against a version that
 /// degrades in the middle of a stage does not have to outweigh all that spoke for it.
-const FIRST_STAKE: f64 = 0.9;
+const FIRST_STAKE: f64 = 0.7;
 
 /// Share of the remaining stake that starts with each block.
-const RESTART: f64 = 1.0 / 200.0;
+const RESTART: f64 = 1.0 / 30.0;
 
 /// Probabilities are kept this far from 0 and 1.
 const MARGIN: f64 = 0.005;
