--- a/crates/policy/src/rollout/tests.rs
+++ b/crates/policy/src/rollout/tests.rs
@@ -76,7 +76,7 @@
     let mut controller = controllers().remove(0);
     let mut rng = SmallRng::seed_from_u64(1);
     answer(&mut controller, Arm::Old, Event::Adequate, 300);
-    answer(&mut controller, Arm::New, Event::Inadequate, 20);
+    answer(&mut controller, Arm::New, Event::Inadequate, 10);
     let halt = Decision::Halt {
         base: 1,
         cause: Cause::Ratings,
