--- a/crates/load/src/affinity.rs
+++ b/crates/load/src/affinity.rs
@@ -8,9 +8,10 @@
 use crate::report::{Report, Series, Table, Target};
 use crate::sim::engine::Spec;
 use crate::sim::node::Strategy;
+use crate::sim::scenario::{End, Results, Scenario};
 use crate::sim::stats::{between, latency, quantile, share};
 use crate::sim::traffic::{self, Conversations};
-use crate::sim::world::{self, Results, Scenario};
+use crate::sim::world;
 
 const ENGINES: usize = 20;
 
@@ -101,7 +102,7 @@
         for (arrival, record) in between(results, WARM_UP, TRAFFIC.length) {
             prompt += f64::from(arrival.prompt);
             cached += f64::from(record.cached);
-            answered += f64::from(u8::from(matches!(record.end, world::End::Done(_))));
+            answered += f64::from(u8::from(matches!(record.end, End::Done(_))));
             all += 1.0;
             latencies.push(latency(arrival, record));
         }
--- a/crates/load/src/faults.rs
+++ b/crates/load/src/faults.rs
@@ -10,9 +10,10 @@
 use crate::rush::capacity;
 use crate::sim::engine::{Fault, Spec};
 use crate::sim::node::{DOMAINS, Strategy};
+use crate::sim::scenario::{Results, Scenario};
 use crate::sim::stats::{between, p95, share, useful};
 use crate::sim::traffic::{self, Phase};
-use crate::sim::world::{self, Results, Scenario};
+use crate::sim::world;
 
 const ENGINES: usize = 20;
 const NODES: usize = 8;
--- a/crates/load/src/rush.rs
+++ b/crates/load/src/rush.rs
@@ -9,9 +9,10 @@
 use crate::report::{Report, Series, Table, Target};
 use crate::sim::engine::{Engine, Milestone, Spec, Work};
 use crate::sim::node::Strategy;
+use crate::sim::scenario::{End, Results, Scenario};
 use crate::sim::stats::{between, fair_division, quantile, share, useful};
 use crate::sim::traffic::{self, Phase};
-use crate::sim::world::{self, End, Results, Scenario};
+use crate::sim::world;
 
 const ENGINES: usize = 20;
 const NODES: usize = 8;
--- a/crates/load/src/sim.rs
+++ b/crates/load/src/sim.rs
@@ -6,6 +6,10 @@
 
 pub mod engine;
 pub mod node;
+pub mod scenario;
 pub mod stats;
 pub mod traffic;
 pub mod world;
+
+#[cfg(test)]
+mod tests;
--- a/crates/load/src/sim/node.rs
+++ b/crates/load/src/sim/node.rs
@@ -12,8 +12,8 @@
 use rand::rngs::SmallRng;
 
 use super::engine::BLOCK_TOKENS;
+use super::scenario::Scenario;
 use super::traffic::{Arrival, organisation};
-use super::world::Scenario;
 
 /// Failure domains of nodes and engines.
 pub const DOMAINS: usize = 3;
--- a/crates/load/src/sim/stats.rs
+++ b/crates/load/src/sim/stats.rs
@@ -4,7 +4,7 @@
 
 use model::Class;
 
-use super::world::{End, Record, Results};
+use super::scenario::{End, Record, Results};
 use crate::sim::traffic::Arrival;
 
 /// Requests that arrived in a period.
--- a/crates/load/src/sim/world.rs
+++ b/crates/load/src/sim/world.rs
@@ -11,9 +11,9 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::engine::{Engine, Fault, Job, Milestone, Spec, Work};
+use super::engine::{Engine, Fault, Job, Milestone, Work};
 use super::node::{Node, Strategy};
-use super::traffic::Arrival;
+use super::scenario::{End, Record, Results, Scenario};
 
 /// One way between nodes and engines.
 const NETWORK: Duration = Duration::from_millis(1);
@@ -33,64 +33,6 @@
 /// Time without a first token, or without a further one, after which an attempt counts as silent.
 const PROGRESS_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// A run of the model.
-#[derive(Debug, Clone)]
-pub struct Scenario {
-    /// Engines.
-    pub engines: usize,
-    /// Nodes.
-    pub nodes: usize,
-    /// Size of the engines.
-    pub spec: Spec,
-    /// Router.
-    pub strategy: Strategy,
-    /// First concurrency limit of an engine for each node.
-    pub concurrency: u32,
-    /// Requests in order of arrival.
-    pub arrivals: Vec<Arrival>,
-    /// Faults with time and engine.
-    pub faults: Vec<(Duration, usize, Fault)>,
-    /// Share of cache event batches that are lost.
-    pub lost_events: f64,
-    /// Seed.
-    pub seed: u64,
-}
-
-/// End of a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum End {
-    /// Not ended by the end of the run.
-    Open,
-    /// Answered.
-    Done(Duration),
-    /// Refused on arrival.
-    RefusedAtOnce,
-    /// Refused later.
-    RefusedLater,
-}
-
-/// What became of a request.
-#[derive(Debug, Clone, Copy)]
-pub struct Record {
-    /// End.
-    pub end: End,
-    /// Prompt tokens served from a cache.
-    pub cached: u32,
-    /// Attempts.
-    pub attempts: u32,
-}
-
-/// Results of a run.
-#[derive(Debug)]
-pub struct Results {
-    /// Requests as they arrived.
-    pub arrivals: Vec<Arrival>,
-    /// What became of them, in the same order.
-    pub records: Vec<Record>,
-    /// Concurrency limits of all nodes and engines, each second.
-    pub limits: Vec<Vec<f64>>,
-}
-
 #[derive(Debug)]
 enum Event {
     Arrive(usize),
