policy: bound the limit of upstreams that report no load

Cause: without load reports, the limit of a plain service grew as long as all instances were equally slow, so overload never lowered it; answers without a separate first byte gave no latency at all. Change: without reports the limit falls when the smoothed latency is twice the best one; an answer in one piece counts as its own first token. Two more unit tests, of this and of the end of a leaving sign. Conclusion: services are bounded in the unit test; no experiment covers them yet.

--- a/crates/policy/src/estimate.rs
+++ b/crates/policy/src/estimate.rs
@@ -121,3 +121,22 @@
         self.sum * (-age / Self::WINDOW_S).exp()
     }
 }
+
+/// Least value of late, which slowly forgets.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Best(Option<f64>);
+
+impl Best {
+    /// Growth for each sample: doubles in about 700 samples, so that a lasting change becomes the new norm.
+    const DRIFT: f64 = 1.001;
+
+    /// Adds a positive sample, and returns it relative to the best one.
+    pub fn relative(&mut self, sample: f64) -> f64 {
+        let best = self
+            .0
+            .map_or(sample, |it| sample.min(it * Self::DRIFT))
+            .max(f64::MIN_POSITIVE);
+        self.0 = Some(best);
+        sample / best
+    }
+}
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -32,6 +32,7 @@
     capacity: Capacity,
     reported: Option<Duration>,
     raised: Duration,
+    inflation: f64,
 }
 
 /// What is known about the engine's greatest batch.
@@ -69,6 +70,12 @@
     /// Slowdown against the pool's usual latency from which the limit falls.
     const SLOWDOWN: f64 = 2.0;
 
+    /// Smoothed latency relative to the best one from which the limit falls when there are no reports.
+    const INFLATION: f64 = 2.0;
+
+    /// Smoothing factor of the inflation.
+    const INFLATION_GAIN: f64 = 0.2;
+
     /// Resolution of the history; bounds its length.
     const HISTORY_STEP: Duration = Duration::from_millis(20);
 
@@ -83,6 +90,7 @@
             capacity: Capacity::Unknown,
             reported: None,
             raised: Duration::ZERO,
+            inflation: 1.0,
         }
     }
 
@@ -159,8 +167,12 @@
         }
     }
 
-    /// Takes the engine's latency relative to the pool's usual one.
-    pub fn latency(&mut self, slowdown: f64, now: Duration) {
+    /// Takes the engine's latency: `slowdown` relative to the pool's usual one, `inflation` relative to the best one.
+    ///
+    /// Without reports, growth stops and the limit falls when the latency is far above the best one, because under
+    /// overload all engines of a pool are equally slow.
+    pub fn latency(&mut self, slowdown: f64, inflation: f64, now: Duration) {
+        self.inflation += Self::INFLATION_GAIN * (inflation - self.inflation);
         if now.saturating_sub(self.raised) < Self::LATENCY_PERIOD {
             return;
         }
@@ -168,7 +180,8 @@
         let fresh = self
             .reported
             .is_some_and(|it| now.saturating_sub(it) < Self::REPORT_VALIDITY);
-        if slowdown > Self::SLOWDOWN {
+        let inflated = !fresh && self.inflation > Self::INFLATION;
+        if slowdown > Self::SLOWDOWN || inflated {
             self.set(self.limit * 0.9);
         } else if !fresh && !self.has_room() {
             self.set(self.limit + 1.0);
--- a/crates/policy/src/limit/tests.rs
+++ b/crates/policy/src/limit/tests.rs
@@ -71,3 +71,20 @@
     limit.report(report(60), LAG * 2, 8.0, at(5_500));
     assert_eq!(limit.load(), 30.0);
 }
+
+/// Guards against a limit that grows without end in an overloaded pool of services, which report no load.
+#[test]
+fn without_reports_inflated_latency_lowers_the_limit() {
+    let run = |inflation| {
+        let mut limit = busy(8);
+        for idx in 1..40 {
+            while limit.has_room() {
+                limit.sent(at(idx * 500));
+            }
+            limit.latency(1.0, inflation, at(idx * 500));
+        }
+        limit.get()
+    };
+    assert!(run(1.2) > 30.0, "{}", run(1.2));
+    assert!(run(5.0) < 2.0, "{}", run(5.0));
+}
--- a/crates/policy/src/pool/engines.rs
+++ b/crates/policy/src/pool/engines.rs
@@ -10,7 +10,7 @@
 use super::settings::Settings;
 use crate::affinity::{Index, Slot};
 use crate::eject::{self, Outlier, Standing};
-use crate::estimate::Estimate;
+use crate::estimate::{Best, Estimate};
 use crate::fault::{Fault, fault};
 use crate::limit::Limit;
 
@@ -55,6 +55,8 @@
     outliers: Vec<Slot>,
     first_token: [Estimate; Class::ALL.len()],
     token: Estimate,
+    best: [Best; Class::ALL.len()],
+    best_token: Best,
     domain: Domain,
     concurrency: u32,
     prompt_weight: f64,
@@ -74,6 +76,8 @@
             outliers: Vec::new(),
             first_token: Default::default(),
             token: Estimate::default(),
+            best: Default::default(),
+            best_token: Best::default(),
             domain,
             concurrency: settings.concurrency,
             prompt_weight: settings.prompt_weight,
@@ -172,21 +176,24 @@
     pub fn first_token(&mut self, slot: Slot, class: Class, latency: Duration, now: Duration) {
         self.table[slot].outlier.reached();
         if is_urgent(class) {
-            let usual = self.first_token[class.index()].relative(latency.as_secs_f64());
-            self.compare(slot, usual, now);
+            let seconds = latency.as_secs_f64();
+            let slowdown = self.first_token[class.index()].relative(seconds);
+            let inflation = self.best[class.index()].relative(seconds);
+            self.compare(slot, slowdown, inflation, now);
         }
     }
 
     /// Adds the time for each token after the first.
     pub fn token_time(&mut self, slot: Slot, time: Duration, now: Duration) {
-        let usual = self.token.relative(time.as_secs_f64());
-        self.compare(slot, usual, now);
+        let slowdown = self.token.relative(time.as_secs_f64());
+        let inflation = self.best_token.relative(time.as_secs_f64());
+        self.compare(slot, slowdown, inflation, now);
     }
 
-    fn compare(&mut self, slot: Slot, slowdown: f64, now: Duration) {
+    fn compare(&mut self, slot: Slot, slowdown: f64, inflation: f64, now: Duration) {
         let engine = &mut self.table[slot];
         engine.outlier.answered(slowdown, now);
-        engine.limit.latency(engine.outlier.slowdown(), now);
+        engine.limit.latency(engine.outlier.slowdown(), inflation, now);
         self.review(slot, now);
     }
 
--- a/crates/policy/src/pool/state.rs
+++ b/crates/policy/src/pool/state.rs
@@ -161,15 +161,23 @@
         let Some(call) = self.calls.get_mut(&attempt.ticket) else {
             return;
         };
+        let class = call.request.class;
         let Some(it) = call.live(attempt.number) else {
             return;
         };
+        let answered_at_once = it.progress == Progress::Sent && it.kind == Kind::First;
         it.progress = Progress::Ended;
         let (slot, sent, started) = (it.slot, it.sent, it.started);
         self.engines.get_mut(slot).limit.ended(now);
         self.room.freed(slot);
         match outcome {
             Outcome::Done(usage) => {
+                if answered_at_once {
+                    // A plain service answers with one message.
+                    let latency = now.saturating_sub(sent);
+                    self.engines.first_token(slot, class, latency, now);
+                    self.hedge.add(class, latency);
+                }
                 if usage.output >= LEAST_TOKENS && started > sent {
                     let time = now.saturating_sub(started) / usage.output;
                     self.engines.token_time(slot, time, now);
--- a/crates/policy/src/pool/tests.rs
+++ b/crates/policy/src/pool/tests.rs
@@ -77,3 +77,17 @@
     let actions = pool.submit(request(1), SECOND * 3, &mut rng);
     assert!(matches!(&actions[..], [Action::Refuse { refusal, .. }] if refusal.ran == model::Ran::No));
 }
+
+/// Guards against an engine that stays out of use for ever after it was replaced under the same name.
+#[test]
+fn leaving_sign_expires_when_the_list_says_live() {
+    let (pool, hosts, mut rng) = pool(1, 8);
+    pool.leaving(&hosts[0].name, SECOND);
+    pool.hosts(&hosts, &[], SECOND * 62, &mut rng);
+    let request = Request {
+        deadline: SECOND * 90,
+        ..request(1)
+    };
+    let actions = pool.submit(request, SECOND * 63, &mut rng);
+    assert!(matches!(&actions[..], [Action::Send { .. }]), "{actions:?}");
+}
