--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -10,7 +10,7 @@
 use model::{Class, Name};
 
 use crate::fault::{Fault, fault};
-use crate::id_map::IdMap;
+use crate::id_map::{IdMap, NameMap};
 use crate::pool::Ticket;
 
 pub mod fair;
@@ -81,6 +81,7 @@
 #[derive(Debug)]
 pub struct Queue {
     settings: Settings,
+    accounts: NameMap<FlowId>,
     classes: [Fair; 4],
     owed: [f64; 4],
     places: IdMap<(Class, FlowId)>,
@@ -92,6 +93,7 @@
     pub fn new(settings: Settings) -> Self {
         Self {
             settings,
+            accounts: NameMap::default(),
             classes: Default::default(),
             owed: [0.0; 4],
             places: IdMap::default(),
@@ -116,7 +118,16 @@
 
     /// Account of an organisation within a class, opened on first use.
     pub fn account(&mut self, class: Class, organisation: &Name) -> FlowId {
-        self.classes[class.index()].account(organisation)
+        let id = match self.accounts.get(organisation) {
+            Some(id) => *id,
+            None => {
+                let id = self.accounts.len() as FlowId;
+                self.accounts.insert(organisation.clone(), id);
+                id
+            }
+        };
+        self.classes[class.index()].open(id);
+        id
     }
 
     /// Cost that goes before a new request: the least of what weighted fairness and a common queue would put there.
--- a/crates/policy/src/admission/fair.rs
+++ b/crates/policy/src/admission/fair.rs
@@ -1,8 +1,6 @@
 //! Start-time fair queueing between the organisations of one class.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
-
-use model::Name;
+use std::collections::{BTreeSet, VecDeque};
 
 use super::Entry;
 use crate::fault::{Fault, fault};
@@ -11,13 +9,12 @@
 /// Units of virtual time for a cost of 1 at weight 1; keeps the rounding of large weights small.
 const SCALE: u64 = 1024;
 
-/// Position of an organisation in the table of its class.
+/// Number of an organisation, the same in all classes.
 pub type FlowId = u32;
 
 /// Queue of one class.
 #[derive(Debug, Default)]
 pub struct Fair {
-    ids: HashMap<Name, FlowId>,
     flows: Vec<Flow>,
     /// Organisations with work, by the start tag of their first request.
     active: BTreeSet<(u64, FlowId)>,
@@ -72,15 +69,11 @@
         self.len == 0
     }
 
-    /// Account of an organisation, opened on first use.
-    pub fn account(&mut self, organisation: &Name) -> FlowId {
-        if let Some(id) = self.ids.get(organisation) {
-            return *id;
+    /// Opens all accounts up to `id`.
+    pub fn open(&mut self, id: FlowId) {
+        if self.flows.len() <= id as usize {
+            self.flows.resize_with(id as usize + 1, Flow::default);
         }
-        let id = self.flows.len() as FlowId;
-        self.flows.push(Flow::default());
-        self.ids.insert(organisation.clone(), id);
-        id
     }
 
     /// Cost that goes before a new request of an organisation.
