node: check the tag of a call before it is decoded; read changed key files

Cause: the tag of a call between nodes was checked over the decoded message, which drops fields that the receiver does not know; a later version's calls would have been refused, against docs/operations.md. Changed key files needed a restart.

Change: a guard in front of the Peer service checks the tag over the bytes of the message.

--- a/crates/daemon/tests/process.rs
+++ b/crates/daemon/tests/process.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a failed set-up ends the test")]
 
 use std::fs;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
@@ -111,6 +112,54 @@
     }
 }
 
+/// Guards against a key of operators that stays valid after its file was changed.
+#[test]
+fn a_changed_key_file_takes_effect() {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let log = Log::bind(any, standin::log::Options::default()).unwrap();
+    let hosts = Hosts::bind(any, standin::hosts::Options::default()).unwrap();
+    let admin = file("admin-change.key", "the first key of operators");
+    let entry = free_port();
+    let text = format!(
+        "[node]\nhost = a\nfailure_domain = d\nentry = 127.0.0.1:{entry}\n\
+         peer = 127.0.0.1:{}\ngossip = 127.0.0.1:{}\n\
+         [keys]\nsession_file = {}\ncluster_file = {}\nadmin_file = {}\n\
+         [platform]\nlog = {}\nhosts = {}\n",
+        free_port(),
+        free_port(),
+        file("session-change.key", "a key of enough bytes").display(),
+        file("cluster-change.key", "another key of enough bytes").display(),
+        admin.display(),
+        log.address(),
+        hosts.address(),
+    );
+    let mut child = daemon(&file("change.ini", &text)).spawn().unwrap();
+    wait_for(entry);
+    assert_eq!(status(entry, "the first key of operators"), "200");
+    fs::write(&admin, "the second key of operators").unwrap();
+    let end = Instant::now() + Duration::from_secs(10);
+    while status(entry, "the second key of operators") != "200" {
+        assert!(Instant::now() < end, "the new key is not accepted");
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    assert_eq!(status(entry, "the first key of operators"), "401");
+    let sent = Command::new("kill").arg(child.id().to_string()).status();
+    assert!(sent.unwrap().success());
+    assert_eq!(exit_code(&mut child), Some(0));
+}
+
+/// Status of `GET /admin/status` with a bearer key.
+fn status(port: u16, key: &str) -> String {
+    let mut stream = std::net::TcpStream::connect(("127.0.0.1", port)).unwrap();
+    let request = format!(
+        "GET /admin/status HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {key}\r\nConnection: close\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut reply = String::new();
+    stream.read_to_string(&mut reply).unwrap();
+    reply.split(' ').nth(1).unwrap_or_default().to_owned()
+}
+
 fn free_port() -> u16 {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     listener.local_addr().unwrap().port()
--- a/crates/node/src/auth.rs
+++ b/crates/node/src/auth.rs
@@ -4,7 +4,7 @@
 //! the hash of the guess, which a caller cannot steer towards a stored one. The key of operators is compared in
 //! constant time.
 
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 
 use config::view::{KeyHash, Tenant, View, hash_key};
 use model::Refusal;
@@ -28,8 +28,9 @@
 /// # Errors
 /// `unauthorised` if the bearer key is not that of operators, or if none is set and the caller is remote.
 pub(crate) fn operator(shared: &Shared, exchange: &Exchange) -> Result<(), Refusal> {
-    let admitted = match &shared.admin_key {
-        Some(hash) => bearer(exchange).is_some_and(|it| matches(hash, &hash_key(it))),
+    let hash = *shared.admin_key.lock().unwrap_or_else(PoisonError::into_inner);
+    let admitted = match hash {
+        Some(hash) => bearer(exchange).is_some_and(|it| matches(&hash, &hash_key(it))),
         None => exchange.is_loopback(),
     };
     if admitted {
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -17,7 +17,7 @@
 use crate::ports::Ports;
 use crate::secrets::Secrets;
 use crate::shared::Shared;
-use crate::{billing, config_log, hosts, once};
+use crate::{billing, config_log, hosts, key_files, once};
 
 /// Interval of the checks during a planned stop.
 const POLL: Duration = Duration::from_millis(20);
@@ -109,13 +109,14 @@
         .max_blocking_threads(MAX_EXECUTIONS)
         .enable_all()
         .build()?;
-    let shared = Arc::new(Shared::new(settings, secrets, ports, runtime.handle().clone()));
+    let shared = Arc::new(Shared::new(settings, &secrets, ports, runtime.handle().clone()));
     let (peer_server, stop) = oneshot::channel();
     server::spawn(&shared, peer, stop)?;
     shared.members_changed();
     let threads = vec![
         thread("config-log", &shared, |it| config_log::run(it))?,
         thread("hosts", &shared, |it| hosts::run(it))?,
+        thread("key-files", &shared, move |it| key_files::run(it, secrets))?,
         thread("gossip", &shared, move |it| gossip::run(it, &socket))?,
         thread("billing", &shared, billing::run)?,
         thread("billing-log", &shared, billing::append)?,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 mod handle;
 mod hosts;
 mod http;
+mod key_files;
 mod metrics;
 mod models;
 mod once;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -89,6 +89,8 @@
     pub billing_underreplicated: Counter,
     /// Failed appends of billing batches.
     pub billing_append_failures: Counter,
+    /// Changes of the key files that are in force.
+    pub key_changes: Counter,
     /// What nodes do for one another.
     pub peers: crate::peers::metrics::Metrics,
 }
@@ -115,6 +117,7 @@
             billing_unsettled: Gauge::default(),
             billing_underreplicated: Counter::default(),
             billing_append_failures: Counter::default(),
+            key_changes: Counter::default(),
             peers: crate::peers::metrics::Metrics::default(),
         };
         for reason in Reason::ALL {
@@ -149,6 +152,11 @@
     fn register(&mut self) {
         let registry = &mut self.registry;
         self.peers.register(registry);
+        registry.register(
+            "key_changes",
+            "Changes of the key files",
+            self.key_changes.clone(),
+        );
         registry.register("refusals", "Refused requests by reason", self.refusals.clone());
         registry.register("retries", "Repeated attempts by reason", self.retries.clone());
         registry.register("requests", "Requests received", self.requests.clone());
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -18,6 +18,7 @@
 pub(crate) mod client;
 pub(crate) mod convert;
 pub(crate) mod gossip;
+mod guard;
 pub(crate) mod metrics;
 pub(crate) mod server;
 
--- a/crates/node/src/peers/auth.rs
+++ b/crates/node/src/peers/auth.rs
@@ -3,6 +3,8 @@
 //! A tag covers the purpose, the receiver and the whole message. A copied message is therefore of no use at another
 //! node or another process at the same address, and the calls between nodes have no further effect when repeated.
 
+use std::sync::{Arc, PoisonError, RwLock, RwLockReadGuard};
+
 use hmac::{Hmac, Mac};
 use model::Incarnation;
 use sha2::Sha256;
@@ -14,9 +16,17 @@
 const DATAGRAM: &[u8] = b"bronzevale datagram 1\0";
 const CALL: &[u8] = b"bronzevale call 1\0";
 
-/// The cluster key.
+/// The cluster key; clones share it.
+#[derive(Clone)]
+pub(crate) struct Key(Arc<RwLock<Pair>>);
+
+/// Key that signs, and the one that it replaced. Both are accepted, so that nodes which change their files a little
+/// later are still understood.
 #[derive(Clone)]
-pub(crate) struct Key(Vec<u8>);
+struct Pair {
+    current: Vec<u8>,
+    previous: Option<Vec<u8>>,
+}
 
 impl std::fmt::Debug for Key {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
@@ -27,12 +37,25 @@
 impl Key {
     /// Wraps the bytes of the key file.
     pub(crate) fn new(key: Vec<u8>) -> Self {
-        Self(key)
+        Self(Arc::new(RwLock::new(Pair {
+            current: key,
+            previous: None,
+        })))
+    }
+
+    /// Signs with another key from now on.
+    pub(crate) fn replace(&self, key: Vec<u8>) {
+        let mut pair = self.0.write().unwrap_or_else(PoisonError::into_inner);
+        if pair.current != key {
+            pair.previous = Some(std::mem::replace(&mut pair.current, key));
+        }
     }
 
     /// Appends the tag of a datagram.
     pub(crate) fn seal(&self, mut datagram: Vec<u8>) -> Vec<u8> {
-        let tag = self.mac(&[DATAGRAM, &datagram]).finalize().into_bytes();
+        let tag = mac(&self.read().current, &[DATAGRAM, &datagram])
+            .finalize()
+            .into_bytes();
         datagram.extend_from_slice(&tag);
         datagram
     }
@@ -40,13 +63,14 @@
     /// The datagram without its tag, if the tag is right.
     pub(crate) fn open<'a>(&self, bytes: &'a [u8]) -> Option<&'a [u8]> {
         let (datagram, tag) = bytes.split_at_checked(bytes.len().checked_sub(TAG_LEN)?)?;
-        let mac = self.mac(&[DATAGRAM, datagram]);
-        mac.verify_slice(tag).is_ok().then_some(datagram)
+        self.accepts(&[DATAGRAM, datagram], tag).then_some(datagram)
     }
 
     /// Tag of a call to `receiver`.
     pub(crate) fn sign(&self, method: &str, receiver: Incarnation, message: &[u8]) -> String {
-        hex::encode(self.call(method, receiver, message).finalize().into_bytes())
+        let receiver = receiver.bits().to_be_bytes();
+        let parts = call(method, &receiver, message);
+        hex::encode(mac(&self.read().current, &parts).finalize().into_bytes())
     }
 
     /// Whether the tag of a call is right.
@@ -54,23 +78,32 @@
         let Ok(tag) = hex::decode(tag) else {
             return false;
         };
-        self.call(method, receiver, message).verify_slice(&tag).is_ok()
+        let receiver = receiver.bits().to_be_bytes();
+        self.accepts(&call(method, &receiver, message), &tag)
     }
 
-    fn call(&self, method: &str, receiver: Incarnation, message: &[u8]) -> Hmac<Sha256> {
-        let receiver = receiver.bits().to_be_bytes();
-        self.mac(&[CALL, method.as_bytes(), b"\0", &receiver, message])
+    fn accepts(&self, parts: &[&[u8]], tag: &[u8]) -> bool {
+        let pair = self.read();
+        let mut keys = std::iter::once(&pair.current).chain(&pair.previous);
+        keys.any(|it| mac(it, parts).verify_slice(tag).is_ok())
     }
 
-    fn mac(&self, parts: &[&[u8]]) -> Hmac<Sha256> {
-        // A key of any length is valid for this function.
-        let mut mac = Hmac::<Sha256>::new_from_slice(&self.0)
-            .unwrap_or_else(|_| unreachable!("HMAC takes keys of any length"));
-        for part in parts {
-            mac.update(part);
-        }
-        mac
+    fn read(&self) -> RwLockReadGuard<'_, Pair> {
+        self.0.read().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn call<'a>(method: &'a str, receiver: &'a [u8], message: &'a [u8]) -> [&'a [u8]; 5] {
+    [CALL, method.as_bytes(), b"\0", receiver, message]
+}
+
+fn mac(key: &[u8], parts: &[&[u8]]) -> Hmac<Sha256> {
+    let mut mac =
+        Hmac::<Sha256>::new_from_slice(key).unwrap_or_else(|_| unreachable!("HMAC takes keys of any length"));
+    for part in parts {
+        mac.update(part);
     }
+    mac
 }
 
 #[cfg(test)]
--- a/crates/node/src/peers/auth/tests.rs
+++ b/crates/node/src/peers/auth/tests.rs
@@ -44,3 +44,15 @@
     ));
     assert!(!key().verify("Execute", receiver, b"m", b"no hexadecimal"));
 }
+
+/// Guards against nodes that no longer understand each other while the key is changed on one after the other.
+#[test]
+fn the_replaced_key_is_still_accepted() {
+    let (changed, other) = (key(), key());
+    changed.replace(b"the next cluster key".to_vec());
+    let next = Key::new(b"the next cluster key".to_vec());
+    assert!(changed.open(&other.seal(b"m".to_vec())).is_some());
+    assert!(next.open(&changed.seal(b"m".to_vec())).is_some());
+    changed.replace(b"a third cluster key".to_vec());
+    assert!(changed.open(&other.seal(b"m".to_vec())).is_none());
+}
--- a/crates/node/src/peers/server.rs
+++ b/crates/node/src/peers/server.rs
@@ -5,7 +5,6 @@
 
 use model::Refusal;
 use model::refusal::Reason;
-use prost::Message;
 use tokio::sync::oneshot;
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::Server;
@@ -17,8 +16,9 @@
     SettleBatchRequest, execute_reply,
 };
 
-use super::client::{MAX_MESSAGE_BYTES, TAG};
+use super::client::MAX_MESSAGE_BYTES;
 use super::convert;
+use super::guard::Guard;
 use crate::services::keyed;
 use crate::shared::Shared;
 use crate::{config_log, once};
@@ -46,6 +46,7 @@
         shared: Arc::clone(shared),
     })
     .max_decoding_message_size(MAX_MESSAGE_BYTES);
+    let service = Guard::new(service, Arc::clone(shared));
     let server = Server::builder()
         .add_service(service)
         .serve_with_incoming_shutdown(TcpListenerStream::new(listener), async move {
@@ -60,20 +61,6 @@
 }
 
 impl Service {
-    /// The message, if the cluster key signed it for this process.
-    fn open<M: Message>(&self, method: &str, request: Request<M>) -> Result<M, Status> {
-        let tag = request.metadata().get(TAG).cloned();
-        let message = request.into_inner();
-        let bytes = message.encode_to_vec();
-        let shared = &self.shared;
-        let signed = |tag: &[u8]| shared.cluster_key.verify(method, shared.incarnation, &bytes, tag);
-        if tag.is_some_and(|it| signed(it.as_bytes())) {
-            return Ok(message);
-        }
-        shared.metrics.peers.calls_rejected.inc();
-        Err(Status::unauthenticated("the tag is missing or wrong"))
-    }
-
     fn malformed(&self) -> Status {
         self.shared.metrics.peers.calls_rejected.inc();
         Status::invalid_argument("malformed message")
@@ -86,7 +73,7 @@
         &self,
         request: Request<FetchConfigRequest>,
     ) -> Result<Response<FetchConfigReply>, Status> {
-        let message = self.open("FetchConfig", request)?;
+        let message = request.into_inner();
         Ok(Response::new(config_log::catch_up::reply(
             &self.shared,
             message.revision,
@@ -97,7 +84,7 @@
         &self,
         request: Request<HoldBatchRequest>,
     ) -> Result<Response<HoldBatchReply>, Status> {
-        let message = self.open("HoldBatch", request)?;
+        let message = request.into_inner();
         let held = self.shared.biller.hold(&self.shared, message);
         let held = held.ok_or_else(|| self.malformed())?;
         Ok(Response::new(HoldBatchReply { held }))
@@ -107,14 +94,14 @@
         &self,
         request: Request<SettleBatchRequest>,
     ) -> Result<Response<SettleBatchReply>, Status> {
-        let message = self.open("SettleBatch", request)?;
+        let message = request.into_inner();
         let ids: Vec<_> = message.ids.iter().filter_map(convert::id).collect();
         self.shared.biller.settle(&ids);
         Ok(Response::new(SettleBatchReply {}))
     }
 
     async fn execute(&self, request: Request<ExecuteRequest>) -> Result<Response<ExecuteReply>, Status> {
-        let message = self.open("Execute", request)?;
+        let message = request.into_inner();
         let shared = Arc::clone(&self.shared);
         // The execution goes on if the caller gives up, so that its outcome gets into the table.
         let run = move || keyed::answer_peer(&shared, message);
@@ -130,7 +117,7 @@
     }
 
     async fn hand_over(&self, request: Request<HandOverRequest>) -> Result<Response<HandOverReply>, Status> {
-        let message = self.open("HandOver", request)?;
+        let message = request.into_inner();
         let table = convert::hand_over(message).ok_or_else(|| self.malformed())?;
         once::keep(&self.shared, table);
         Ok(Response::new(HandOverReply {}))
--- a/crates/node/src/secrets.rs
+++ b/crates/node/src/secrets.rs
@@ -27,7 +27,7 @@
 }
 
 /// Keys of a node; their debug form reveals nothing.
-#[derive(Clone)]
+#[derive(Clone, PartialEq, Eq)]
 pub struct Secrets {
     /// Signs session tokens, the same on all nodes.
     pub session: Vec<u8>,
@@ -54,6 +54,12 @@
             admin: admin.map(|it| String::from_utf8_lossy(&it).into_owned()),
         })
     }
+
+    /// Keys for session tokens, the one that signs first.
+    pub(crate) fn session_keys(&self) -> Vec<Vec<u8>> {
+        let keys = [Some(&self.session), self.previous_session.as_ref()];
+        keys.into_iter().flatten().cloned().collect()
+    }
 }
 
 impl std::fmt::Debug for Secrets {
--- a/crates/node/src/session.rs
+++ b/crates/node/src/session.rs
@@ -3,6 +3,8 @@
 //! A token binds an organisation and a requested name to a version. It is signed with a key that all nodes share, so
 //! any node can check a token that another one issued and nothing is stored.
 
+use std::sync::{PoisonError, RwLock, RwLockReadGuard};
+
 use base64::Engine as _;
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use hmac::{Hmac, Mac};
@@ -34,28 +36,34 @@
 }
 
 /// Keys that sign and check tokens.
-#[derive(Clone)]
 pub(crate) struct Keys {
     /// The current key, followed by previous ones that are still accepted.
-    keys: Vec<Vec<u8>>,
+    keys: RwLock<Vec<Vec<u8>>>,
 }
 
 impl std::fmt::Debug for Keys {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "Keys({})", self.keys.len())
+        write!(f, "Keys({})", self.read().len())
     }
 }
 
 impl Keys {
     /// Keys in order of preference; the first one signs.
     pub(crate) fn new(keys: Vec<Vec<u8>>) -> Self {
-        Self { keys }
+        Self {
+            keys: RwLock::new(keys),
+        }
+    }
+
+    /// Replaces all keys.
+    pub(crate) fn replace(&self, keys: Vec<Vec<u8>>) {
+        *self.keys.write().unwrap_or_else(PoisonError::into_inner) = keys;
     }
 
     /// Signs a session.
     pub(crate) fn sign(&self, session: &Session) -> Option<String> {
         let payload = serde_json::to_vec(session).ok()?;
-        let tag = mac(self.keys.first()?, &payload)?.finalize().into_bytes();
+        let tag = mac(self.read().first()?, &payload)?.finalize().into_bytes();
         let payload = URL_SAFE_NO_PAD.encode(payload);
         let tag = URL_SAFE_NO_PAD.encode(tag);
         Some(format!("{payload}.{tag}"))
@@ -70,7 +78,7 @@
         let payload = URL_SAFE_NO_PAD.decode(payload).ok()?;
         let tag = URL_SAFE_NO_PAD.decode(tag).ok()?;
         let signed = self
-            .keys
+            .read()
             .iter()
             .filter_map(|key| mac(key, &payload))
             .any(|mac| mac.verify_slice(&tag).is_ok());
@@ -79,6 +87,10 @@
         }
         serde_json::from_slice(&payload).ok()
     }
+
+    fn read(&self) -> RwLockReadGuard<'_, Vec<Vec<u8>>> {
+        self.keys.read().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 fn mac(key: &[u8], payload: &[u8]) -> Option<Hmac<Sha256>> {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -49,7 +49,7 @@
     pub killed: AtomicBool,
     pub phase: Cell,
     pub sessions: Keys,
-    pub admin_key: Option<KeyHash>,
+    pub admin_key: Mutex<Option<KeyHash>>,
     /// Requests under way.
     pub open: AtomicUsize,
     /// When an entry answer last named this node.
@@ -63,11 +63,9 @@
 
 impl Shared {
     /// State of a node that starts now.
-    pub(crate) fn new(settings: Settings, secrets: Secrets, ports: Ports, runtime: Handle) -> Self {
-        let session_keys = [Some(secrets.session), secrets.previous_session];
-        let session_keys = session_keys.into_iter().flatten().collect();
+    pub(crate) fn new(settings: Settings, secrets: &Secrets, ports: Ports, runtime: Handle) -> Self {
         let incarnation = Incarnation::from_bits(OsRng.unwrap_err().random());
-        let cluster_key = Key::new(secrets.cluster);
+        let cluster_key = Key::new(secrets.cluster.clone());
         let mut rng = SmallRng::from_rng(&mut OsRng.unwrap_err());
         Self {
             once: Once::new(incarnation),
@@ -76,8 +74,8 @@
             cluster_key,
             killed: AtomicBool::new(false),
             log_read_at: Mutex::new(None),
-            sessions: Keys::new(session_keys),
-            admin_key: secrets.admin.as_deref().map(hash_key),
+            sessions: Keys::new(secrets.session_keys()),
+            admin_key: Mutex::new(secrets.admin.as_deref().map(hash_key)),
             biller: Biller::new(
                 incarnation,
                 settings.node.failure_domain.clone(),
