--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -30,6 +30,7 @@
     ("capacity", load::capacity::run),
     // Cost.
     ("cascade", load::cascade::run),
+    ("rollout", load::rollout::run),
     // Load.
     ("rush", load::rush::run),
     ("faults", load::faults::run),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod limit;
 pub mod pool;
 pub mod retry;
+pub mod rollout;
--- a/crates/policy/src/pool/call.rs
+++ b/crates/policy/src/pool/call.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::event::{Attempt, Kind, Request};
+use crate::admission::FlowId;
 use crate::affinity::Slot;
 
 /// A request that has not ended.
@@ -10,6 +11,8 @@
 pub(super) struct Call {
     pub request: Request,
     pub cost: u64,
+    /// Account of the organisation within the class.
+    pub flow: FlowId,
     pub phase: Phase,
     pub tries: Vec<Try>,
     /// Whether an attempt may have run.
@@ -34,6 +37,8 @@
 pub(super) struct Try {
     pub slot: Slot,
     pub sent: Duration,
+    /// Time of the first token; the time of sending before it.
+    pub started: Duration,
     pub progress: Progress,
     pub kind: Kind,
 }
@@ -47,10 +52,11 @@
 }
 
 impl Call {
-    pub fn new(request: Request, cost: u64) -> Self {
+    pub fn new(request: Request, cost: u64, flow: FlowId) -> Self {
         Self {
             request,
             cost,
+            flow,
             phase: Phase::Queued,
             tries: Vec::new(),
             may_have_run: false,
--- a/crates/policy/src/pool/state.rs
+++ b/crates/policy/src/pool/state.rs
@@ -23,6 +23,40 @@
 
 use admit::cost;
 
+/// Greatest number of prefixes that wait for the next tick; later ones are left to the cache events.
+const MOST_UNNOTED: usize = 1_024;
+
+/// Share of engines reserved for urgent requests, relative to these requests' share of the dispatched cost.
+const RESERVE: f64 = 2.0;
+
+/// Greatest share of reserved engines.
+const MOST_RESERVED: f64 = 0.3;
+
+/// Tokens of an answer from which its time for each token is compared; shorter ones are too noisy.
+const LEAST_TOKENS: model::Tokens = 8;
+
+/// Which engines may have room for the head of the queue. Under full load an end makes room at one engine, and the
+/// search of all others would take most of the time of a decision.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Room {
+    /// Any engine may.
+    Unknown,
+    /// No engine has.
+    None,
+    /// At most this engine has.
+    Only(Slot),
+}
+
+impl Room {
+    fn freed(&mut self, slot: Slot) {
+        *self = match *self {
+            Self::None => Self::Only(slot),
+            Self::Only(known) if known == slot => Self::Only(slot),
+            Self::Only(_) | Self::Unknown => Self::Unknown,
+        };
+    }
+}
+
 #[derive(Debug)]
 pub(super) struct State {
     settings: Settings,
@@ -38,8 +72,11 @@
     /// Seconds for each unit of cost over all classes.
     place: Estimate,
     dispatched: [Rate; 4],
-    /// Whether no engine had room for the head of the queue; cleared by every event that may make room.
-    full: bool,
+    room: Room,
+    /// Requests whose prefixes are still to be noted in the index, with their engines.
+    unnoted: Vec<(Slot, Ticket)>,
+    /// Sum of the limits of the engines that take work.
+    places: f64,
 }
 
 impl State {
@@ -55,7 +92,9 @@
             service: Default::default(),
             place: Estimate::default(),
             dispatched: Default::default(),
-            full: false,
+            room: Room::Unknown,
+            places: 0.0,
+            unnoted: Vec::new(),
             settings,
         }
     }
@@ -65,12 +104,16 @@
             return;
         }
         let cost = self.cost_of(&request);
-        match self.admit(&request, cost, now, rng) {
-            Ok(give_up) if self.queue.is_empty() && self.waiting.is_empty() => {
-                self.pass_or_enqueue(request, cost, give_up, now, rng, out);
-                return;
+        let flow = self.queue.account(request.class, &request.organisation);
+        match self.admit(&request, cost, flow, now, rng) {
+            Ok(give_up) => {
+                let call = Call::new(request, cost, flow);
+                if self.queue.is_empty() && self.waiting.is_empty() {
+                    self.pass_or_enqueue(call, give_up, now, rng, out);
+                    return;
+                }
+                self.enqueue(call, give_up, now, rng, out);
             }
-            Ok(give_up) => self.enqueue(request, cost, give_up, now, rng, out),
             Err(refusal) => out.push(Action::Refuse {
                 ticket: request.ticket,
                 refusal,
@@ -91,9 +134,11 @@
             return;
         }
         it.progress = Progress::Started;
+        it.started = now;
         let (slot, sent, kind) = (it.slot, it.sent, it.kind);
         let latency = now.saturating_sub(sent);
         call.winner = Some(attempt.number);
+        call.may_have_run = true;
         let rivals: Vec<u16> = call.live_numbers();
         self.engines.first_token(slot, class, latency, now);
         if kind == Kind::First {
@@ -120,11 +165,15 @@
             return;
         };
         it.progress = Progress::Ended;
-        let (slot, sent) = (it.slot, it.sent);
+        let (slot, sent, started) = (it.slot, it.sent, it.started);
         self.engines.get_mut(slot).limit.ended(now);
-        self.full = false;
+        self.room.freed(slot);
         match outcome {
             Outcome::Done(usage) => {
+                if usage.output >= LEAST_TOKENS && started > sent {
+                    let time = now.saturating_sub(started) / usage.output;
+                    self.engines.token_time(slot, time, now);
+                }
                 let actual = cost(
                     &self.settings,
                     usage.input.saturating_sub(usage.cached),
@@ -140,13 +189,14 @@
     pub fn cancel(&mut self, ticket: Ticket, now: Duration, rng: &mut impl Rng, out: &mut Vec<Action>) {
         self.queue.remove(ticket);
         self.end(ticket, now, out);
-        self.full = false;
+        self.room = Room::Unknown;
         self.dispatch(now, rng, out);
     }
 
     pub fn tick(&mut self, now: Duration, rng: &mut impl Rng, out: &mut Vec<Action>) {
+        self.note_prefixes();
         // Ejections end as time passes.
-        self.full = false;
+        self.recount(now);
         self.expire(now, rng, out);
         while let Some((at, ticket)) = self.timers.first().copied() {
             if at > now {
@@ -175,7 +225,7 @@
         let sharers = self.engines.sharers;
         if let Some(slot) = self.engines.slot(upstream) {
             self.engines.get_mut(slot).limit.report(load, age, sharers, now);
-            self.full = false;
+            self.recount(now);
             self.dispatch(now, rng, out);
         }
     }
@@ -195,7 +245,7 @@
         out: &mut Vec<Action>,
     ) {
         self.engines.replace(hosts, sharers, now);
-        self.full = false;
+        self.recount(now);
         self.dispatch(now, rng, out);
     }
 
@@ -224,4 +274,14 @@
             engines: self.engines.live().map(engine).collect(),
         }
     }
+
+    /// Takes into account that the engines' limits or standings may have changed.
+    fn recount(&mut self, now: Duration) {
+        self.room = Room::Unknown;
+        self.places = self.engines.places(now);
+        let rates = self.dispatched.map(|it| it.per_second(now));
+        let urgent = rates[Class::Interactive.index()] + rates[Class::Transaction.index()];
+        let share = urgent / rates.iter().sum::<f64>().max(f64::MIN_POSITIVE);
+        self.engines.reserve((share * RESERVE).min(MOST_RESERVED), now);
+    }
 }
