node: follow the configuration by config::follow

Cause: the node had an own, simpler way to read the log and to ask peers. It trusted ages in gossip, and a paused process served on when it resumed.

Change: one thread gives the state machine of config::follow its events, a second one calls the log service, and fetches run on the runtime for calls.

own code for these is gone. The gauge config_stale replaces isolated.

--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -28,7 +28,8 @@
         .billing_logged
         .set(i64::try_from(stats.logged).unwrap_or(i64::MAX));
     peers.keys.set(signed(shared.once.len()));
-    peers.isolated.set(i64::from(shared.is_isolated()));
+    let now = shared.now();
+    peers.config_stale.set(i64::from(shared.catalog.is_stale(now)));
     let age = shared.catalog.age(shared.now());
     metrics
         .config_age
--- a/crates/node/src/catalog.rs
+++ b/crates/node/src/catalog.rs
@@ -1,86 +1,90 @@
 //! The configuration in force.
 //!
-//! The log tailer is the only writer. Readers copy a pointer to an immutable view under a short lock.
+//! The thread of the configuration log is the only writer. Readers copy a pointer to an immutable view under a short
+//! lock.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use config::fold::{State, Verdict};
+use config::fold::Verdict;
+use config::follow::{Action, Delta, Event, Follower, Service, Settings, Status};
 use config::view::View;
-use model::{Offset, Revision};
-
-mod tail;
-
-use tail::Tail;
+use model::Revision;
 
 /// The folded configuration and its view.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Catalog {
-    state: Mutex<State>,
+    follower: Mutex<Follower>,
     view: Mutex<Arc<View>>,
-    /// Last folded records, for nodes that lack them.
-    tail: Mutex<Tail>,
-    /// When this node last held the end of the log, as time since its start.
-    confirmed: Mutex<Option<Duration>>,
 }
 
 impl Catalog {
+    /// An empty configuration of a node that starts now.
+    pub(crate) fn new(settings: &config::settings::Config) -> Self {
+        let settings = Settings {
+            poll: settings.poll,
+            max_staleness: Some(settings.max_staleness).filter(|it| !it.is_zero()),
+            ..Settings::default()
+        };
+        Self {
+            follower: Mutex::new(Follower::new(settings, Duration::ZERO)),
+            view: Mutex::default(),
+        }
+    }
+
     /// The view in force.
     pub(crate) fn view(&self) -> Arc<View> {
         lock(&self.view).clone()
     }
 
+    /// Processes an event and puts the result in force.
+    pub(crate) fn handle(&self, event: Event, now: Duration) -> Vec<Action> {
+        let mut follower = lock(&self.follower);
+        let actions = follower.handle(event, now);
+        let changes = |it: &Action| match it {
+            Action::Folded { verdict, .. } => *verdict == Verdict::Accepted,
+            Action::Adopted(_) => true,
+            Action::Read { .. } | Action::Fetch { .. } | Action::SnapshotDue(_) => false,
+        };
+        if actions.iter().any(changes) {
+            *lock(&self.view) = Arc::new(View::new(follower.state()));
+        }
+        actions
+    }
+
     /// Revision of the last folded record.
     pub(crate) fn revision(&self) -> Revision {
-        lock(&self.state).revision()
+        lock(&self.follower).state().revision()
     }
 
-    /// Folds one record and puts the result in force.
-    pub(crate) fn apply(&self, offset: Offset, payload: &[u8]) -> Verdict {
-        let mut state = lock(&self.state);
-        let verdict = state.apply(offset, payload);
-        if !matches!(verdict, Verdict::Skipped | Verdict::Gap) {
-            lock(&self.tail).push(offset, payload);
-        }
-        if verdict == Verdict::Accepted {
-            *lock(&self.view) = Arc::new(View::new(&state));
-        }
-        verdict
+    /// What a peer that holds `revision` lacks.
+    pub(crate) fn delta(&self, revision: Revision, now: Duration) -> Delta {
+        lock(&self.follower).delta(revision, now)
     }
 
-    /// Takes over a snapshot unless the state held is newer.
-    pub(crate) fn restore(&self, snapshot: State) {
-        let mut state = lock(&self.state);
-        if snapshot.revision() <= state.revision() {
-            return;
-        }
-        *lock(&self.view) = Arc::new(View::new(&snapshot));
-        *state = snapshot;
+    /// Payload of a snapshot of the state held.
+    pub(crate) fn snapshot(&self) -> Vec<u8> {
+        lock(&self.follower).state().to_snapshot()
     }
 
-    /// The records after a revision; `None` if one is not kept.
-    pub(crate) fn records_after(&self, revision: Revision) -> Option<Vec<(Offset, Vec<u8>)>> {
-        let state = lock(&self.state);
-        if revision >= state.revision() {
-            return Some(Vec::new());
-        }
-        lock(&self.tail).after(revision)
+    /// Whether the node may serve, and what it knows of the log.
+    pub(crate) fn status(&self, now: Duration) -> Status {
+        lock(&self.follower).status(now)
     }
 
-    /// Payload of a snapshot of the state held.
-    pub(crate) fn snapshot(&self) -> Vec<u8> {
-        lock(&self.state).to_snapshot()
+    /// Counts of the follower.
+    pub(crate) fn counters(&self) -> config::follow::Counters {
+        lock(&self.follower).counters()
     }
 
-    /// Notes that the end of the log was held at `now`.
-    pub(crate) fn confirm(&self, now: Duration) {
-        let mut confirmed = lock(&self.confirmed);
-        *confirmed = (*confirmed).max(Some(now));
+    /// Whether this node may have missed changes, such as a withdrawal.
+    pub(crate) fn is_stale(&self, now: Duration) -> bool {
+        self.status(now).service != Service::Serving
     }
 
     /// Time since the end of the log was last held; `None` before the first time.
     pub(crate) fn age(&self, now: Duration) -> Option<Duration> {
-        lock(&self.confirmed).map(|it| now.saturating_sub(it))
+        lock(&self.follower).age(now)
     }
 }
 
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -114,7 +114,8 @@
     server::spawn(&shared, peer, stop)?;
     shared.members_changed();
     let threads = vec![
-        thread("config-log", &shared, |it| config_log::run(it))?,
+        thread("config-log", &shared, config_log::run)?,
+        thread("config-calls", &shared, config_log::call_log)?,
         thread("hosts", &shared, |it| hosts::run(it))?,
         thread("key-files", &shared, move |it| key_files::run(it, secrets))?,
         thread("gossip", &shared, move |it| gossip::run(it, &socket))?,
--- a/crates/node/src/http/gate.rs
+++ b/crates/node/src/http/gate.rs
@@ -18,25 +18,13 @@
 /// `leaving` or `config_stale`.
 pub(crate) fn open(shared: &Shared) -> Result<(), Refusal> {
     let reason = match shared.phase.get() {
-        Phase::Serving | Phase::Leaving if is_stale(shared) => Reason::ConfigStale,
+        Phase::Serving | Phase::Leaving if shared.catalog.is_stale(shared.now()) => Reason::ConfigStale,
         Phase::Serving | Phase::Leaving => return Ok(()),
         Phase::Sealed | Phase::Stopped => Reason::Leaving,
     };
     Err(Refusal::not_run(reason).retry_after(RETRY_AFTER))
 }
 
-/// Whether this node may have missed too many changes, such as a withdrawal.
-pub(crate) fn is_stale(shared: &Shared) -> bool {
-    let Some(age) = shared.catalog.age(shared.now()) else {
-        return true;
-    };
-    if shared.is_isolated() {
-        return true;
-    }
-    let bound = shared.settings.config.max_staleness;
-    !bound.is_zero() && age > bound
-}
-
 /// Time that a request may take from its receipt on.
 ///
 /// # Errors
--- a/crates/node/src/peers/client.rs
+++ b/crates/node/src/peers/client.rs
@@ -109,15 +109,14 @@
     }
 
     /// Reads the configuration records that a peer has beyond a revision.
-    pub(crate) fn fetch_config(
+    pub(crate) async fn fetch_config(
         &self,
         to: Target,
         message: FetchConfigRequest,
     ) -> Result<FetchConfigReply, Unreachable> {
         let send =
             |mut client: PeerClient<Channel>, request| async move { client.fetch_config(request).await };
-        self.runtime
-            .block_on(self.call(to, "FetchConfig", message, LONG, send))
+        self.call(to, "FetchConfig", message, LONG, send).await
     }
 
     async fn call<M, R, F>(
--- a/crates/node/src/peers/metrics.rs
+++ b/crates/node/src/peers/metrics.rs
@@ -47,14 +47,14 @@
     pub tables_received: Counter,
     /// Sealed tables that this node handed over.
     pub tables_sent: Counter,
-    /// Configuration records and snapshots taken from peers.
+    /// Replies of peers with configuration.
     pub config_fetched: Counter,
     /// Failed reads of a peer's configuration.
     pub config_fetch_failures: Counter,
     /// Configuration snapshots that this node wrote into the log.
     pub config_snapshots: Counter,
-    /// Whether this node has neither the log nor a peer.
-    pub isolated: Gauge,
+    /// Whether this node refuses model requests because it may have missed changes.
+    pub config_stale: Gauge,
 }
 
 impl Metrics {
@@ -129,7 +129,7 @@
             ),
             (
                 "config_fetched",
-                "Configuration records taken from peers",
+                "Replies of peers with configuration",
                 &self.config_fetched,
             ),
             (
@@ -170,9 +170,9 @@
             ),
             ("keys", "Idempotency keys in the table", &self.keys),
             (
-                "isolated",
-                "Whether neither log nor peers are reachable",
-                &self.isolated,
+                "config_stale",
+                "Whether model requests are refused for a stale configuration",
+                &self.config_stale,
             ),
         ];
         for (name, help, gauge) in gauges {
--- a/crates/node/src/peers/server.rs
+++ b/crates/node/src/peers/server.rs
@@ -74,10 +74,7 @@
         request: Request<FetchConfigRequest>,
     ) -> Result<Response<FetchConfigReply>, Status> {
         let message = request.into_inner();
-        Ok(Response::new(config_log::catch_up::reply(
-            &self.shared,
-            message.revision,
-        )))
+        Ok(Response::new(config_log::reply(&self.shared, message.revision)))
     }
 
     async fn hold_batch(
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,7 +1,7 @@
 //! State that all threads of a node share.
 
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use config::settings::Settings;
@@ -13,7 +13,7 @@
 
 use crate::billing::Biller;
 use crate::catalog::Catalog;
-use crate::http::gate;
+use crate::config_log::Channels;
 use crate::metrics::Metrics;
 use crate::once::Once;
 use crate::peers::Peers;
@@ -28,9 +28,6 @@
 /// Interval at which a sleeping thread checks whether the node stops.
 const STOP_CHECK: Duration = Duration::from_millis(100);
 
-/// Time without the log and without any other node after which this node may have missed a withdrawal.
-const ISOLATION: Duration = Duration::from_secs(10);
-
 /// State that all threads of a node share.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -39,6 +36,7 @@
     pub incarnation: Incarnation,
     pub metrics: Metrics,
     pub catalog: Catalog,
+    pub config_channels: Channels,
     pub upstreams: Directory,
     pub biller: Biller,
     pub once: Once,
@@ -54,8 +52,6 @@
     pub open: AtomicUsize,
     /// When an entry answer last named this node.
     pub named_at: Mutex<Option<Instant>>,
-    /// When the log was last read.
-    log_read_at: Mutex<Option<Duration>>,
     start: Instant,
     next_request: AtomicU64,
     next_seed: AtomicU64,
@@ -73,7 +69,8 @@
             client: Client::new(runtime, cluster_key.clone(), settings.upstream.connect_timeout),
             cluster_key,
             killed: AtomicBool::new(false),
-            log_read_at: Mutex::new(None),
+            config_channels: Channels::default(),
+            catalog: Catalog::new(&settings.config),
             sessions: Keys::new(secrets.session_keys()),
             admin_key: Mutex::new(secrets.admin.as_deref().map(hash_key)),
             biller: Biller::new(
@@ -86,7 +83,6 @@
             ports,
             incarnation,
             metrics: Metrics::new(),
-            catalog: Catalog::default(),
             phase: Cell::default(),
             open: AtomicUsize::new(0),
             named_at: Mutex::new(None),
@@ -103,21 +99,7 @@
 
     /// Whether callers may be sent to this node.
     pub(crate) fn is_ready(&self) -> bool {
-        self.phase.get() == Phase::Serving && self.upstreams.is_known() && !gate::is_stale(self)
-    }
-
-    /// Notes that the log was read.
-    pub(crate) fn note_log_read(&self) {
-        *self.log_read_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(self.now());
-    }
-
-    /// Whether the node has had neither the log nor any other node for [`ISOLATION`].
-    pub(crate) fn is_isolated(&self) -> bool {
-        let now = self.now();
-        let log = *self.log_read_at.lock().unwrap_or_else(PoisonError::into_inner);
-        let log = log.map(|it| now.saturating_sub(it));
-        let contacts = [log, self.peers.silence(now)];
-        contacts.into_iter().flatten().all(|it| it > ISOLATION)
+        self.phase.get() == Phase::Serving && self.upstreams.is_known() && !self.catalog.is_stale(self.now())
     }
 
     /// Passes a change of the members on to those who depend on it.
