node: serve callers through hyper, with TLS

Cause: the caller API ran on tiny_http 0.12. One unauthenticated request with `Content-Length:` aborted the process ("memory allocation of bytes failed"; worked around by leaking the request), header lines were unbounded in memory before they could be checked, and connections had no read time-outs and held a thread each.

Change: hyper 1.13 on a tokio runtime with two workers inside node::http. New settings [http] max_connections, header_timeout_ms, write_timeout_ms and idle_timeout_ms. A request runs on one of max_open_requests blocking threads; events reach the connection over a channel of 16 and leave at once; a slot lasts until the answer is sent. A disconnect is noticed for collected answers too. A stream whose producer ends early is no longer marked complete. Section [tls] works; the files are read again each second, and a faulty new pair keeps the old key and is counted and logged once. Wrong methods get `method_not_allowed` (405) with `Allow`; HEAD works where GET does.

The test an_absurd_body_length_does_not_end_the_process waited for the metric abandoned_connections, which counted leaked requests and is gone. Its replacement, an_absurd_body_length_is_refused, demands a typed 413 with a key and 401 without one, and that the node serves afterwards.

New dependencies: bytes, http-body-util, hyper, hyper-util, tokio-rustls; rcgen for tests.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -11,11 +11,13 @@
 use model::{Domain, Host};
 
 mod fault;
+mod http;
 mod reader;
 #[cfg(test)]
 mod tests;
 
 pub use fault::{Cause, Fault, Faults};
+pub use http::Http;
 use reader::Reader;
 
 /// Identity and addresses of the node.
@@ -61,19 +63,6 @@
     pub weights: Option<SocketAddr>,
 }
 
-/// Bounds on what callers may send.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Http {
-    /// Greatest size of a request body in bytes.
-    pub max_body_bytes: usize,
-    /// Greatest size of all headers in bytes.
-    pub max_header_bytes: usize,
-    /// Greatest number of requests in progress.
-    pub max_open_requests: usize,
-    /// Greatest time for a caller to send its body.
-    pub body_timeout: Duration,
-}
-
 /// Time-outs towards upstreams.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Upstream {
@@ -162,15 +151,9 @@
     pub tls: Option<Tls>,
 }
 
-const DEFAULT_MAX_BODY_BYTES: usize = 4 << 20;
-const DEFAULT_MAX_HEADER_BYTES: usize = 16 << 10;
-const DEFAULT_MAX_OPEN_REQUESTS: usize = 2_000;
 /// One hour at 28.5 requests/s, the share of one node of 340 at the peak.
 const DEFAULT_MAX_PENDING_RECORDS: usize = 110_000;
 
-const KIB: usize = 1 << 10;
-const GIB: usize = 1 << 30;
-
 impl Settings {
     /// Parses and checks INI text; `file` names it in faults.
     ///
@@ -197,7 +180,7 @@
     let node = node(reader);
     let keys = keys(reader);
     let platform = platform(reader);
-    let http = http(reader);
+    let http = http::read(reader);
     let upstream = upstream(reader);
     let deadlines = deadlines(reader);
     let config = config(reader);
@@ -261,29 +244,6 @@
     })
 }
 
-fn http(reader: &mut Reader<'_>) -> Option<Http> {
-    let body = reader.count("http", "max_body_bytes", KIB..=GIB, DEFAULT_MAX_BODY_BYTES);
-    let header = reader.count(
-        "http",
-        "max_header_bytes",
-        KIB..=1024 * KIB,
-        DEFAULT_MAX_HEADER_BYTES,
-    );
-    let open = reader.count(
-        "http",
-        "max_open_requests",
-        1..=100_000,
-        DEFAULT_MAX_OPEN_REQUESTS,
-    );
-    let timeout = reader.millis("http", "body_timeout_ms", 100..=600_000, 10_000);
-    Some(Http {
-        max_body_bytes: body?,
-        max_header_bytes: header?,
-        max_open_requests: open?,
-        body_timeout: timeout?,
-    })
-}
-
 fn upstream(reader: &mut Reader<'_>) -> Option<Upstream> {
     let connect = reader.millis("upstream", "connect_timeout_ms", 10..=60_000, 500);
     let first = reader.millis("upstream", "first_token_timeout_ms", 50..=600_000, 10_000);
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -74,11 +74,7 @@
 fn read(args: &Args) -> Result<Settings> {
     let file = args.config.display().to_string();
     let text = std::fs::read_to_string(&args.config).wrap_err_with(|| file.clone())?;
-    let settings = Settings::parse(&file, &text)?;
-    if settings.tls.is_some() {
-        return Err(eyre!("{file}: [tls]: {}", node::Error::Tls));
-    }
-    Ok(settings)
+    Ok(Settings::parse(&file, &text)?)
 }
 
 fn run(settings: Settings) -> Result<ExitCode> {
--- a/crates/demo/tests/end_to_end.rs
+++ b/crates/demo/tests/end_to_end.rs
@@ -3,8 +3,6 @@
 #![allow(clippy::unwrap_used, reason = "a failed set-up ends the test")]
 
 use std::collections::BTreeMap;
-use std::io::Write;
-use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 use config::record::{Change, Id, Proposal, Record};
@@ -215,25 +213,3 @@
     let chat = chat(elsewhere, KEY, "small", &[("X-Session", &session)]);
     assert_eq!(chat.text, answer("small-1"));
 }
-
-/// Guards against a process that ends when a caller declares a body too long to allocate.
-#[test]
-fn an_absurd_body_length_does_not_end_the_process() {
-    let cluster = start();
-    let address = cluster.addresses()[0];
-    let mut stream = TcpStream::connect(address).unwrap();
-    let head = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999999999\r\n\r\n{";
-    stream.write_all(head.as_bytes()).unwrap();
-    drop(stream);
-    let abandoned = || {
-        let metrics = attohttpc::get(format!("http://{address}/metrics"))
-            .send()
-            .unwrap();
-        metrics
-            .text()
-            .unwrap()
-            .contains("bronzevale_abandoned_connections_total 1")
-    };
-    wait("abandoned connection", Duration::from_secs(5), abandoned);
-    assert!(chat(address, KEY, "small", &[]).complete);
-}
--- /dev/null
+++ b/crates/demo/tests/http/connections.rs
@@ -0,0 +1,97 @@
+//! Many connections, and many requests on one.
+
+use std::io::{Read, Write};
+use std::time::{Duration, Instant};
+
+use crate::raw::{connect, metric, parse_all, read_one, read_to_end, send, serves, start, wait, whole_chat};
+
+/// Guards against an unbounded number of connections, and against callers that suffer from refused ones.
+#[test]
+fn connections_over_the_bound_are_refused() {
+    const BOUND: usize = 8;
+    const OVER: usize = 100;
+    let cluster = start(&format!("max_connections = {BOUND}"));
+    let address = cluster.addresses()[0];
+    let mut admitted: Vec<_> = (0..BOUND).map(|_| connect(address)).collect();
+    for stream in &mut admitted {
+        stream
+            .write_all(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+            .unwrap();
+        assert_eq!(read_one(stream).status, 200);
+    }
+    let mut over: Vec<_> = (0..OVER).map(|_| connect(address)).collect();
+    let mut refused = 0;
+    for stream in &mut over {
+        stream.write_all(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").ok();
+        for response in parse_all(&read_to_end(stream)).unwrap() {
+            assert_eq!(response.status, 429);
+            assert_eq!(response.error(), Some(("overloaded".to_owned(), "no".to_owned())));
+            assert!(response.header("retry-after").is_some());
+            refused += 1;
+        }
+    }
+    assert!(refused > 0);
+    for stream in &mut admitted {
+        stream
+            .write_all(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+            .unwrap();
+        assert_eq!(read_one(stream).status, 200);
+    }
+    drop(admitted);
+    wait("room", || {
+        let answer = send(
+            address,
+            b"GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+        );
+        parse_all(&answer).unwrap().iter().any(|it| it.status == 200)
+    });
+    wait("one connection", || metric(address, "connections") == "1");
+    assert_eq!(metric(address, "connections_refused_total"), OVER.to_string());
+    assert!(serves(address));
+}
+
+/// Guards against pipelined requests that are lost, mixed up or answered out of order.
+#[test]
+fn pipelined_requests_are_answered_in_order() {
+    let cluster = start("");
+    let mut bytes = Vec::new();
+    bytes.extend_from_slice(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+    bytes.extend_from_slice(&whole_chat(true));
+    bytes.extend_from_slice(b"GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n");
+    bytes.extend_from_slice(&whole_chat(false));
+    bytes.extend_from_slice(b"GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    let responses = parse_all(&send(cluster.addresses()[0], &bytes)).unwrap();
+    let statuses: Vec<_> = responses.iter().map(|it| it.status).collect();
+    assert_eq!(statuses, [200, 200, 404, 200, 200]);
+    assert_eq!(responses[0].body, b"ok\n");
+    assert!(responses[1].body.ends_with(b"data: [DONE]\n\n"));
+    assert!(responses[3].body.starts_with(b"{"));
+    assert_eq!(responses[4].body, b"ready\n");
+}
+
+/// Guards against events that wait in a buffer for later ones.
+#[test]
+fn events_arrive_at_once() {
+    const TOKEN: Duration = Duration::from_millis(40);
+    let mut options = crate::raw::options("");
+    options.engine.token = TOKEN;
+    let cluster = demo::Cluster::start(&options).unwrap();
+    let mut stream = connect(cluster.addresses()[0]);
+    let start = Instant::now();
+    stream.write_all(&whole_chat(true)).unwrap();
+    let mut text = String::new();
+    let mut arrivals = Vec::new();
+    let mut part = [0; 4096];
+    while !text.contains("[DONE]") {
+        let len = stream.read(&mut part).unwrap();
+        assert!(len > 0);
+        text.push_str(std::str::from_utf8(&part[..len]).unwrap());
+        let events = text.matches("\"content\"").count();
+        arrivals.resize(events, start.elapsed());
+    }
+    let total = start.elapsed();
+    assert_eq!(arrivals.len(), 20);
+    assert!(arrivals[0] < total / 2, "{arrivals:?}");
+    let alone = arrivals.windows(2).filter(|it| it[1] - it[0] > TOKEN / 4).count();
+    assert!(alone >= 15, "{arrivals:?}");
+}
--- a/crates/model/src/refusal.rs
+++ b/crates/model/src/refusal.rs
@@ -21,6 +21,8 @@
     NotAllowed,
     /// No object has the requested name, or it is not among those that the organisation may see.
     UnknownName,
+    /// The path does not have this method.
+    MethodNotAllowed,
     /// The version was withdrawn.
     VersionWithdrawn,
     /// The session token is malformed, forged or of another organisation.
@@ -59,7 +61,7 @@
 
 impl Reason {
     /// All reasons, for metrics that start at zero.
-    pub const ALL: [Self; 24] = [
+    pub const ALL: [Self; 25] = [
         Self::BadRequest,
         Self::BodyTooLarge,
         Self::HeadersTooLarge,
@@ -67,6 +69,7 @@
         Self::Unauthorised,
         Self::NotAllowed,
         Self::UnknownName,
+        Self::MethodNotAllowed,
         Self::VersionWithdrawn,
         Self::SessionInvalid,
         Self::Overloaded,
@@ -96,6 +99,7 @@
             Self::Unauthorised => "unauthorised",
             Self::NotAllowed => "not_allowed",
             Self::UnknownName => "unknown_name",
+            Self::MethodNotAllowed => "method_not_allowed",
             Self::VersionWithdrawn => "version_withdrawn",
             Self::SessionInvalid => "session_invalid",
             Self::Overloaded => "overloaded",
@@ -123,6 +127,7 @@
             Self::Unauthorised => 401,
             Self::NotAllowed => 403,
             Self::UnknownName => 404,
+            Self::MethodNotAllowed => 405,
             Self::SlowRequest => 408,
             Self::VersionWithdrawn | Self::KeyClosed | Self::KeyExpired | Self::OutcomeUnknown => 409,
             Self::BodyTooLarge => 413,
--- a/crates/node/src/chat/answer.rs
+++ b/crates/node/src/chat/answer.rs
@@ -81,7 +81,10 @@
     /// The caller is gone.
     pub(crate) fn push(&mut self, text: &str) -> Result<(), Gone> {
         self.first_token.get_or_insert_with(|| self.received.elapsed());
-        if let State::Collecting(_, answer) = &mut self.state {
+        if let State::Collecting(exchange, answer) = &mut self.state {
+            if exchange.is_abandoned() {
+                return Err(Gone);
+            }
             answer.push_str(text);
             return Ok(());
         }
@@ -90,7 +93,7 @@
         Ok(())
     }
 
-    /// Checks that the caller of a streamed answer is still there.
+    /// Checks that the caller is still there.
     ///
     /// # Errors
     /// The caller is gone.
@@ -98,6 +101,7 @@
         match &mut self.state {
             State::Open(events) => Ok(events.keep_alive()?),
             // Nothing can be sent before it is known whether the request fails.
+            State::Waiting(exchange) | State::Collecting(exchange, _) if exchange.is_abandoned() => Err(Gone),
             State::Waiting(_) | State::Collecting(..) => Ok(()),
             State::Closed => Err(Gone),
         }
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -6,9 +6,8 @@
 use std::time::{Duration, Instant};
 
 use config::settings::Settings;
-use tiny_http::{ListenAddr, Server};
 
-use crate::http::{dispatch, listener};
+use crate::http::server::{self, Server};
 use crate::phase::Phase;
 use crate::ports::Ports;
 use crate::secrets::Secrets;
@@ -21,23 +20,12 @@
 /// Failure to start.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
-    /// The address for callers is not available.
-    #[error("cannot listen on {address}: {cause}")]
-    Bind {
-        /// The address.
-        address: SocketAddr,
-        /// The failure.
-        cause: std::io::Error,
-    },
-    /// The server did not start.
-    #[error("cannot start the server: {0}")]
-    Server(Box<dyn std::error::Error + Send + Sync>),
+    /// The server of the caller API did not start.
+    #[error(transparent)]
+    Server(#[from] server::Error),
     /// A thread did not start.
     #[error("cannot start a thread: {0}")]
     Thread(#[from] std::io::Error),
-    /// The settings ask for TLS, which this build does not offer.
-    #[error("this build does not offer TLS towards callers")]
-    Tls,
 }
 
 /// Whether a planned stop completed.
@@ -68,26 +56,15 @@
 /// # Errors
 /// Any [`Error`].
 pub fn spawn(mut settings: Settings, secrets: Secrets, ports: Ports) -> Result<Handle, Error> {
-    if settings.tls.is_some() {
-        return Err(Error::Tls);
-    }
-    let bind = |cause| Error::Bind {
-        address: settings.node.entry,
-        cause,
-    };
-    let listener = listener::bind(settings.node.entry).map_err(bind)?;
-    let server = Server::from_listener(listener, None).map_err(Error::Server)?;
-    let address = match server.server_addr() {
-        ListenAddr::IP(address) => address,
-        ListenAddr::Unix(_) => settings.node.entry,
-    };
+    let server = Server::bind(&settings)?;
+    let address = server.address();
     // With port 0 in the settings, entry answers name the port that was assigned.
     settings.node.entry = address;
     let shared = Arc::new(Shared::new(settings, secrets, ports));
     let threads = vec![
         thread("config-log", &shared, |it| config_log::run(it))?,
         thread("hosts", &shared, |it| hosts::run(it))?,
-        thread("dispatch", &shared, move |it| dispatch::run(it, &server))?,
+        thread("callers", &shared, move |it| server.run(it))?,
     ];
     let biller = thread("billing", &shared, |it| billing::run(it))?;
     log::info!("host {} serves callers on {address}", shared.settings.node.host);
--- a/crates/node/src/http/dispatch.rs
+++ b/crates/node/src/http/dispatch.rs
@@ -1,55 +1,27 @@
-//! Takes requests from the server and runs each on a thread of its own.
+//! Takes requests from the connections and runs each on a blocking thread.
 
+use std::fmt::Write as _;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use hyper::{Response, StatusCode};
 use model::Refusal;
 use model::refusal::Reason;
-use tiny_http::Server;
+use serde_json::json;
 
 use super::exchange::Exchange;
+use super::payload::Payload;
 use super::reply::Reply;
-use crate::phase::Phase;
 use crate::shared::Shared;
 use crate::{admin, chat, entries, models, services};
 
-/// Stack of a request thread; its frames are small and there may be thousands of threads.
-const STACK_BYTES: usize = 256 << 10;
-
-/// Interval between checks whether the node stops.
-const POLL: Duration = Duration::from_millis(100);
-
 /// When to try again after all request slots were taken.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Takes requests until the node stops.
-pub(crate) fn run(shared: &Arc<Shared>, server: &Server) {
-    while shared.phase.get() < Phase::Stopped {
-        match server.recv_timeout(POLL) {
-            Ok(Some(request)) => start(shared, Exchange::new(request)),
-            Ok(None) => {}
-            Err(err) => {
-                log::error!("the caller API accepts no more connections: {err}");
-                return;
-            }
-        }
-    }
-    refuse_rest(shared, server);
-}
-
-/// Refuses requests that arrived after the last ones were taken.
-fn refuse_rest(shared: &Shared, server: &Server) {
-    while let Ok(Some(request)) = server.try_recv() {
-        if let Some(exchange) = Exchange::new(request).droppable() {
-            refuse(shared, exchange, &Refusal::not_run(Reason::Leaving));
-        }
-    }
-}
-
 /// Counts a request as under way until it is dropped.
 #[derive(Debug)]
-struct Slot {
+pub(super) struct Slot {
     shared: Arc<Shared>,
 }
 
@@ -73,33 +45,26 @@
     }
 }
 
-fn start(shared: &Arc<Shared>, exchange: Exchange) {
+/// Hands a request to a blocking thread, or refuses it if too many are in progress.
+pub(super) fn start(shared: &Arc<Shared>, mut exchange: Exchange) {
     shared.metrics.requests.inc();
-    let Some(exchange) = exchange.droppable() else {
-        shared.metrics.abandoned.inc();
-        return;
-    };
     let Some(slot) = Slot::take(shared) else {
         let refusal = Refusal::not_run(Reason::Overloaded).retry_after(RETRY_AFTER);
         return refuse(shared, exchange, &refusal);
     };
-    let run = move || {
-        let slot = slot;
-        route(&slot.shared, exchange);
-    };
-    let thread = std::thread::Builder::new()
-        .name("request".to_owned())
-        .stack_size(STACK_BYTES);
-    if let Err(err) = thread.spawn(run) {
-        log::error!("no thread for a request: {err}");
-    }
+    exchange.hold(slot);
+    let shared = Arc::clone(shared);
+    tokio::task::spawn_blocking(move || route(&shared, exchange));
 }
 
 fn route(shared: &Arc<Shared>, exchange: Exchange) {
     if exchange.header_bytes() > shared.settings.http.max_header_bytes {
         return refuse(shared, exchange, &Refusal::not_run(Reason::HeadersTooLarge));
     }
-    let result = match (exchange.method(), exchange.path()) {
+    if !exchange.is_ascii() {
+        return refuse(shared, exchange, &Refusal::not_run(Reason::BadRequest));
+    }
+    let result = match (exchange.effective_method(), exchange.path()) {
         ("POST", "/v1/chat/completions") => return chat::serve(shared, exchange),
         (_, path) if path.starts_with(services::PREFIX) => return services::serve(shared, exchange),
         ("GET", "/v1/models") => models::list(shared, &exchange),
@@ -109,7 +74,10 @@
         ("GET", "/readyz") => Ok(admin::ready(shared)),
         ("GET", "/admin/status") => admin::status(shared, &exchange),
         ("POST", "/admin/drain") => admin::drain(shared, &exchange),
-        _ => Err(Refusal::not_run(Reason::UnknownName)),
+        (_, path) => match allowed(path) {
+            Some(methods) => return refuse_method(shared, exchange, methods),
+            None => Err(Refusal::not_run(Reason::UnknownName)),
+        },
     };
     match result {
         Ok(reply) => exchange.respond(reply),
@@ -122,3 +90,48 @@
     shared.metrics.refusal(refusal.reason);
     exchange.respond(Reply::refusal(refusal));
 }
+
+/// Methods of a path, for the header `Allow`.
+fn allowed(path: &str) -> Option<&'static str> {
+    match path {
+        "/v1/chat/completions" | "/admin/drain" => Some("POST"),
+        "/v1/models" | "/v1/entries" | "/metrics" | "/healthz" | "/readyz" | "/admin/status" => {
+            Some("GET, HEAD")
+        }
+        _ => None,
+    }
+}
+
+fn refuse_method(shared: &Shared, exchange: Exchange, methods: &str) {
+    let refusal = Refusal::not_run(Reason::MethodNotAllowed);
+    shared.metrics.refusal(refusal.reason);
+    exchange.respond(Reply::refusal(&refusal).header("Allow", methods.to_owned()));
+}
+
+/// The response to a request whose thread ended without an answer.
+pub(super) fn unanswered() -> Response<Payload> {
+    let error = json!({
+        "code": "internal",
+        "message": "the request was given up (ran: unknown)",
+        "ran": "unknown",
+    });
+    let body = json!({ "error": error }).to_string().into_bytes();
+    let mut response = Response::new(Payload::whole(body, None));
+    *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+    response
+}
+
+/// A reply as it is sent on a connection that no HTTP library serves.
+pub(super) fn bytes(reply: &Reply) -> Vec<u8> {
+    let mut head = format!(
+        "HTTP/1.1 {}\r\nContent-Length: {}\r\n",
+        reply.status,
+        reply.body.len()
+    );
+    for (name, value) in &reply.headers {
+        // Writing to a string does not fail.
+        write!(head, "{name}: {value}\r\n").ok();
+    }
+    head.push_str("\r\n");
+    [head.as_bytes(), &reply.body].concat()
+}
--- a/crates/node/src/http/exchange.rs
+++ b/crates/node/src/http/exchange.rs
@@ -1,102 +1,146 @@
 //! A request of a caller, until it is answered.
 
-use tiny_http::{Header, Request, Response};
+use std::io::{ErrorKind, Result};
+use std::net::SocketAddr;
+use std::sync::Arc;
 
-use super::events::Events;
-use super::reply::Reply;
+use hyper::body::Incoming;
+use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{Method, Request, Response, StatusCode};
+use tokio::runtime::Handle;
+use tokio::sync::{mpsc, oneshot};
 
-/// Length from which a declared body must not be dropped.
-///
-/// On drop, the HTTP library allocates a buffer as long as the unread rest of the body, and a failed allocation ends
-/// the process: one request that declares 100 TB did so. The settings allow bodies up to this length.
-const MAX_DROPPED_BYTES: usize = 1 << 30;
+use super::dispatch::Slot;
+use super::events::{Events, MAX_WAITING};
+use super::payload::Payload;
+use super::reply::Reply;
 
 /// A request that has not been answered.
 #[derive(Debug)]
 pub(crate) struct Exchange {
-    request: Request,
+    head: Parts,
+    body: Incoming,
+    peer: SocketAddr,
+    response: oneshot::Sender<Response<Payload>>,
+    runtime: Handle,
+    slot: Option<Arc<Slot>>,
 }
 
 impl Exchange {
-    /// Wraps a request.
-    pub(crate) fn new(request: Request) -> Self {
-        Self { request }
+    /// Wraps a request; must be called on the runtime of the connections.
+    pub(super) fn new(
+        request: Request<Incoming>,
+        peer: SocketAddr,
+        response: oneshot::Sender<Response<Payload>>,
+    ) -> Self {
+        let (head, body) = request.into_parts();
+        Self {
+            head,
+            body,
+            peer,
+            response,
+            runtime: Handle::current(),
+            slot: None,
+        }
     }
 
-    /// Gives up a request whose declared body is absurdly long, and returns any other.
-    ///
-    /// Its connection is leaked, because neither an answer nor a plain drop is safe.
-    pub(crate) fn droppable(self) -> Option<Self> {
-        if self
-            .request
-            .body_length()
-            .is_none_or(|it| it <= MAX_DROPPED_BYTES)
-        {
-            return Some(self);
-        }
-        std::mem::forget(self);
-        None
+    /// Keeps the request among those in progress until its answer has been sent.
+    pub(super) fn hold(&mut self, slot: Slot) {
+        self.slot = Some(Arc::new(slot));
     }
 
     /// Method in capitals.
     pub(crate) fn method(&self) -> &str {
-        self.request.method().as_str()
+        self.head.method.as_str()
+    }
+
+    /// Method of which the answer has the headers: `GET` for `HEAD`.
+    ///
+    /// The HTTP library leaves out the body of an answer to `HEAD`.
+    pub(super) fn effective_method(&self) -> &str {
+        match self.head.method {
+            Method::HEAD => "GET",
+            _ => self.method(),
+        }
     }
 
     /// Path without the query.
     pub(crate) fn path(&self) -> &str {
-        let url = self.url();
-        url.split_once('?').map_or(url, |(path, _)| path)
+        self.head.uri.path()
     }
 
     /// Path with the query.
     pub(crate) fn url(&self) -> &str {
-        self.request.url()
+        let url = self.head.uri.path_and_query();
+        url.map_or_else(|| self.path(), |it| it.as_str())
     }
 
     /// Value of the first header with this name.
     pub(crate) fn header(&self, name: &'static str) -> Option<&str> {
-        let header = self.request.headers().iter().find(|it| it.field.equiv(name));
-        header.map(|it| it.value.as_str())
+        self.head.headers.get(name)?.to_str().ok()
+    }
+
+    /// Whether all header values are visible ASCII; others could not be told from absent ones.
+    pub(super) fn is_ascii(&self) -> bool {
+        self.head.headers.values().all(|it| it.to_str().is_ok())
     }
 
     /// Size of the request target and all headers in bytes.
     pub(crate) fn header_bytes(&self) -> usize {
-        let headers = self.request.headers().iter();
-        let sizes = headers.map(|it| it.field.as_str().as_str().len() + it.value.len());
+        let headers = self.head.headers.iter();
+        let sizes = headers.map(|(name, value)| name.as_str().len() + value.len());
         self.url().len() + sizes.sum::<usize>()
     }
 
     /// Whether the caller runs on this host.
     pub(crate) fn is_loopback(&self) -> bool {
-        self.request.remote_addr().is_some_and(|it| it.ip().is_loopback())
+        self.peer.ip().is_loopback()
     }
 
-    /// The underlying request, for reading its body.
-    pub(super) fn request(&mut self) -> &mut Request {
-        &mut self.request
+    /// Whether the caller disconnected before it was answered.
+    pub(crate) fn is_abandoned(&self) -> bool {
+        self.response.is_closed()
+    }
+
+    /// The body of the request and the runtime on which to read it.
+    pub(super) fn body(&mut self) -> (&mut Incoming, &Handle) {
+        (&mut self.body, &self.runtime)
     }
 
     /// Sends a complete response.
     pub(crate) fn respond(self, reply: Reply) {
-        let headers = reply
-            .headers
-            .iter()
-            .filter_map(|(name, value)| Header::from_bytes(name.as_bytes(), value.as_bytes()).ok());
-        let mut response = Response::from_data(reply.body).with_status_code(reply.status);
-        for header in headers {
-            response.add_header(header);
-        }
+        let mut response = Response::new(Payload::whole(reply.body, self.slot));
+        *response.status_mut() =
+            StatusCode::from_u16(reply.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        insert(response.headers_mut(), &reply.headers);
         // A caller that has gone needs no answer.
-        self.request.respond(response).ok();
+        self.response.send(response).ok();
     }
 
     /// Starts a response of server-sent events.
     ///
     /// # Errors
     /// The caller has gone.
-    pub(crate) fn stream(self, headers: &[(&'static str, String)]) -> std::io::Result<Events> {
-        let version = self.request.http_version().clone();
-        Events::start(self.request.into_writer(), &version, headers)
+    pub(crate) fn stream(self, headers: &[(&'static str, String)]) -> Result<Events> {
+        let (sender, parts) = mpsc::channel(MAX_WAITING);
+        let mut response = Response::new(Payload::stream(parts, self.slot));
+        let map = response.headers_mut();
+        map.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+        map.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+        insert(map, headers);
+        let sent = self.response.send(response);
+        sent.map_err(|_| std::io::Error::from(ErrorKind::BrokenPipe))?;
+        Ok(Events::new(sender))
+    }
+}
+
+/// Adds headers; values that HTTP does not allow are left out.
+fn insert(map: &mut HeaderMap, headers: &[(&'static str, String)]) {
+    for (name, value) in headers {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
+            map.insert(name, value);
+        }
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,8 +1,8 @@
 //! The entry node: threads that connect the caller API, the engines, the configuration log and billing.
 //!
 //! [`spawn`] starts a node and returns its [`Handle`]. Decisions belong to the other crates; this crate owns sockets,
-//! threads and clocks. Each request runs on a thread of its own, and each attempt on an engine adds a reader thread,
-//! so that a silent engine never blocks the thread that talks to the caller.
+//! threads and clocks. Each request runs on one of a bounded number of blocking threads, and each attempt on an engine
+//! adds a reader thread, so that a silent engine never blocks the thread that talks to the caller.
 
 mod admin;
 mod auth;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -61,8 +61,18 @@
     retries: Family<Label, Counter>,
     /// Requests received.
     pub requests: Counter,
-    /// Connections given up because of an absurd declared body length.
-    pub abandoned: Counter,
+    /// Open connections of callers.
+    pub connections: Gauge,
+    /// Connections over the bound.
+    pub connections_refused: Counter,
+    /// Connections that could not be accepted.
+    pub accept_failures: Counter,
+    /// TLS handshakes that failed or took too long.
+    pub tls_handshake_failures: Counter,
+    /// Certificates taken over from changed files.
+    pub tls_renewals: Counter,
+    /// Changed certificate files that were not usable.
+    pub tls_renewal_failures: Counter,
     /// Requests under way.
     pub open: Gauge,
     /// Tokens delivered to callers.
@@ -99,7 +109,12 @@
             refusals: Family::default(),
             retries: Family::default(),
             requests: Counter::default(),
-            abandoned: Counter::default(),
+            connections: Gauge::default(),
+            connections_refused: Counter::default(),
+            accept_failures: Counter::default(),
+            tls_handshake_failures: Counter::default(),
+            tls_renewals: Counter::default(),
+            tls_renewal_failures: Counter::default(),
             open: Gauge::default(),
             tokens: Counter::default(),
             disconnects: Counter::default(),
@@ -148,10 +163,23 @@
         registry.register("refusals", "Refused requests by reason", self.refusals.clone());
         registry.register("retries", "Repeated attempts by reason", self.retries.clone());
         registry.register("requests", "Requests received", self.requests.clone());
+        registry.register("connections", "Open connections", self.connections.clone());
         registry.register(
-            "abandoned_connections",
-            "Connections given up",
-            self.abandoned.clone(),
+            "connections_refused",
+            "Connections over the bound",
+            self.connections_refused.clone(),
+        );
+        registry.register("accept_failures", "Failed accepts", self.accept_failures.clone());
+        registry.register(
+            "tls_handshake_failures",
+            "Failed TLS handshakes",
+            self.tls_handshake_failures.clone(),
+        );
+        registry.register("tls_renewals", "Renewed certificates", self.tls_renewals.clone());
+        registry.register(
+            "tls_renewal_failures",
+            "Faulty new certificates",
+            self.tls_renewal_failures.clone(),
         );
         registry.register("open_requests", "Requests under way", self.open.clone());
         registry.register("tokens", "Tokens delivered to callers", self.tokens.clone());
