--- a/crates/ctl/src/publish.rs
+++ b/crates/ctl/src/publish.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use config::fold::Verdict;
-use config::record::{Change, Id, Outcome, Proposal, Record, parse_key};
+use config::publish::{Outcome, Publisher, Reply, Step};
+use config::record::{Change, Id, Proposal, Record, parse_key};
 use model::object::Key;
 use model::{Offset, Revision};
 use platform::log;
@@ -19,7 +20,8 @@
 use crate::journal::Journal;
 use crate::output::{self, Format};
 
-const READ_BACK_INTERVAL: Duration = Duration::from_millis(200);
+const READ_BACK_INTERVAL: Duration = Duration::from_millis(100);
+const RETRY_INTERVAL: Duration = Duration::from_millis(500);
 const DEFAULT_WAIT: Duration = Duration::from_secs(30);
 
 /// The command `publish`.
@@ -76,76 +78,65 @@
 fn submit(journal: &mut Journal, proposal: Proposal, wait: Duration, format: Format) -> Result<(), Failure> {
     judge(journal.state().preview(&proposal))?;
     let id = proposal.id;
-    let payload = Record::Proposal(proposal).to_bytes();
-    let deadline = Instant::now() + wait;
-    let mut appended = Appended::No;
+    let mut publisher = Publisher::new(proposal, Duration::ZERO, wait, RETRY_INTERVAL);
+    let revision = run_publisher(journal, &mut publisher, id)?;
+    let result = json!({"published": true, "revision": revision, "proposal": id.to_string()});
+    output::print(&result, format, |_| {
+        vec![format!("in force from revision {revision}")]
+    });
+    Ok(())
+}
+
+/// Carries out the publisher's steps; returns the revision from which the proposal is in force.
+fn run_publisher(journal: &mut Journal, publisher: &mut Publisher, id: Id) -> Result<Revision, Failure> {
+    let start = Instant::now();
+    let mut confirmed = None;
+    let mut revision = journal.state().revision();
     loop {
-        // Reading before each append finds a proposal of which only the reply was lost.
-        if let Some((offset, verdict)) = find(journal, id, &appended)? {
-            judge(verdict)?;
-            let result = json!({"published": true, "revision": offset + 1, "proposal": id.to_string()});
-            output::print(&result, format, |_| {
-                vec![format!("in force from revision {}", offset + 1)]
-            });
-            return Ok(());
-        }
-        if Instant::now() >= deadline {
-            return Err(appended.expired());
+        match publisher.step(journal.state(), confirmed, start.elapsed()) {
+            Step::Append(payload) => publisher.replied(reply(&journal.append(payload)), start.elapsed()),
+            Step::Wait => thread::sleep(READ_BACK_INTERVAL),
+            Step::Done(Outcome::Accepted) => return Ok(revision),
+            Step::Done(outcome) => return Err(refused(outcome)),
         }
-        if appended != Appended::Yes {
-            appended = appended.after(journal.append(payload.clone()));
+        let asked = start.elapsed();
+        // A failed read tells nothing; the publisher's deadline ends the wait.
+        let Ok(steps) = journal.advance() else {
+            continue;
+        };
+        confirmed = Some(asked);
+        for step in steps {
+            if matches!(&step.record, Some(Record::Proposal(it)) if it.id == id) {
+                revision = step.offset + 1;
+                publisher.folded(id, &step.verdict);
+            }
         }
-        thread::sleep(READ_BACK_INTERVAL);
     }
 }
 
-/// What is known about the proposal's place in the log.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Appended {
-    No,
-    Unknown,
-    Yes,
-}
-
-impl Appended {
-    /// A failed append does not undo an earlier one whose reply was lost.
-    fn after(self, reply: Result<Offset, log::Error>) -> Self {
-        match (self, reply) {
-            (_, Ok(_)) => Self::Yes,
-            (Self::No, Err(log::Error::Unavailable)) => Self::No,
-            _ => Self::Unknown,
-        }
-    }
-
-    fn expired(self) -> Failure {
-        match self {
-            Self::No => Failure::Append,
-            Self::Unknown | Self::Yes => Failure::Unknown,
-        }
+fn reply(result: &Result<Offset, log::Error>) -> Reply {
+    match result {
+        Ok(_) => Reply::Appended,
+        Err(log::Error::Unavailable) => Reply::Unavailable,
+        Err(log::Error::NoReply | log::Error::Malformed) => Reply::NoReply,
     }
 }
 
-/// Folds new records and looks for the proposal; the log may be away while the append's fate is open.
-fn find(journal: &mut Journal, id: Id, appended: &Appended) -> Result<Option<(Offset, Verdict)>, Failure> {
-    let steps = match journal.advance() {
-        Ok(steps) => steps,
-        Err(Failure::Read(_)) if *appended != Appended::No => return Ok(None),
-        Err(failure) => return Err(failure),
-    };
-    let own = |record: &Option<Record>| matches!(record, Some(Record::Proposal(it)) if it.id == id);
-    Ok(steps
-        .into_iter()
-        .find(|it| own(&it.record))
-        .map(|it| (it.offset, it.verdict)))
+fn refused(outcome: Outcome) -> Failure {
+    match outcome {
+        Outcome::Conflict(keys) => Failure::Conflict(keys),
+        Outcome::Invalid(faults) => Failure::Faults(faults),
+        Outcome::NotPublished => Failure::Append,
+        Outcome::Accepted | Outcome::Unknown => Failure::Unknown,
+    }
 }
 
+/// Refuses a proposal that the fold would refuse, before anything is appended.
 fn judge(verdict: Verdict) -> Result<(), Failure> {
     match verdict {
-        Verdict::Accepted | Verdict::Repeated(Outcome::Accepted) => Ok(()),
         Verdict::Conflict(keys) => Err(Failure::Conflict(keys)),
         Verdict::Invalid(faults) => Err(Failure::Faults(faults)),
-        Verdict::Repeated(outcome) => Err(Failure::Refused(outcome)),
-        Verdict::Snapshot | Verdict::Malformed | Verdict::Skipped | Verdict::Gap => Err(Failure::Unknown),
+        _ => Ok(()),
     }
 }
 
