demo: test that strangers are refused on the ports between nodes

Cause: the check of tags was tested apart from the running service only.

Change: a datagram and calls without or with a wrong tag go to a running node, which refuses and counts them. Handle::peer_address names its port.

--- a/crates/demo/tests/nodes.rs
+++ b/crates/demo/tests/nodes.rs
@@ -132,3 +132,38 @@
     assert_eq!(stopping.join().unwrap(), Stopped::Complete);
     assert!(chat(addresses[1], KEY, "small", &[]).complete);
 }
+
+/// Guards against strangers who reach the ports between nodes and bill, book or join the fleet.
+#[test]
+fn strangers_are_refused_between_nodes() {
+    let cluster = start();
+    let node = &cluster.nodes[0];
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket
+        .send_to(b"no datagram of a node", node.gossip_address())
+        .unwrap();
+    let address = node.address();
+    let rejected = || metric(address, "gossip_rejected_total") == 1.0;
+    wait("rejected datagram", Duration::from_secs(5), rejected);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let peer = format!("http://{}", node.peer_address());
+    for tag in [None, Some("00")] {
+        let mut request = tonic::Request::new(wire::peer::ExecuteRequest::default());
+        if let Some(tag) = tag {
+            request
+                .metadata_mut()
+                .insert("x-cluster-tag", tag.parse().unwrap());
+        }
+        let status = runtime.block_on(async {
+            let mut client = wire::peer::peer_client::PeerClient::connect(peer.clone())
+                .await
+                .unwrap();
+            client.execute(request).await.unwrap_err()
+        });
+        assert_eq!(status.code(), tonic::Code::Unauthenticated, "{status}");
+    }
+    assert_eq!(metric(address, "peer_calls_rejected_total"), 2.0);
+}
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -149,6 +149,11 @@
         self.shared.phase.get() >= Phase::Leaving
     }
 
+    /// Address for calls of other nodes.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.shared.settings.node.peer
+    }
+
     /// Address for membership datagrams.
     pub fn gossip_address(&self) -> SocketAddr {
         self.shared.settings.node.gossip
