--- a/crates/load/src/capacity.rs
+++ b/crates/load/src/capacity.rs
@@ -13,6 +13,7 @@
 pub mod keys;
 mod line;
 mod measure;
+pub mod members;
 pub mod polling;
 
 pub use line::{Line, Resource, Scope};
@@ -42,12 +43,18 @@
 /// Measures all mechanisms.
 pub fn run(seed: u64) -> Report {
     // Memory comes first, because memory that other measurements freed would be reused and hide the growth.
-    let mut lines = vec![balancing::list_memory(), balancing::pool_memory(), keys::memory()];
+    let mut lines = vec![
+        members::memory(),
+        balancing::list_memory(),
+        balancing::pool_memory(),
+        keys::memory(),
+    ];
     lines.extend([
         configuration::memory(),
         billing::memory(),
         balancing::index_memory(),
     ]);
+    lines.extend(members::rates());
     lines.extend(configuration::rates());
     lines.extend(billing::rates());
     lines.push(keys::time());
@@ -63,9 +70,12 @@
         seed,
         targets: Resource::ALL.into_iter().map(|it| target(it, lines)).collect(),
         table: table(lines),
-        x_label: "organisations".to_owned(),
-        y_label: "microseconds per configuration change".to_owned(),
-        series: configuration::series(),
+        x_label: "organisations, or nodes".to_owned(),
+        y_label: "microseconds per configuration change, or bytes a second".to_owned(),
+        series: configuration::series()
+            .into_iter()
+            .chain([members::series()])
+            .collect(),
     }
 }
 
--- a/crates/load/src/capacity/configuration.rs
+++ b/crates/load/src/capacity/configuration.rs
@@ -60,11 +60,11 @@
     };
     vec![
         Series {
-            name: "fold".to_owned(),
+            name: "fold: µs against organisations".to_owned(),
             points: points(fold_seconds),
         },
         Series {
-            name: "lookup".to_owned(),
+            name: "lookup: µs against organisations".to_owned(),
             points: points(view_seconds),
         },
     ]
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -29,5 +29,6 @@
 mod upstreams;
 
 pub use handle::{Error, Handle, Stopped, spawn};
+pub use peers::convert::datagram_bytes;
 pub use ports::Ports;
 pub use secrets::Secrets;
--- a/crates/node/src/peers/convert.rs
+++ b/crates/node/src/peers/convert.rs
@@ -8,8 +8,11 @@
 use membership::{Addresses, Body, Datagram, Member, Readiness, State, Version};
 use model::refusal::Reason;
 use model::{Incarnation, Ran, Refusal};
+use prost::Message;
 use wire::peer;
 
+use super::auth::TAG_LEN;
+
 /// Bytes of an incarnation.
 pub(crate) fn incarnation_bytes(incarnation: Incarnation) -> Vec<u8> {
     incarnation.bits().to_be_bytes().to_vec()
@@ -21,6 +24,11 @@
     Some(Incarnation::from_bits(bits))
 }
 
+/// Length of a datagram as it is sent, the authentication tag included, the headers of IP and UDP not.
+pub fn datagram_bytes(datagram: &Datagram) -> usize {
+    datagram_message(datagram, u32::MAX >> 16).encoded_len() + TAG_LEN
+}
+
 /// Message of a datagram; `epoch` is the sender's.
 pub(crate) fn datagram_message(datagram: &Datagram, epoch: u32) -> peer::Datagram {
     let body = match datagram.body.clone() {
