node: choose engines and service instances through policy::pool

Cause: the node took the upstream with the least own work, retried up to three times without a budget, and had no admission, fair queueing, limits or hedging.

Change: one policy::pool::Pool for each pool of the configuration (`upstreams`). Request threads report events; the actions reach the requests concerned through mailboxes. A timer thread ticks the pools every 5 ms. `polling` reads load reports, and cache events once prompts fill a block, with four threads and at most 20 reads a second whatever the size of the fleet. `dispatch_call` runs calls to plain services through the same pools. A stream that goes silent tells the other requests of its pool; those without progress for half of the progress time-out on that upstream move. The engine port names the blocks of a prompt, as only the adapter knows how an engine hashes them.

Faults corrected in `policy`: a new pool had no retry allowance at all, so a node that had just started failed each request whose first attempt failed until ten others had been sent (two end-to-end tests showed it); it now starts with five. A request that every engine of the pool had had waited until its deadline; it is refused at once. A waiting retry without a place held up the retries behind it; they no longer wait for it.

--- a/crates/node/src/chat.rs
+++ b/crates/node/src/chat.rs
@@ -10,6 +10,7 @@
 
 use crate::billing::Record;
 use crate::engine::generation::{self, Job, Outcome};
+use crate::engine::sink::Sink;
 use crate::http::dispatch::refuse;
 use crate::http::exchange::Exchange;
 use crate::http::{body, gate};
@@ -23,9 +24,6 @@
 use answer::{Answer, Head};
 use request::Request;
 
-/// Rough length of a token in bytes, used only to bill a prompt whose engine was cancelled before it reported usage.
-const BYTES_PER_TOKEN: usize = 4;
-
 /// An admitted request.
 struct Admitted {
     tenant: Arc<Tenant>,
@@ -51,7 +49,7 @@
         session: admitted.session.clone(),
     };
     let mut answer = Answer::new(exchange, head, admitted.request.delivery, received);
-    match generation::run(shared, &admitted.job, &mut answer) {
+    match generation::run(shared, &admitted.job, &mut Sink::Caller(&mut answer)) {
         Outcome::Complete(usage) => {
             bill(shared, &admitted, usage);
             finish(shared, answer, usage);
@@ -91,6 +89,8 @@
         billing_key,
         job: Job {
             id,
+            organisation: tenant.name().clone(),
+            weight: tenant.organisation.weight,
             version: Version::clone(&version),
             messages: request.messages.clone(),
             max_tokens: request.max_tokens,
@@ -161,9 +161,8 @@
 
 /// Usage of an answer that its caller cut off.
 fn partial(admitted: &Admitted, output: Tokens) -> Usage {
-    let bytes: usize = admitted.job.messages.iter().map(|it| it.content.len()).sum();
     Usage {
-        input: Tokens::try_from(bytes.div_ceil(BYTES_PER_TOKEN)).unwrap_or(Tokens::MAX),
+        input: admitted.job.prompt_tokens(),
         cached: 0,
         output,
     }
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -2,3 +2,4 @@
 
 pub(crate) mod attempt;
 pub(crate) mod generation;
+pub(crate) mod sink;
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -13,7 +13,7 @@
 use crate::ports::Ports;
 use crate::secrets::Secrets;
 use crate::shared::Shared;
-use crate::{billing, config_log, hosts};
+use crate::{billing, config_log, hosts, polling, timer};
 
 /// Interval of the checks during a planned stop.
 const POLL: Duration = Duration::from_millis(20);
@@ -87,6 +87,8 @@
     let threads = vec![
         thread("config-log", &shared, |it| config_log::run(it))?,
         thread("hosts", &shared, |it| hosts::run(it))?,
+        thread("timer", &shared, |it| timer::run(it))?,
+        thread("polling", &shared, |it| polling::run(it))?,
         thread("dispatch", &shared, move |it| dispatch::run(it, &server))?,
     ];
     let biller = thread("billing", &shared, |it| billing::run(it))?;
--- a/crates/node/src/hosts.rs
+++ b/crates/node/src/hosts.rs
@@ -12,7 +12,7 @@
 pub(crate) fn run(shared: &Shared) {
     while shared.phase.get() < Phase::Stopped {
         match shared.ports.hosts.list() {
-            Ok(entries) => shared.upstreams.update(&entries),
+            Ok(entries) => shared.upstreams.update(entries, &shared.catalog.view()),
             Err(_) => {
                 shared.metrics.hosts_read_failures.inc();
             }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -83,6 +83,12 @@
     pub config_log_behind: Counter,
     /// Failed reads of the host list.
     pub hosts_read_failures: Counter,
+    /// Failed reads of load reports and cache events.
+    pub report_failures: Counter,
+    /// Second attempts started beside a first one without an answer.
+    pub hedges: Counter,
+    /// Streams moved because another stream on the same upstream went silent.
+    pub moved_streams: Counter,
     /// Billing records that are not in the log yet.
     pub billing_unsettled: Gauge,
     /// Answers released before their billing record was replicated.
@@ -110,6 +116,9 @@
             config_read_failures: Counter::default(),
             config_log_behind: Counter::default(),
             hosts_read_failures: Counter::default(),
+            report_failures: Counter::default(),
+            hedges: Counter::default(),
+            moved_streams: Counter::default(),
             billing_unsettled: Gauge::default(),
             billing_underreplicated: Counter::default(),
             billing_append_failures: Counter::default(),
@@ -195,6 +204,21 @@
             "Failed reads of the host list",
             self.hosts_read_failures.clone(),
         );
+        registry.register(
+            "report_failures",
+            "Failed reads of load reports and cache events",
+            self.report_failures.clone(),
+        );
+        registry.register(
+            "hedges",
+            "Second attempts beside a first one without an answer",
+            self.hedges.clone(),
+        );
+        registry.register(
+            "moved_streams",
+            "Streams moved because another one on the same upstream went silent",
+            self.moved_streams.clone(),
+        );
         registry.register(
             "billing_unsettled",
             "Billing records not in the log yet",
--- a/crates/node/src/services.rs
+++ b/crates/node/src/services.rs
@@ -1,36 +1,49 @@
 //! `/v1/services/NAME/...`: calls to plain services.
 
+use std::sync::Arc;
 use std::time::Instant;
 
+use config::view::Tenant;
 use model::object::service::Repeat;
 use model::refusal::Reason;
 use model::{Class, Name, Refusal};
-use platform::service::{Call, Error, Reply as ServiceReply};
+use platform::service::Call;
 
+use crate::dispatch_call::{self, Plain};
 use crate::http::dispatch::refuse;
 use crate::http::exchange::Exchange;
 use crate::http::reply::Reply;
 use crate::http::{body, gate};
-use crate::metrics::Retry;
 use crate::shared::Shared;
 
 /// Path prefix of all services.
 pub(crate) const PREFIX: &str = "/v1/services/";
 
-/// Greatest number of attempts.
-const MAX_ATTEMPTS: usize = 3;
-
 /// An admitted call.
 struct Admitted {
+    tenant: Arc<Tenant>,
     pool: Name,
     repeat: Repeat,
     deadline: Instant,
     call: Call,
 }
 
+impl Admitted {
+    fn plain(&self) -> Plain<'_> {
+        Plain {
+            pool: &self.pool,
+            organisation: self.tenant.name(),
+            weight: self.tenant.organisation.weight,
+            repeat: self.repeat,
+            deadline: self.deadline,
+            call: &self.call,
+        }
+    }
+}
+
 /// Answers one call.
 pub(crate) fn serve(shared: &Shared, mut exchange: Exchange) {
-    let result = admit(shared, &mut exchange).and_then(|it| run(shared, &it));
+    let result = admit(shared, &mut exchange).and_then(|it| dispatch_call::run(shared, &it.plain()));
     match result {
         Ok(it) => exchange.respond(Reply::new(it.status, &it.content_type, it.body)),
         Err(refusal) => refuse(shared, exchange, &refusal),
@@ -54,6 +67,7 @@
     let body = body::read(exchange, &shared.settings.http)?;
     let timeouts = &shared.settings.upstream;
     Ok(Admitted {
+        tenant,
         pool: found.service.pool.clone(),
         repeat: found.call.repeat,
         deadline,
@@ -68,48 +82,3 @@
         },
     })
 }
-
-/// Sends the call; again only if it is idempotent or provably did not run.
-fn run(shared: &Shared, admitted: &Admitted) -> Result<ServiceReply, Refusal> {
-    let mut tried = Vec::new();
-    let mut rng = shared.rng();
-    let mut refusal = Refusal::not_run(Reason::NoUpstream);
-    while tried.len() < MAX_ATTEMPTS {
-        let Some(left) = admitted.deadline.checked_duration_since(Instant::now()) else {
-            return Err(Refusal {
-                reason: Reason::DeadlineExceeded,
-                ..refusal
-            });
-        };
-        let Some(assignment) = shared
-            .upstreams
-            .choose(&admitted.pool, &tried, shared.now(), &mut rng)
-        else {
-            return Err(refusal);
-        };
-        let upstream = &assignment.upstream;
-        let mut call = admitted.call.clone();
-        call.timeout = call.timeout.min(left);
-        let err = match shared.ports.services.call(upstream.address, &call) {
-            Ok(reply) => return Ok(reply),
-            Err(err) => err,
-        };
-        match (&err, admitted.repeat) {
-            (Error::Unknown, Repeat::NonIdempotent) => {
-                return Err(Refusal::unknown(Reason::OutcomeUnknown));
-            }
-            (Error::Unknown, Repeat::Idempotent) => {
-                refusal = Refusal::unknown(Reason::UpstreamFailed);
-                shared.metrics.retry(Retry::Broken);
-                upstream.eject(shared.now());
-            }
-            (Error::Connect, _) => {
-                shared.metrics.retry(Retry::Connect);
-                upstream.eject(shared.now());
-            }
-            (Error::NotRun, _) => shared.metrics.retry(Retry::Refused),
-        }
-        tried.push(upstream.name.clone());
-    }
-    Err(refusal)
-}
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -7,6 +7,7 @@
 use config::settings::Settings;
 use config::view::{KeyHash, hash_key};
 use model::Incarnation;
+use policy::balance::Place;
 use rand::rngs::{OsRng, SmallRng};
 use rand::{Rng, SeedableRng, TryRngCore};
 
@@ -51,11 +52,16 @@
         let session_keys = [Some(secrets.session), secrets.previous_session];
         let session_keys = session_keys.into_iter().flatten().collect();
         let incarnation = Incarnation::from_bits(OsRng.unwrap_err().random());
+        let start = Instant::now();
+        let place = Place {
+            name: settings.node.host.clone(),
+            domain: settings.node.failure_domain.clone(),
+        };
         Self {
             sessions: Keys::new(session_keys),
             admin_key: secrets.admin.as_deref().map(hash_key),
             biller: Biller::new(incarnation, &settings.billing),
-            upstreams: Directory::new(settings.node.failure_domain.clone()),
+            upstreams: Directory::new(place, ports.engines.block_tokens(), start),
             settings,
             ports,
             incarnation,
@@ -64,7 +70,7 @@
             phase: Cell::default(),
             open: AtomicUsize::new(0),
             named_at: Mutex::new(None),
-            start: Instant::now(),
+            start,
             next_request: AtomicU64::new(0),
             next_seed: AtomicU64::new(OsRng.unwrap_err().random()),
         }
--- a/crates/node/src/upstreams.rs
+++ b/crates/node/src/upstreams.rs
@@ -1,168 +1,173 @@
-//! Upstreams by pool, read from the host list, and the choice among them.
+//! Pools of upstreams: one [`Group`] for each pool of the configuration, fed from the host list.
 //!
-//! The set of pools is replaced as a whole, so that a request takes the lock only to copy a pointer. What a node
-//! learns itself about an upstream (work under way, failures, its own leaving refusal) survives a replacement.
+//! The table of groups is replaced as a whole, so that a request takes the lock only to copy a pointer.
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
-use model::{Domain, Name};
+use config::view::View;
+use model::{Name, Tokens};
 use platform::hosts::{Entry, State};
-use rand::Rng;
-use rand::rngs::SmallRng;
+use policy::balance::Place;
+use policy::pool::{Host, HostState, Settings};
 
-/// Time for which a failing upstream receives no work while others are available.
-const EJECTION: Duration = Duration::from_secs(2);
+pub(crate) mod call;
+pub(crate) mod group;
+pub(crate) mod outcome;
 
-type Pools = BTreeMap<Name, Vec<Arc<Upstream>>>;
+use group::Group;
 
-/// An upstream as this node sees it.
-#[derive(Debug)]
-pub(crate) struct Upstream {
-    /// Name.
-    pub name: model::Upstream,
-    /// Where it accepts requests.
-    pub address: SocketAddr,
-    /// Failure domain.
-    pub domain: Domain,
-    leaving: AtomicBool,
-    under_way: AtomicU32,
-    /// End of its ejection in milliseconds since the node's start.
-    ejected_until: AtomicU64,
-}
+/// Pool of the entry hosts in the host list.
+const ENTRY_POOL: &str = "entry";
 
-impl Upstream {
-    fn new(entry: &Entry) -> Self {
-        Self {
-            name: entry.name.clone(),
-            address: entry.address,
-            domain: entry.domain.clone(),
-            leaving: AtomicBool::new(false),
-            under_way: AtomicU32::new(0),
-            ejected_until: AtomicU64::new(0),
-        }
-    }
+/// Interval at which an unchanged list is applied again, because a leaving sign that the list contradicts expires.
+/// The choice of the subset takes time in proportion to the fleet, so it is not repeated at each read of the list.
+const REFRESH: Duration = Duration::from_secs(20);
 
-    /// Excludes the upstream from now on; its own refusal is a sign that counts before the host list's.
-    pub(crate) fn set_leaving(&self) {
-        self.leaving.store(true, Ordering::Relaxed);
-    }
+type Groups = HashMap<Name, Arc<Group>>;
 
-    /// Avoids the upstream for [`EJECTION`].
-    pub(crate) fn eject(&self, now: Duration) {
-        self.ejected_until
-            .store(millis(now + EJECTION), Ordering::Relaxed);
-    }
-
-    fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
-    }
-
-    fn is_ejected(&self, now: Duration) -> bool {
-        millis(now) < self.ejected_until.load(Ordering::Relaxed)
-    }
+/// Groups and the host list that they were built from.
+#[derive(Debug, Default)]
+struct Known {
+    groups: Arc<Groups>,
+    entries: Arc<Vec<Entry>>,
+    applied: Option<Instant>,
 }
 
-/// Counts one request as under way on an upstream until it is dropped.
-#[derive(Debug)]
-pub(crate) struct Assignment {
-    /// The chosen upstream.
-    pub upstream: Arc<Upstream>,
-}
-
-impl Assignment {
-    fn new(upstream: Arc<Upstream>) -> Self {
-        upstream.under_way.fetch_add(1, Ordering::Relaxed);
-        Self { upstream }
-    }
-}
-
-impl Drop for Assignment {
-    fn drop(&mut self) {
-        self.upstream.under_way.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// All upstreams that the host list names.
+/// All pools that the configuration names.
 #[derive(Debug)]
 pub(crate) struct Directory {
-    domain: Domain,
-    pools: Mutex<Arc<Pools>>,
+    node: Place<Name>,
+    block_tokens: Tokens,
+    start: Instant,
+    known: Mutex<Known>,
 }
 
 impl Directory {
-    /// An empty directory of a node in `domain`.
-    pub(crate) fn new(domain: Domain) -> Self {
+    /// An empty directory; `start` is the zero of the node's clock.
+    pub(crate) fn new(node: Place<Name>, block_tokens: Tokens, start: Instant) -> Self {
         Self {
-            domain,
-            pools: Mutex::default(),
+            node,
+            block_tokens,
+            start,
+            known: Mutex::default(),
+        }
+    }
+
+    /// Takes over a new host list and the pools of a configuration.
+    ///
+    /// A group whose pool left the configuration goes on until its last request has ended.
+    pub(crate) fn update(&self, entries: Vec<Entry>, view: &View) {
+        let mut known = self.lock();
+        let recent = known.applied.is_some_and(|it| it.elapsed() < REFRESH);
+        let complete = view.pools().all(|it| known.groups.contains_key(&it.name));
+        if recent && complete && *known.entries == entries {
+            return;
         }
+        known.applied = Some(Instant::now());
+        known.entries = Arc::new(entries);
+        let mut groups = Groups::clone(&known.groups);
+        groups.retain(|name, group| view.pool(name).is_some() || group.open() > 0);
+        for pool in view.pools() {
+            let group = groups
+                .entry(pool.name.clone())
+                .or_insert_with(|| self.create(view, &pool.name));
+            self.feed(&pool.name, group, &known.entries);
+        }
+        known.groups = Arc::new(groups);
     }
 
-    /// Takes over a new host list.
-    pub(crate) fn update(&self, entries: &[Entry]) {
-        let old = self.pools();
-        let mut new = Pools::new();
-        for entry in entries {
-            let known = old.get(&entry.pool).and_then(|pool| {
-                pool.iter()
-                    .find(|it| it.name == entry.name && it.address == entry.address)
-            });
-            let upstream = known.cloned().unwrap_or_else(|| Arc::new(Upstream::new(entry)));
-            if entry.state == State::Leaving {
-                upstream.set_leaving();
-            }
-            new.entry(entry.pool.clone()).or_default().push(upstream);
+    /// The group of a pool; created on first use, because the configuration may be newer than the host list.
+    pub(crate) fn group(&self, view: &View, pool: &Name) -> Option<Arc<Group>> {
+        if let Some(group) = self.groups().get(pool) {
+            return Some(Arc::clone(group));
+        }
+        view.pool(pool)?;
+        let mut known = self.lock();
+        if let Some(group) = known.groups.get(pool) {
+            return Some(Arc::clone(group));
         }
-        *self.pools.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(new);
+        let group = self.create(view, pool);
+        self.feed(pool, &group, &known.entries);
+        let mut groups = Groups::clone(&known.groups);
+        groups.insert(pool.clone(), Arc::clone(&group));
+        known.groups = Arc::new(groups);
+        Some(group)
     }
 
-    /// The available upstream of `pool` with the least work, except those in `tried`.
-    ///
-    /// Ejected ones come last; of equally loaded ones, those in the node's own failure domain come first.
-    pub(crate) fn choose(
-        &self,
-        pool: &Name,
-        tried: &[model::Upstream],
-        now: Duration,
-        rng: &mut SmallRng,
-    ) -> Option<Assignment> {
-        let pools = self.pools();
-        pools
-            .get(pool)?
-            .iter()
-            .filter(|it| !it.is_leaving() && !tried.contains(&it.name))
-            .min_by_key(|it| {
-                let under_way = it.under_way.load(Ordering::Relaxed);
-                let remote = it.domain != self.domain;
-                (it.is_ejected(now), under_way, remote, rng.random::<u32>())
-            })
-            .cloned()
-            .map(Assignment::new)
+    /// All groups.
+    pub(crate) fn groups(&self) -> Arc<Groups> {
+        Arc::clone(&self.lock().groups)
+    }
+
+    /// Takes a sign from gossip that an upstream is about to stop; it gets no new work from now on.
+    #[allow(dead_code, reason = "called by the gossip half of the node")]
+    pub(crate) fn leaving(&self, upstream: &model::Upstream) {
+        for group in self.groups().values() {
+            group.leaving(upstream);
+        }
     }
 
     /// Whether a host list was ever read.
     pub(crate) fn is_known(&self) -> bool {
-        !self.pools().is_empty()
+        !self.lock().entries.is_empty()
     }
 
     /// Number of available upstreams of each pool.
     pub(crate) fn available(&self) -> BTreeMap<Name, usize> {
-        let count = |pool: &Vec<Arc<Upstream>>| pool.iter().filter(|it| !it.is_leaving()).count();
-        self.pools()
+        self.groups()
             .iter()
-            .map(|(name, pool)| (name.clone(), count(pool)))
+            .map(|(name, group)| (name.clone(), group.status().engines.len()))
             .collect()
     }
 
-    fn pools(&self) -> Arc<Pools> {
-        self.pools.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    fn create(&self, view: &View, pool: &Name) -> Arc<Group> {
+        let mut settings = Settings {
+            block_tokens: self.block_tokens,
+            ..Settings::default()
+        };
+        if let Some(pool) = view.pool(pool) {
+            settings.concurrency = pool.concurrency;
+        }
+        Arc::new(Group::new(settings, self.node.clone(), self.start))
+    }
+
+    /// Hands a group its hosts and the nodes that share them.
+    fn feed(&self, pool: &Name, group: &Group, entries: &[Entry]) {
+        let listed = entries.iter().filter(|it| it.pool == *pool);
+        let mut nodes: Vec<_> = entries
+            .iter()
+            .filter(|it| &*it.pool == ENTRY_POOL)
+            .map(place)
+            .collect();
+        if !nodes.iter().any(|it| it.name == self.node.name) {
+            nodes.push(self.node.clone());
+        }
+        let addresses = listed.clone().map(|it| (it.name.clone(), it.address));
+        let hosts: Vec<_> = listed.clone().map(host).collect();
+        group.hosts(addresses, &hosts, &nodes);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Known> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+fn place(entry: &Entry) -> Place<Name> {
+    Place {
+        name: entry.name.clone(),
+        domain: entry.domain.clone(),
+    }
+}
+
+fn host(entry: &Entry) -> Host {
+    Host {
+        name: entry.name.clone(),
+        domain: entry.domain.clone(),
+        state: match entry.state {
+            State::Live => HostState::Live,
+            State::Leaving => HostState::Leaving,
+        },
+    }
 }
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -161,6 +161,12 @@
     /// Any [`Error`].
     fn cache_events(&self, address: SocketAddr, from: u64) -> Result<Vec<CacheEvent>, Error>;
 
+    /// Prompt tokens in a block of the prefix cache.
+    fn block_tokens(&self) -> Tokens;
+
+    /// Hashes of the whole blocks of a prompt, each over the prompt up to its end, as cache events name them.
+    fn blocks(&self, version: &str, messages: &[Message]) -> Vec<u64>;
+
     /// Sends an order.
     ///
     /// # Errors
--- a/crates/platform/src/http/engine.rs
+++ b/crates/platform/src/http/engine.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use attohttpc::Response;
-use model::{Name, Offset, Tokens, Usage};
+use model::{Name, Offset, Tokens, Usage, hash};
 use serde::{Deserialize, Serialize};
 
 use super::events::Events;
@@ -16,6 +16,15 @@
 /// Data of the last event of a stream.
 const END: &str = "[DONE]";
 
+/// Prompt tokens in a block of the prefix cache.
+const BLOCK_TOKENS: Tokens = 16;
+
+/// Prompt bytes in a block; the protocol counts four bytes as a token.
+const BLOCK_BYTES: usize = 64;
+
+/// Blocks that are hashed; a longer common prefix changes no decision and costs time.
+const MAX_BLOCKS: usize = 256;
+
 /// Client of the engines.
 #[derive(Debug, Clone)]
 pub struct Client {
@@ -173,6 +182,21 @@
         Ok(cache.events.into_iter().map(CacheItem::event).collect())
     }
 
+    fn block_tokens(&self) -> Tokens {
+        BLOCK_TOKENS
+    }
+
+    fn blocks(&self, version: &str, messages: &[Message]) -> Vec<u64> {
+        let text: String = messages.iter().map(|it| it.content.as_str()).collect();
+        let mut hash = hash::stable(version.as_bytes());
+        let chunks = text.as_bytes().chunks_exact(BLOCK_BYTES).take(MAX_BLOCKS);
+        let chained = chunks.map(|chunk| {
+            hash = hash::stable(&[&hash.to_be_bytes(), chunk].concat());
+            hash
+        });
+        chained.collect()
+    }
+
     fn order(&self, address: SocketAddr, order: &Order) -> Result<(), Error> {
         let message = SentOrder {
             token: order.token,
--- a/crates/policy/src/pool/engines.rs
+++ b/crates/policy/src/pool/engines.rs
@@ -105,6 +105,11 @@
         !(self.near.is_empty() && self.far.is_empty())
     }
 
+    /// Whether an engine that may get work has not had an attempt of the call yet.
+    pub fn any_untried(&self, call: &Call) -> bool {
+        self.live().any(|it| !call.tried(it))
+    }
+
     /// Sum of the limits of the engines that take work.
     pub fn places(&self, now: Duration) -> f64 {
         self.live()
--- a/crates/policy/src/pool/state/attempt.rs
+++ b/crates/policy/src/pool/state/attempt.rs
@@ -14,15 +14,19 @@
 impl State {
     pub(super) fn dispatch(&mut self, now: Duration, rng: &mut impl Rng, out: &mut Vec<Action>) {
         self.expire(now, rng, out);
-        while let Some(ticket) = self.waiting.front().copied() {
-            if let Some(call) = self.calls.get(&ticket) {
-                let Some(slot) = self.engines.choose(call, now, rng) else {
-                    break;
-                };
-                self.send(ticket, slot, Kind::Retry, now, out);
-            }
-            self.waiting.pop_front();
-        }
+        // Each waiting request has tried other engines, so one that finds no place must not hold up the next.
+        let mut waiting = std::mem::take(&mut self.waiting);
+        waiting.retain(|ticket| {
+            let Some(call) = self.calls.get(ticket) else {
+                return false;
+            };
+            let Some(slot) = self.engines.choose(call, now, rng) else {
+                return true;
+            };
+            self.send(*ticket, slot, Kind::Retry, now, out);
+            false
+        });
+        self.waiting = waiting;
         while let Some(entry) = self.queue.peek() {
             let ticket = entry.ticket;
             let Some(call) = self.calls.get(&ticket) else {
@@ -138,8 +142,10 @@
             Outcome::Silent => Reason::UpstreamSilent,
             _ => Reason::UpstreamFailed,
         };
-        let resend =
-            may_resend(call.request.repeat, proof) && call.tries.len() < usize::from(self.settings.attempts);
+        // A request that every engine has had would wait in vain until its deadline.
+        let resend = may_resend(call.request.repeat, proof)
+            && call.tries.len() < usize::from(self.settings.attempts)
+            && self.engines.any_untried(call);
         if !resend || call.request.deadline <= now {
             self.refuse(attempt.ticket, reason, now, out);
         } else if self.budget.spend() {
--- a/crates/policy/src/pool/tests.rs
+++ b/crates/policy/src/pool/tests.rs
@@ -74,3 +74,34 @@
     let actions = pool.submit(request(1), SECOND * 3, &mut rng);
     assert!(matches!(&actions[..], [Action::Refuse { refusal, .. }] if refusal.ran == model::Ran::No));
 }
+
+/// Guards against a node that refuses its first requests because it has not earned any retry yet.
+#[test]
+fn a_new_pool_retries() {
+    let (pool, _, mut rng) = pool(2, 8);
+    let actions = pool.submit(request(1), SECOND, &mut rng);
+    let [Action::Send { attempt, .. }] = actions[..] else {
+        panic!("{actions:?}")
+    };
+    let actions = pool.ended(attempt, Outcome::Failed, SECOND, &mut rng);
+    assert!(matches!(
+        actions[..],
+        [Action::Send {
+            kind: Kind::Retry,
+            ..
+        }]
+    ));
+}
+
+/// Guards against a request that waits until its deadline although no engine is left for it.
+#[test]
+fn a_request_that_every_engine_had_is_refused_at_once() {
+    let (pool, _, mut rng) = pool(1, 8);
+    let actions = pool.submit(request(1), SECOND, &mut rng);
+    let [Action::Send { attempt, .. }] = actions[..] else {
+        panic!("{actions:?}")
+    };
+    let outcome = Outcome::NotStarted(Cause::Connect);
+    let actions = pool.ended(attempt, outcome, SECOND, &mut rng);
+    assert!(matches!(&actions[..], [Action::Refuse { refusal, .. }] if refusal.ran == model::Ran::No));
+}
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -25,11 +25,15 @@
     /// extra load after a long quiet period.
     const MOST_TOKENS: f64 = 30.0;
 
+    /// Allowance at the start. Without it, a node that has just started refuses every request whose first attempt
+    /// fails until it has sent ten others.
+    const FIRST_TOKENS: f64 = 5.0;
+
     /// A budget of `fraction` further attempts for each first attempt.
     pub fn new(fraction: f64) -> Self {
         Self {
             fraction,
-            tokens: 0.0,
+            tokens: Self::FIRST_TOKENS,
             first: 0,
             extra: 0,
         }
