--- a/crates/demo/src/cluster.rs
+++ b/crates/demo/src/cluster.rs
@@ -27,6 +27,8 @@
     pub engines: u16,
     /// Settings of each engine.
     pub engine: standin::engine::Options,
+    /// Number of instances of the service `stock`.
+    pub services: u16,
     /// Lines that are added to the settings of each node.
     pub extra: String,
 }
@@ -40,6 +42,7 @@
                 versions: sample::VERSIONS.map(ToOwned::to_owned).to_vec(),
                 ..standin::engine::Options::default()
             },
+            services: 1,
             extra: String::new(),
         }
     }
@@ -114,8 +117,10 @@
             .map(|_| Engine::bind(any(), options.engine.clone()))
             .collect();
         let engines = engines?;
-        let service = Service::bind(any(), standin::service::Options::default())?;
-        let services = vec![service];
+        let services: Result<Vec<_>, _> = (0..options.services)
+            .map(|_| Service::bind(any(), standin::service::Options::default()))
+            .collect();
+        let services = services?;
         let mut entries = Vec::new();
         for (index, engine) in engines.iter().enumerate() {
             entries.push(entry(sample::ENGINES, "engine", index, engine.address()));
--- a/crates/demo/tests/common/mod.rs
+++ b/crates/demo/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Calls and readers that the end-to-end tests share.
 
 #![allow(clippy::unwrap_used, reason = "a failed set-up ends the test")]
+#![allow(dead_code, reason = "each test binary uses a part")]
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader};
@@ -24,6 +25,8 @@
     pub error: Option<String>,
     /// Value of `ran` of the error, if any.
     pub ran: Option<String>,
+    /// Value of the header `Retry-After`, if any.
+    pub retry_after: Option<String>,
     pub text: String,
     /// Whether the answer ended as a complete one does.
     pub complete: bool,
@@ -65,6 +68,7 @@
         session: header("X-Session"),
         error: None,
         ran: None,
+        retry_after: Some(header("Retry-After")).filter(|it| !it.is_empty()),
         text: String::new(),
         complete: false,
     };
@@ -114,6 +118,17 @@
     bills
 }
 
+/// Value of a metric of a node, zero if it is absent.
+pub fn metric(address: SocketAddr, name: &str) -> f64 {
+    let response = attohttpc::get(format!("http://{address}/metrics"))
+        .send()
+        .unwrap();
+    let text = response.text().unwrap();
+    let name = format!("bronzevale_{name} ");
+    let line = text.lines().find_map(|it| it.strip_prefix(&name));
+    line.map_or(0.0, |it| it.parse().unwrap())
+}
+
 /// Waits until `done` holds.
 pub fn wait(what: &str, bound: Duration, done: impl Fn() -> bool) {
     let end = Instant::now() + bound;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -26,11 +26,15 @@
 type Experiment = (&'static str, fn(u64) -> Report);
 
 const EXPERIMENTS: &[Experiment] = &[
+    // Control plane.
+    ("capacity", load::capacity::run),
     // Cost.
     ("cascade", load::cascade::run),
     // Load.
     ("rush", load::rush::run),
     ("faults", load::faults::run),
+    ("affinity", load::affinity::run),
+    ("decide", load::decide::run),
 ];
 
 const EXIT_MISSED: u8 = 1;
--- a/crates/node/src/dispatch_call.rs
+++ b/crates/node/src/dispatch_call.rs
@@ -127,6 +127,7 @@
         prompt: 0,
         output: 0,
         blocks: Vec::new(),
+        session: None,
     }
 }
 
--- a/crates/node/src/engine/generation.rs
+++ b/crates/node/src/engine/generation.rs
@@ -10,7 +10,7 @@
 use model::object::Version;
 use model::object::service::Repeat;
 use model::refusal::Reason;
-use model::{Class, Name, Refusal, Tokens, Upstream, Usage};
+use model::{Class, Name, Refusal, Tokens, Upstream, Usage, hash};
 use platform::engine::{self, Error, Event, Message};
 use policy::pool::{Cause, Kind, Request};
 
@@ -95,6 +95,14 @@
         let bytes: usize = self.messages.iter().map(|it| it.content.len()).sum();
         Tokens::try_from(bytes.div_ceil(BYTES_PER_TOKEN)).unwrap_or(Tokens::MAX)
     }
+
+    /// Hash of what stays the same in a conversation. Session tokens do not serve, as they are equal for all sessions
+    /// of an organisation on one version.
+    fn conversation(&self) -> u64 {
+        let first = self.messages.iter().find(|it| it.role == "user");
+        let text = first.map_or("", |it| it.content.as_str());
+        hash::stable(&[self.organisation.as_bytes(), b"/", text.as_bytes()].concat())
+    }
 }
 
 /// Runs attempts until one completes the answer.
@@ -102,6 +110,7 @@
     let Some(group) = shared.upstreams.group(&shared.catalog.view(), &job.version.pool) else {
         return Outcome::Failed(Refusal::not_run(Reason::NoUpstream).retry_after(RETRY_AFTER));
     };
+    let blocks = shared.ports.engines.blocks(&job.version.name, &job.messages);
     let request = Request {
         ticket: 0,
         organisation: job.organisation.clone(),
@@ -111,7 +120,8 @@
         repeat: Repeat::Idempotent,
         prompt: job.prompt_tokens(),
         output: group.expected_output(job.class, job.max_tokens),
-        blocks: shared.ports.engines.blocks(&job.version.name, &job.messages),
+        session: (!blocks.is_empty()).then(|| job.conversation()),
+        blocks,
     };
     let mut generation = Generation {
         shared,
