node: plan versions through policy::cascade and fetch ratings

Cause: a request for a cascade always used the first version, and no answer was rated.

Change: requests without a session get a plan from policy::cascade. Rated steps are held back, the last step is streamed, and an answer never mixes two versions. Late ratings teach the planner but no longer change the answer. The bill carries the cost of rejected steps apart. A session starts on the version that answered. A request whose version is withdrawn while it is queued is refused.

Without a rating service, or for one candidate, the choice is as before. The price of a rating is not known and counts as zero.

Tests: a cascade with a cheap version that is adequate in 70% of requests escalates the rejected answers only, and its bills add up; sessions keep their version; interactive answers do not wait for ratings; answers go on while the rating service refuses or never answers.

--- a/crates/demo/tests/common/mod.rs
+++ b/crates/demo/tests/common/mod.rs
@@ -137,3 +137,23 @@
         std::thread::sleep(Duration::from_millis(20));
     }
 }
+
+/// Cost and cost of rejected steps of each bill.
+pub fn rejected_costs(cluster: &Cluster) -> Vec<(u64, u64)> {
+    let page = cluster.log_client().read("bills", 0, 100_000).unwrap();
+    let batches = page
+        .records
+        .iter()
+        .map(|it| serde_json::from_slice(&it.payload).unwrap());
+    let of = |batch: Value| -> Vec<(u64, u64)> {
+        let records = batch["records"].as_array().unwrap().iter();
+        let costs = records.map(|it| {
+            (
+                it["cost"].as_u64().unwrap(),
+                it["rejected_cost"].as_u64().unwrap(),
+            )
+        });
+        costs.collect()
+    };
+    batches.flat_map(of).collect()
+}
--- a/crates/node/src/chat.rs
+++ b/crates/node/src/chat.rs
@@ -7,10 +7,10 @@
 use model::object::Version;
 use model::refusal::Reason;
 use model::{Class, Cost, Refusal, Tokens, Usage};
+use policy::cascade::Plan;
 
 use crate::billing::Record;
-use crate::engine::generation::{self, Job, Outcome};
-use crate::engine::sink::Sink;
+use crate::engine::generation::Job;
 use crate::http::dispatch::refuse;
 use crate::http::exchange::Exchange;
 use crate::http::{body, gate};
@@ -20,16 +20,21 @@
 pub(crate) mod answer;
 mod choice;
 mod request;
+mod steps;
 
 use answer::{Answer, Head};
+use choice::Wish;
 use request::Request;
+use steps::{Bill, Outcome, Steps};
 
 /// An admitted request.
 struct Admitted {
+    view: Arc<View>,
     tenant: Arc<Tenant>,
     request: Request,
+    versions: Vec<Arc<Version>>,
+    plan: Plan,
     job: Job,
-    session: String,
     billing_key: String,
 }
 
@@ -43,20 +48,49 @@
     if shared.biller.reserve().is_err() {
         return refuse(shared, exchange, &Refusal::not_run(Reason::BillingFull));
     }
+    let Admitted {
+        view,
+        tenant,
+        request,
+        versions,
+        plan,
+        job,
+        billing_key,
+    } = admitted;
+    let class = job.class;
+    let record = |bill: &Bill| Record {
+        key: billing_key.clone(),
+        organisation: tenant.name().clone(),
+        version: bill.version.name.clone(),
+        class,
+        usage: bill.usage,
+        cost: cost(&bill.version, bill.usage.input, bill.usage.output),
+        rejected_cost: bill.rejected,
+    };
+    let sign = |version: &Version| {
+        let session = Session {
+            organisation: tenant.name().clone(),
+            requested: request.model.clone(),
+            version: version.name.clone(),
+            revision: view.revision(),
+        };
+        shared.sessions.sign(&session).unwrap_or_default()
+    };
     let head = Head {
-        id: admitted.job.id.clone(),
-        version: admitted.job.version.name.clone(),
-        session: admitted.session.clone(),
+        id: job.id.clone(),
+        version: job.version.name.clone(),
+        session: String::new(),
     };
-    let mut answer = Answer::new(exchange, head, admitted.request.delivery, received);
-    match generation::run(shared, &admitted.job, &mut Sink::Caller(&mut answer)) {
-        Outcome::Complete(usage) => {
-            bill(shared, &admitted, usage);
-            finish(shared, answer, usage);
+    let mut answer = Answer::new(exchange, head, request.delivery, received);
+    let (steps, first) = Steps::new(shared, job, versions, plan, &sign);
+    match steps.run(first, &mut answer) {
+        Outcome::Complete(it) => {
+            bill(shared, record(&it));
+            finish(shared, answer, it.usage);
         }
-        Outcome::Gone(output) => {
+        Outcome::Gone(it) => {
             shared.metrics.disconnects.inc();
-            bill(shared, &admitted, partial(&admitted, output));
+            bill(shared, record(&it));
         }
         Outcome::Failed(refusal) => {
             shared.biller.release();
@@ -74,31 +108,38 @@
     let deadline = received + gate::time_allowed(shared, exchange, class)?;
     let body = body::read(exchange, &shared.settings.http)?;
     let request = Request::parse(&body)?;
-    let version = version(shared, &view, &tenant, exchange, &request)?;
-    let session = Session {
-        organisation: tenant.name().clone(),
-        requested: request.model.clone(),
-        version: version.name.clone(),
-        revision: view.revision(),
-    };
+    let versions = versions(shared, &view, &tenant, exchange, &request)?;
     let id = shared.request_id();
     let identity = exchange.header("Idempotency-Key").unwrap_or(&id);
     let billing_key = format!("{}/{identity}", tenant.name());
+    let Some(first) = versions.first() else {
+        return Err(Refusal::not_run(Reason::UnknownName));
+    };
+    let job = Job {
+        id,
+        organisation: tenant.name().clone(),
+        weight: tenant.organisation.weight,
+        version: Version::clone(first),
+        messages: request.messages.clone(),
+        max_tokens: request.max_tokens,
+        class,
+        deadline,
+    };
+    let wish = Wish {
+        class,
+        time: deadline.saturating_duration_since(Instant::now()),
+        prompt: job.prompt_tokens(),
+        max_tokens: job.max_tokens,
+    };
+    let plan = choice::plan(shared, &view, &tenant, &versions, &wish)?;
     Ok(Admitted {
-        session: shared.sessions.sign(&session).unwrap_or_default(),
-        billing_key,
-        job: Job {
-            id,
-            organisation: tenant.name().clone(),
-            weight: tenant.organisation.weight,
-            version: Version::clone(&version),
-            messages: request.messages.clone(),
-            max_tokens: request.max_tokens,
-            class,
-            deadline,
-        },
+        view,
         tenant,
         request,
+        versions,
+        plan,
+        job,
+        billing_key,
     })
 }
 
@@ -109,35 +150,25 @@
     }
 }
 
-/// The version of the caller's session, or a new choice.
-fn version(
+/// The version of the caller's session, or the candidates for a new choice.
+fn versions(
     shared: &Shared,
     view: &View,
     tenant: &Tenant,
     exchange: &Exchange,
     request: &Request,
-) -> Result<Arc<Version>, Refusal> {
+) -> Result<Vec<Arc<Version>>, Refusal> {
     let Some(token) = exchange.header("X-Session") else {
-        return choice::choose(view, tenant, &request.model, &mut shared.rng());
+        return choice::candidates(view, tenant, &request.model, &mut shared.rng());
     };
     let session = shared.sessions.check(token);
     let session = session.filter(|it| it.organisation == *tenant.name() && it.requested == request.model);
     let session = session.ok_or(Refusal::not_run(Reason::SessionInvalid))?;
-    view.pinned(tenant, &session.version).cloned()
+    Ok(vec![Arc::clone(view.pinned(tenant, &session.version)?)])
 }
 
 /// Adds the billing record and waits for a bounded time until it is safe.
-fn bill(shared: &Shared, admitted: &Admitted, usage: Usage) {
-    let version = &admitted.job.version;
-    let record = Record {
-        key: admitted.billing_key.clone(),
-        organisation: admitted.tenant.name().clone(),
-        version: version.name.clone(),
-        class: admitted.job.class,
-        usage,
-        cost: cost(version, usage),
-        rejected_cost: 0,
-    };
+fn bill(shared: &Shared, record: Record) {
     let safe = shared.biller.add(record);
     if safe.recv_timeout(shared.settings.billing.hold_timeout).is_err() {
         shared.metrics.billing_underreplicated.inc();
@@ -153,17 +184,9 @@
     }
 }
 
-fn cost(version: &Version, usage: Usage) -> Cost {
-    let input = version.input_price.saturating_mul(u64::from(usage.input));
-    let output = version.output_price.saturating_mul(u64::from(usage.output));
+/// Price of an answer.
+fn cost(version: &Version, input: Tokens, output: Tokens) -> Cost {
+    let input = version.input_price.saturating_mul(u64::from(input));
+    let output = version.output_price.saturating_mul(u64::from(output));
     input.saturating_add(output)
 }
-
-/// Usage of an answer that its caller cut off.
-fn partial(admitted: &Admitted, output: Tokens) -> Usage {
-    Usage {
-        input: admitted.job.prompt_tokens(),
-        cached: 0,
-        output,
-    }
-}
--- a/crates/node/src/chat/answer.rs
+++ b/crates/node/src/chat/answer.rs
@@ -75,6 +75,12 @@
         self.first_token
     }
 
+    /// Names the version whose answer follows, and the session that starts on it.
+    pub(crate) fn answer_with(&mut self, version: &Name, session: String) {
+        self.head.version = version.clone();
+        self.head.session = session;
+    }
+
     /// Adds the next piece.
     ///
     /// # Errors
--- a/crates/node/src/engine/generation.rs
+++ b/crates/node/src/engine/generation.rs
@@ -202,6 +202,11 @@
                 address,
                 kind,
             } => {
+                let view = self.shared.catalog.view();
+                if !self.sent && view.is_withdrawn(&self.job.version.name) {
+                    // The withdrawal came while the request was queued.
+                    return Err(Outcome::Failed(Refusal::not_run(Reason::VersionWithdrawn)));
+                }
                 let Some(address) = address else {
                     self.call
                         .ended(number, policy::pool::Outcome::NotStarted(Cause::Connect));
--- a/crates/node/src/engine/sink.rs
+++ b/crates/node/src/engine/sink.rs
@@ -7,7 +7,8 @@
 pub(crate) enum Sink<'a> {
     /// The caller.
     Caller(&'a mut Answer),
-    #[expect(dead_code, reason = "rated steps of cascades follow in the next change")]
+    /// The caller, and a copy to be rated afterwards.
+    Copied(&'a mut Answer, &'a mut String),
     /// A buffer, until the answer is rated.
     Held(&'a mut String),
 }
@@ -18,12 +19,12 @@
     /// # Errors
     /// The caller is gone.
     pub(super) fn push(&mut self, text: &str) -> Result<(), Gone> {
+        if let Self::Copied(_, copy) | Self::Held(copy) = self {
+            copy.push_str(text);
+        }
         match self {
-            Self::Caller(answer) => answer.push(text),
-            Self::Held(held) => {
-                held.push_str(text);
-                Ok(())
-            }
+            Self::Caller(answer) | Self::Copied(answer, _) => answer.push(text),
+            Self::Held(_) => Ok(()),
         }
     }
 
@@ -33,7 +34,7 @@
     /// The caller is gone.
     pub(super) fn keep_alive(&mut self) -> Result<(), Gone> {
         match self {
-            Self::Caller(answer) => answer.keep_alive(),
+            Self::Caller(answer) | Self::Copied(answer, _) => answer.keep_alive(),
             Self::Held(_) => Ok(()),
         }
     }
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -13,7 +13,7 @@
 use crate::ports::Ports;
 use crate::secrets::Secrets;
 use crate::shared::Shared;
-use crate::{billing, config_log, hosts, polling, timer};
+use crate::{billing, config_log, hosts, polling, ratings, timer};
 
 /// Interval of the checks during a planned stop.
 const POLL: Duration = Duration::from_millis(20);
@@ -88,6 +88,7 @@
         thread("config-log", &shared, |it| config_log::run(it))?,
         thread("hosts", &shared, |it| hosts::run(it))?,
         thread("timer", &shared, |it| timer::run(it))?,
+        thread("ratings", &shared, |it| ratings::run(it))?,
         thread("polling", &shared, |it| polling::run(it))?,
         thread("dispatch", &shared, move |it| dispatch::run(it, &server))?,
     ];
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -89,6 +89,14 @@
     pub hedges: Counter,
     /// Streams moved because another stream on the same upstream went silent.
     pub moved_streams: Counter,
+    /// Steps that followed another one of the same request.
+    pub escalations: Counter,
+    /// Ratings that arrived in time.
+    pub ratings: Counter,
+    /// Ratings that arrived late.
+    pub ratings_late: Counter,
+    /// Ratings that did not arrive in time.
+    pub ratings_missing: Counter,
     /// Billing records that are not in the log yet.
     pub billing_unsettled: Gauge,
     /// Answers released before their billing record was replicated.
@@ -119,6 +127,10 @@
             report_failures: Counter::default(),
             hedges: Counter::default(),
             moved_streams: Counter::default(),
+            escalations: Counter::default(),
+            ratings: Counter::default(),
+            ratings_late: Counter::default(),
+            ratings_missing: Counter::default(),
             billing_unsettled: Gauge::default(),
             billing_underreplicated: Counter::default(),
             billing_append_failures: Counter::default(),
@@ -219,6 +231,19 @@
             "Streams moved because another one on the same upstream went silent",
             self.moved_streams.clone(),
         );
+        let ratings = [
+            (
+                "escalations",
+                "Steps after the first one of a request",
+                &self.escalations,
+            ),
+            ("ratings", "Ratings in time", &self.ratings),
+            ("ratings_late", "Ratings after their time-out", &self.ratings_late),
+            ("ratings_missing", "Ratings not in time", &self.ratings_missing),
+        ];
+        for (name, help, counter) in ratings {
+            registry.register(name, help, counter.clone());
+        }
         registry.register(
             "billing_unsettled",
             "Billing records not in the log yet",
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -8,15 +8,18 @@
 use config::view::{KeyHash, hash_key};
 use model::Incarnation;
 use policy::balance::Place;
+use policy::cascade::Planner;
 use rand::rngs::{OsRng, SmallRng};
 use rand::{Rng, SeedableRng, TryRngCore};
 
 use crate::billing::Biller;
 use crate::catalog::Catalog;
 use crate::http::gate;
+use crate::latencies::Latencies;
 use crate::metrics::Metrics;
 use crate::phase::{Cell, Phase};
 use crate::ports::Ports;
+use crate::ratings::Ratings;
 use crate::secrets::Secrets;
 use crate::session::Keys;
 use crate::upstreams::Directory;
@@ -34,6 +37,9 @@
     pub catalog: Catalog,
     pub upstreams: Directory,
     pub biller: Biller,
+    pub planner: Planner,
+    pub ratings: Ratings,
+    pub latencies: Latencies,
     pub phase: Cell,
     pub sessions: Keys,
     pub admin_key: Option<KeyHash>,
@@ -60,6 +66,9 @@
         Self {
             sessions: Keys::new(session_keys),
             admin_key: secrets.admin.as_deref().map(hash_key),
+            planner: Planner::new(incarnation),
+            ratings: Ratings::default(),
+            latencies: Latencies::default(),
             biller: Biller::new(incarnation, &settings.billing),
             upstreams: Directory::new(place, ports.engines.block_tokens(), start),
             settings,
