--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -8,6 +8,8 @@
 
 pub mod check;
 pub mod fold;
+pub mod follow;
+pub mod publish;
 pub mod record;
 pub mod settings;
 pub mod view;
--- a/crates/node/src/chat.rs
+++ b/crates/node/src/chat.rs
@@ -4,12 +4,13 @@
 use std::time::Instant;
 
 use config::view::{Tenant, View};
+use ledger::billing::Key;
 use model::object::Version;
 use model::refusal::Reason;
 use model::{Class, Cost, Refusal, Tokens, Usage};
 use policy::cascade::Plan;
 
-use crate::billing::Record;
+use crate::billing::{RELEASE_TIMEOUT, Record, identity};
 use crate::engine::generation::Job;
 use crate::http::dispatch::refuse;
 use crate::http::exchange::Exchange;
@@ -35,7 +36,7 @@
     versions: Vec<Arc<Version>>,
     plan: Plan,
     job: Job,
-    billing_key: String,
+    billing_key: Key,
 }
 
 /// Answers one request.
@@ -109,9 +110,14 @@
     let body = body::read(exchange, &shared.settings.http)?;
     let request = Request::parse(&body)?;
     let versions = versions(shared, &view, &tenant, exchange, &request)?;
-    let id = shared.request_id();
-    let identity = exchange.header("Idempotency-Key").unwrap_or(&id);
-    let billing_key = format!("{}/{identity}", tenant.name());
+    let number = shared.request_number();
+    let id = shared.request_id_of(number);
+    let billing_key = identity(
+        exchange.header("Idempotency-Key"),
+        &body,
+        shared.incarnation,
+        number,
+    );
     let Some(first) = versions.first() else {
         return Err(Refusal::not_run(Reason::UnknownName));
     };
@@ -169,10 +175,9 @@
 
 /// Adds the billing record and waits for a bounded time until it is safe.
 fn bill(shared: &Shared, record: Record) {
-    let safe = shared.biller.add(record);
-    if safe.recv_timeout(shared.settings.billing.hold_timeout).is_err() {
-        shared.metrics.billing_underreplicated.inc();
-    }
+    let safe = shared.biller.add(record, shared.now());
+    // Billing itself releases the answer in time, so that only a fault of this node ends the wait here.
+    safe.recv_timeout(RELEASE_TIMEOUT).ok();
 }
 
 fn finish(shared: &Shared, answer: Answer, usage: Usage) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,6 +20,8 @@
 mod latencies;
 mod metrics;
 mod models;
+mod once;
+mod peers;
 mod phase;
 mod polling;
 mod ports;
--- a/crates/policy/src/admission/fair.rs
+++ b/crates/policy/src/admission/fair.rs
@@ -21,7 +21,8 @@
     flows: Vec<Flow>,
     /// Organisations with work, by the start tag of their first request.
     active: BTreeSet<(u64, FlowId)>,
-    /// Organisations with work, by queue length for their weight.
+    /// Organisations with more than one request, by queue length for their weight. Those with one are left out, because
+    /// they are never evicted and a thousand of them would make each change slow.
     lengths: BTreeSet<(u64, FlowId)>,
     virtual_time: u64,
     len: usize,
@@ -40,7 +41,7 @@
 #[derive(Debug, PartialEq, Eq)]
 struct Keys {
     start: u64,
-    length: u64,
+    length: Option<u64>,
     weight: u64,
 }
 
@@ -50,7 +51,7 @@
         let weight = u64::from(self.weight.max(1));
         (!self.entries.is_empty()).then(|| Keys {
             start: self.start,
-            length: self.entries.len() as u64 * SCALE / weight,
+            length: (self.entries.len() > 1).then(|| self.entries.len() as u64 * SCALE / weight),
             weight,
         })
     }
@@ -71,12 +72,21 @@
         self.len == 0
     }
 
+    /// Account of an organisation, opened on first use.
+    pub fn account(&mut self, organisation: &Name) -> FlowId {
+        if let Some(id) = self.ids.get(organisation) {
+            return *id;
+        }
+        let id = self.flows.len() as FlowId;
+        self.flows.push(Flow::default());
+        self.ids.insert(organisation.clone(), id);
+        id
+    }
+
     /// Cost that goes before a new request of an organisation.
-    pub fn ahead(&self, organisation: &Name, weight: u32) -> f64 {
-        let (own, known) = match self.flow(organisation) {
-            Some(flow) if !flow.entries.is_empty() => (flow.cost, true),
-            _ => (0, false),
-        };
+    pub fn ahead(&self, id: FlowId, weight: u32) -> f64 {
+        let flow = &self.flows[id as usize];
+        let (own, known) = (flow.cost, !flow.entries.is_empty());
         let weight = u64::from(weight.max(1));
         let weights = if known { self.weight } else { self.weight + weight };
         let by_share = own as f64 * weights as f64 / weight as f64;
@@ -84,8 +94,8 @@
     }
 
     /// Queues a request.
-    pub fn push(&mut self, entry: Entry) -> FlowId {
-        let id = self.id(&entry.organisation);
+    pub fn push(&mut self, entry: Entry) {
+        let id = entry.flow;
         self.len += 1;
         self.cost += entry.cost;
         self.update(id, |flow, virtual_time| {
@@ -96,12 +106,10 @@
             flow.cost += entry.cost;
             flow.entries.push_back(entry);
         });
-        id
     }
 
     /// Charges a request that did not have to wait.
-    pub fn pass(&mut self, organisation: &Name, weight: u32, cost: u64) {
-        let id = self.id(organisation);
+    pub fn pass(&mut self, id: FlowId, weight: u32, cost: u64) {
         let virtual_time = self.virtual_time;
         let flow = &mut self.flows[id as usize];
         flow.weight = weight;
@@ -145,9 +153,9 @@
     }
 
     /// Removes the newest request of the organisation with the longest queue for its weight, unless the new request
-    /// would make the queue of its own organisation at least as long.
-    pub fn evict_for(&mut self, organisation: &Name, weight: u32) -> Option<Entry> {
-        let own = self.flow(organisation).map_or(0, |it| it.entries.len());
+    /// would make the queue of its own organisation at least as long. An organisation keeps its only request.
+    pub fn evict_for(&mut self, id: FlowId, weight: u32) -> Option<Entry> {
+        let own = self.flows[id as usize].entries.len();
         let key = (own as u64 + 1) * SCALE / u64::from(weight.max(1));
         let (longest, id) = *self.lengths.last()?;
         if longest <= key {
@@ -163,10 +171,7 @@
     }
 
     /// Moves an organisation's account by the difference between actual and estimated cost.
-    pub fn correct(&mut self, organisation: &Name, estimated: u64, actual: u64) {
-        let Some(id) = self.ids.get(organisation).copied() else {
-            return;
-        };
+    pub fn correct(&mut self, id: FlowId, estimated: u64, actual: u64) {
         self.update(id, |flow, virtual_time| {
             let start = flow.start + flow.span(actual);
             // An account never falls behind the virtual time, or an idle organisation would save up a claim.
@@ -176,20 +181,6 @@
         });
     }
 
-    fn flow(&self, organisation: &Name) -> Option<&Flow> {
-        self.ids.get(organisation).map(|it| &self.flows[*it as usize])
-    }
-
-    fn id(&mut self, organisation: &Name) -> FlowId {
-        if let Some(id) = self.ids.get(organisation) {
-            return *id;
-        }
-        let id = self.flows.len() as FlowId;
-        self.flows.push(Flow::default());
-        self.ids.insert(organisation.clone(), id);
-        id
-    }
-
     fn discount(&mut self, entry: &Entry) {
         self.len -= 1;
         self.cost -= entry.cost;
@@ -206,12 +197,16 @@
         }
         if let Some(keys) = before {
             self.active.remove(&(keys.start, id));
-            self.lengths.remove(&(keys.length, id));
+            if let Some(length) = keys.length {
+                self.lengths.remove(&(length, id));
+            }
             self.weight -= keys.weight;
         }
         if let Some(keys) = after {
             self.active.insert((keys.start, id));
-            self.lengths.insert((keys.length, id));
+            if let Some(length) = keys.length {
+                self.lengths.insert((length, id));
+            }
             self.weight += keys.weight;
         }
         result
