node: run roll-outs through policy::rollout

Cause: a roll-out sent its stage's share of requests to the new version on every node, whatever came of it.

Change: `rollouts` holds a controller for each running roll-out. Trial nodes admit requests within their allowance, every answer of the version on trial is rated, and ratings, errors and times are evidence. A judge that sees the bound crossed stops its trial traffic and appends the halt with the roll-out's base revision; stage changes and the end are proposed likewise. A proposal that is not in force is appended again with the same identity. `evidence` offers the counters to the service for other nodes. Roll-outs take part in requests for their model only, not in those for a cascade, whose plan may never start the new version.

--- a/crates/node/src/catalog.rs
+++ b/crates/node/src/catalog.rs
@@ -35,6 +35,11 @@
         lock(&self.state).revision()
     }
 
+    /// Revision that last changed an object, zero if it is absent.
+    pub(crate) fn revision_of(&self, key: &model::object::Key) -> Revision {
+        lock(&self.state).revision_of(key)
+    }
+
     /// Folds one record and puts the result in force.
     pub(crate) fn apply(&self, offset: Offset, payload: &[u8]) -> Verdict {
         let mut state = lock(&self.state);
--- a/crates/node/src/chat.rs
+++ b/crates/node/src/chat.rs
@@ -9,6 +9,7 @@
 use model::refusal::Reason;
 use model::{Class, Cost, Refusal, Tokens, Usage};
 use policy::cascade::Plan;
+use policy::rollout::Event;
 
 use crate::billing::{RELEASE_TIMEOUT, Record, identity};
 use crate::engine::generation::Job;
@@ -24,7 +25,7 @@
 mod steps;
 
 use answer::{Answer, Head};
-use choice::Wish;
+use choice::{Choice, Wish};
 use request::Request;
 use steps::{Bill, Outcome, Steps};
 
@@ -33,7 +34,7 @@
     view: Arc<View>,
     tenant: Arc<Tenant>,
     request: Request,
-    versions: Vec<Arc<Version>>,
+    choice: Choice,
     plan: Plan,
     job: Job,
     billing_key: Key,
@@ -47,13 +48,16 @@
         Err(refusal) => return refuse(shared, exchange, &refusal),
     };
     if shared.biller.reserve().is_err() {
+        if let Some(trial) = &admitted.choice.trial {
+            trial.record(Event::Lost);
+        }
         return refuse(shared, exchange, &Refusal::not_run(Reason::BillingFull));
     }
     let Admitted {
         view,
         tenant,
         request,
-        versions,
+        choice,
         plan,
         job,
         billing_key,
@@ -83,7 +87,7 @@
         session: String::new(),
     };
     let mut answer = Answer::new(exchange, head, request.delivery, received);
-    let (steps, first) = Steps::new(shared, job, versions, plan, &sign);
+    let (steps, first) = Steps::new(shared, job, choice, plan, &sign);
     match steps.run(first, &mut answer) {
         Outcome::Complete(it) => {
             bill(shared, record(&it));
@@ -109,7 +113,7 @@
     let deadline = received + gate::time_allowed(shared, exchange, class)?;
     let body = body::read(exchange, &shared.settings.http)?;
     let request = Request::parse(&body)?;
-    let versions = versions(shared, &view, &tenant, exchange, &request)?;
+    let choice = choose(shared, &view, &tenant, exchange, &request)?;
     let number = shared.request_number();
     let id = shared.request_id_of(number);
     let billing_key = identity(
@@ -118,7 +122,7 @@
         shared.incarnation,
         number,
     );
-    let Some(first) = versions.first() else {
+    let Some(first) = choice.versions.first() else {
         return Err(Refusal::not_run(Reason::UnknownName));
     };
     let job = Job {
@@ -137,12 +141,12 @@
         prompt: job.prompt_tokens(),
         max_tokens: job.max_tokens,
     };
-    let plan = choice::plan(shared, &view, &tenant, &versions, &wish)?;
+    let plan = choice::plan(shared, &view, &tenant, &choice, &wish)?;
     Ok(Admitted {
         view,
         tenant,
         request,
-        versions,
+        choice,
         plan,
         job,
         billing_key,
@@ -157,20 +161,20 @@
 }
 
 /// The version of the caller's session, or the candidates for a new choice.
-fn versions(
+fn choose(
     shared: &Shared,
     view: &View,
     tenant: &Tenant,
     exchange: &Exchange,
     request: &Request,
-) -> Result<Vec<Arc<Version>>, Refusal> {
+) -> Result<Choice, Refusal> {
     let Some(token) = exchange.header("X-Session") else {
-        return choice::candidates(view, tenant, &request.model, &mut shared.rng());
+        return choice::candidates(shared, view, tenant, &request.model);
     };
     let session = shared.sessions.check(token);
     let session = session.filter(|it| it.organisation == *tenant.name() && it.requested == request.model);
     let session = session.ok_or(Refusal::not_run(Reason::SessionInvalid))?;
-    Ok(vec![Arc::clone(view.pinned(tenant, &session.version)?)])
+    view.pinned(tenant, &session.version).map(Choice::pinned)
 }
 
 /// Adds the billing record and waits for a bounded time until it is safe.
--- a/crates/node/src/chat/choice.rs
+++ b/crates/node/src/chat/choice.rs
@@ -4,15 +4,14 @@
 use std::time::Duration;
 
 use config::view::{Candidate, Tenant, View};
-use model::object::{Rollout, Version};
+use model::object::Version;
 use model::refusal::Reason;
-use model::{Class, Refusal, Tokens, object};
+use model::{Class, Refusal, Tokens};
 use policy::cascade::{self, Error, Forecast, Gate, Plan, Purpose, Step};
-use rand::Rng;
-use rand::rngs::SmallRng;
 
 use super::cost;
 use crate::ratings;
+use crate::rollouts::Trial;
 use crate::shared::Shared;
 
 /// What the choice depends on besides the organisation.
@@ -24,42 +23,53 @@
     pub max_tokens: Option<Tokens>,
 }
 
-/// Live and allowed versions for a request without a session; each is replaced by the new version of its roll-out
-/// for the share of the current stage.
+/// Versions that may answer a request.
+pub(super) struct Choice {
+    pub versions: Vec<Arc<Version>>,
+    /// Roll-out that the request is evidence for.
+    pub trial: Option<Trial>,
+}
+
+impl Choice {
+    /// The version of a session.
+    pub(super) fn pinned(version: &Arc<Version>) -> Self {
+        Self {
+            versions: vec![Arc::clone(version)],
+            trial: None,
+        }
+    }
+}
+
+/// Live and allowed versions for a request without a session.
+///
+/// Roll-outs take part in requests for their model only: of several candidates of a cascade, the plan may not start
+/// the new version at all, and a trial request would never end.
 ///
 /// # Errors
 /// Any refusal of [`View::candidates`].
 pub(super) fn candidates(
+    shared: &Shared,
     view: &View,
     tenant: &Tenant,
     requested: &str,
-    rng: &mut SmallRng,
-) -> Result<Vec<Arc<Version>>, Refusal> {
-    let candidates = view.candidates(tenant, requested)?;
-    Ok(candidates
-        .list
-        .into_iter()
-        .map(|it| try_new(view, tenant, it, rng))
-        .collect())
-}
-
-fn try_new(view: &View, tenant: &Tenant, candidate: Candidate, rng: &mut SmallRng) -> Arc<Version> {
-    let Candidate { version, rollout } = candidate;
-    let Some(rollout) = rollout.filter(|it| rng.random_range(0..1000) < share(it)) else {
-        return version;
+) -> Result<Choice, Refusal> {
+    let list = view.candidates(tenant, requested)?.list;
+    let trial = match &list[..] {
+        [
+            Candidate {
+                rollout: Some(it), ..
+            },
+        ] => shared.rollouts.admit(shared, it).map(|trial| (trial, it)),
+        _ => None,
     };
-    view.pinned(tenant, &rollout.to).cloned().unwrap_or(version)
-}
-
-/// Share of the new version in thousandths.
-fn share(rollout: &Rollout) -> u16 {
-    match rollout.state {
-        object::rollout::State::Running => {
-            let stage = usize::from(rollout.stage);
-            rollout.stages.get(stage).copied().unwrap_or(0)
-        }
-        object::rollout::State::Halted | object::rollout::State::Finished => 0,
-    }
+    let new = trial.as_ref().filter(|it| it.0.is_new()).map(|it| &it.1.to);
+    let new = new.and_then(|it| view.pinned(tenant, it).ok());
+    let versions = match new {
+        Some(new) => vec![Arc::clone(new)],
+        None => list.iter().map(|it| Arc::clone(&it.version)).collect(),
+    };
+    let trial = trial.map(|it| it.0);
+    Ok(Choice { versions, trial })
 }
 
 /// Plans the steps of a request.
@@ -70,9 +80,10 @@
     shared: &Shared,
     view: &View,
     tenant: &Tenant,
-    versions: &[Arc<Version>],
+    choice: &Choice,
     wish: &Wish,
 ) -> Result<Plan, Refusal> {
+    let versions = &choice.versions;
     let candidates: Vec<_> = versions
         .iter()
         .map(|it| candidate(shared, view, it, versions.len(), wish))
@@ -91,13 +102,21 @@
         // The price of a rating is not known; it changes which of two plans is cheaper only if it is near their gap.
         rating_cost: 0,
     };
-    shared
+    let plan = shared
         .planner
         .plan(&request, &candidates, &mut shared.rng())
         .map_err(|err| match err {
             Error::NoCandidate => Refusal::not_run(Reason::NotAllowed),
             Error::Deadline => Refusal::not_run(Reason::DeadlineUnreachable),
-        })
+        });
+    let mut plan = plan?;
+    if choice.trial.as_ref().is_some_and(Trial::is_new)
+        && let Some(step) = plan.steps.last_mut()
+    {
+        // Every answer of a version on trial is rated.
+        step.gate = Gate::Sampled;
+    }
+    Ok(plan)
 }
 
 fn candidate<'a>(
--- a/crates/node/src/chat/steps.rs
+++ b/crates/node/src/chat/steps.rs
@@ -8,8 +8,10 @@
 use model::{Cost, Ran, Refusal, Tokens, Usage};
 use platform::rating;
 use policy::cascade::{Action, Gate, Plan, Position, Run, Verdict};
+use policy::rollout::Event;
 
 use super::answer::Answer;
+use super::choice::Choice;
 use super::cost;
 use crate::engine::generation::{self, Job, Outcome as Generated};
 use crate::engine::sink::Sink;
@@ -47,7 +49,7 @@
     shared: &'a Shared,
     job: Job,
     /// Candidates of the plan.
-    versions: Vec<Arc<Version>>,
+    choice: Choice,
     /// Signs a session that starts on a version.
     sign: &'a dyn Fn(&Version) -> String,
     run: Run,
@@ -61,7 +63,7 @@
     pub(super) fn new(
         shared: &'a Shared,
         job: Job,
-        versions: Vec<Arc<Version>>,
+        choice: Choice,
         plan: Plan,
         sign: &'a dyn Fn(&Version) -> String,
     ) -> (Self, Action) {
@@ -71,7 +73,7 @@
         let steps = Self {
             shared,
             job,
-            versions,
+            choice,
             sign,
             run,
             answered,
@@ -121,6 +123,7 @@
         let start = Instant::now();
         let generated = generation::run(self.shared, &self.job, &mut sink);
         let now = self.shared.now();
+        self.note(&generated, start);
         match generated {
             Generated::Complete(usage) => {
                 self.shared.latencies.add(&version.name, start.elapsed());
@@ -181,6 +184,24 @@
         Outcome::Complete(bill)
     }
 
+    /// Records the end of a request that is evidence for a roll-out.
+    fn note(&self, generated: &Generated, start: Instant) {
+        let Some(trial) = &self.choice.trial else {
+            return;
+        };
+        trial.record(match generated {
+            Generated::Complete(_) => Event::Answered {
+                latency: start.elapsed(),
+                // Half of the time allowed is gone; only the comparison of both versions counts.
+                slow: start.elapsed() > self.job.deadline.saturating_duration_since(start) / 2,
+            },
+            // Neither says anything about the version.
+            Generated::Gone(_) => Event::Lost,
+            Generated::Failed(refusal) if refusal.ran == Ran::No => Event::Lost,
+            Generated::Failed(_) => Event::Failed,
+        });
+    }
+
     /// Bill of an answer that its caller cut off.
     fn partial(&self, version: Arc<Version>, output: Tokens) -> Bill {
         Bill {
@@ -206,6 +227,7 @@
             organisation: self.job.organisation.clone(),
             class: self.job.class,
             position: self.position,
+            trial: self.choice.trial.clone(),
         })
     }
 
@@ -218,7 +240,7 @@
 
     fn version_of(&self, step: usize) -> Option<Arc<Version>> {
         let name = &self.run.plan().steps[step].version;
-        self.versions.iter().find(|it| it.name == *name).cloned()
+        self.choice.versions.iter().find(|it| it.name == *name).cloned()
     }
 }
 
--- a/crates/node/src/evidence.rs
+++ b/crates/node/src/evidence.rs
@@ -2,18 +2,32 @@
 
 use std::time::Duration;
 
-use policy::cascade::Record;
+use policy::{cascade, rollout};
 
 use crate::shared::Shared;
 
-/// Counters that grew at `since` or later on this node's clock, of all incarnations known.
-#[allow(dead_code, reason = "called by the service for other nodes")]
-pub(crate) fn counters(shared: &Shared, since: Duration) -> Vec<Record> {
-    shared.planner.export(since)
+/// Counters of adequacy and of roll-outs.
+#[derive(Debug, Clone, Default)]
+#[allow(dead_code, reason = "used by the service for other nodes")]
+pub(crate) struct Counters {
+    /// Ratings by organisation, class and version.
+    pub adequacy: Vec<cascade::Record>,
+    /// Evidence of the running roll-outs.
+    pub rollouts: Vec<rollout::Record>,
+}
+
+/// Counters of all incarnations known; those of adequacy only if they grew at `since` or later on this node's clock.
+#[allow(dead_code, reason = "used by the service for other nodes")]
+pub(crate) fn counters(shared: &Shared, since: Duration) -> Counters {
+    Counters {
+        adequacy: shared.planner.export(since),
+        rollouts: shared.rollouts.counters(),
+    }
 }
 
 /// Merges counters of other nodes; repeated, reordered and outdated ones have no effect.
-#[allow(dead_code, reason = "called by the service for other nodes")]
-pub(crate) fn merge(shared: &Shared, records: &[Record]) {
-    shared.planner.merge(records, shared.now());
+#[allow(dead_code, reason = "used by the service for other nodes")]
+pub(crate) fn merge(shared: &Shared, counters: &Counters) {
+    shared.planner.merge(&counters.adequacy, shared.now());
+    shared.rollouts.merge(&counters.rollouts);
 }
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -17,7 +17,7 @@
 use crate::ports::Ports;
 use crate::secrets::Secrets;
 use crate::shared::Shared;
-use crate::{billing, config_log, hosts, once, polling, ratings, timer};
+use crate::{billing, config_log, hosts, once, polling, ratings, rollouts, timer};
 
 /// Interval of the checks during a planned stop.
 const POLL: Duration = Duration::from_millis(20);
@@ -118,6 +118,7 @@
         thread("hosts", &shared, |it| hosts::run(it))?,
         thread("timer", &shared, |it| timer::run(it))?,
         thread("ratings", &shared, |it| ratings::run(it))?,
+        thread("rollouts", &shared, |it| rollouts::run(it))?,
         thread("polling", &shared, |it| polling::run(it))?,
         thread("gossip", &shared, move |it| gossip::run(it, &socket))?,
         thread("billing", &shared, billing::run)?,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,6 +26,7 @@
 mod polling;
 mod ports;
 mod ratings;
+mod rollouts;
 mod secrets;
 mod services;
 mod session;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -89,6 +89,8 @@
     pub hedges: Counter,
     /// Streams moved because another stream on the same upstream went silent.
     pub moved_streams: Counter,
+    /// Failed appends of proposals for roll-outs.
+    pub proposal_failures: Counter,
     /// Steps that followed another one of the same request.
     pub escalations: Counter,
     /// Ratings that arrived in time.
@@ -129,6 +131,7 @@
             report_failures: Counter::default(),
             hedges: Counter::default(),
             moved_streams: Counter::default(),
+            proposal_failures: Counter::default(),
             escalations: Counter::default(),
             ratings: Counter::default(),
             ratings_late: Counter::default(),
@@ -236,6 +239,11 @@
             self.moved_streams.clone(),
         );
         let ratings = [
+            (
+                "proposal_failures",
+                "Failed appends of proposals",
+                &self.proposal_failures,
+            ),
             (
                 "escalations",
                 "Steps after the first one of a request",
--- a/crates/node/src/ratings.rs
+++ b/crates/node/src/ratings.rs
@@ -9,8 +9,10 @@
 use model::{Class, Name};
 use platform::rating;
 use policy::cascade::{Observation, Outcome, Position, Verdict};
+use policy::rollout::Event;
 
 use crate::phase::Phase;
+use crate::rollouts::Trial;
 use crate::shared::Shared;
 
 /// Wait of a rated step for its rating.
@@ -39,6 +41,8 @@
     pub class: Class,
     /// Whether an earlier answer to the request was rejected.
     pub position: Position,
+    /// Roll-out that the rating is evidence for.
+    pub trial: Option<Trial>,
 }
 
 #[derive(Debug)]
@@ -153,6 +157,13 @@
         Outcome::Missing => &shared.metrics.ratings_missing,
     };
     metric.inc();
+    if let Some(trial) = &task.trial {
+        trial.record(match outcome {
+            Outcome::InTime(Verdict::Adequate) | Outcome::Late(Verdict::Adequate) => Event::Adequate,
+            Outcome::InTime(Verdict::Inadequate) | Outcome::Late(Verdict::Inadequate) => Event::Inadequate,
+            Outcome::Missing => Event::Lost,
+        });
+    }
     let observation = Observation {
         class: task.class,
         version: &task.request.version,
--- /dev/null
+++ b/crates/node/src/rollouts.rs
@@ -0,0 +1,199 @@
+//! This node's part in the running roll-outs: trial traffic, evidence, and proposals to advance or halt.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use config::STREAM;
+use config::record::{Change, Id, Proposal, Record as ConfigRecord};
+use model::object::{Key, Kind, Model, Rollout, rollout, version};
+use model::{Name, Object, Revision, hash};
+use policy::rollout::{Admission, Arm, Controller, Decision, Event, Next, Node, Record, Run};
+
+use crate::phase::Phase;
+use crate::shared::Shared;
+
+/// Interval of the looks at the evidence.
+const INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time after which a proposal that is not in force is appended again, with the same identity.
+const REPEAT: Duration = Duration::from_secs(2);
+
+/// Controllers of the running roll-outs by their names.
+#[derive(Debug, Default)]
+pub(crate) struct Rollouts {
+    controllers: Mutex<HashMap<Name, Arc<Mutex<Controller>>>>,
+}
+
+/// A request that counts as evidence.
+#[derive(Debug, Clone)]
+pub(crate) struct Trial {
+    controller: Arc<Mutex<Controller>>,
+    run: Run,
+    arm: Arm,
+}
+
+impl Trial {
+    /// Whether the request runs on the new version.
+    pub(crate) fn is_new(&self) -> bool {
+        self.arm == Arm::New
+    }
+
+    /// Records what happened to the request, unless the roll-out has changed since it started.
+    pub(crate) fn record(&self, event: Event) {
+        let mut controller = lock(&self.controller);
+        if controller.run() == self.run {
+            controller.record(self.arm, event);
+        }
+    }
+}
+
+impl Rollouts {
+    /// Chooses the side of a new session or a sessionless request; `None` while the node does not know the roll-out.
+    pub(crate) fn admit(&self, shared: &Shared, rollout: &Rollout) -> Option<Trial> {
+        let controller = self.controller(&rollout.name)?;
+        let mut held = lock(&controller);
+        let arm = match held.admit(shared.now(), &mut shared.rng()) {
+            Admission::New => Arm::New,
+            Admission::Old => {
+                held.record(Arm::Old, Event::Started);
+                Arm::Old
+            }
+        };
+        let run = held.run();
+        drop(held);
+        Some(Trial { controller, run, arm })
+    }
+
+    /// Counters of all running roll-outs, for other nodes.
+    pub(crate) fn counters(&self) -> Vec<Record> {
+        let all: Vec<_> = lock(&self.controllers).values().cloned().collect();
+        all.iter().flat_map(|it| lock(it).export()).collect()
+    }
+
+    /// Merges counters of other nodes.
+    pub(crate) fn merge(&self, records: &[Record]) {
+        let all: Vec<_> = lock(&self.controllers).values().cloned().collect();
+        for controller in all {
+            lock(&controller).merge(records);
+        }
+    }
+
+    fn controller(&self, name: &Name) -> Option<Arc<Mutex<Controller>>> {
+        lock(&self.controllers).get(name).cloned()
+    }
+}
+
+/// Looks at the evidence and proposes until the node stops.
+pub(crate) fn run(shared: &Shared) {
+    let mut proposed: HashMap<Name, Duration> = HashMap::new();
+    while shared.phase.get() < Phase::Stopped {
+        configure(shared);
+        let view = shared.catalog.view();
+        for rollout in view.rollouts() {
+            let Some(controller) = shared.rollouts.controller(&rollout.name) else {
+                continue;
+            };
+            let decision = lock(&controller).decide(&mut shared.rng());
+            let recent = proposed
+                .get(&rollout.name)
+                .is_some_and(|it| shared.now() < *it + REPEAT);
+            if recent {
+                continue;
+            }
+            let Some(proposal) = proposal(shared, rollout, decision) else {
+                continue;
+            };
+            proposed.insert(rollout.name.clone(), shared.now());
+            let payload = ConfigRecord::Proposal(proposal).to_bytes();
+            log::info!("proposes a change of roll-out {}: {decision:?}", rollout.name);
+            // A lost reply or a failure is followed by another append, as long as the roll-out has not changed.
+            if shared.ports.log.append(STREAM, &[payload]).is_err() {
+                shared.metrics.proposal_failures.inc();
+            }
+        }
+        shared.pause(INTERVAL);
+    }
+}
+
+/// Takes over the running roll-outs and the live hosts.
+fn configure(shared: &Shared) {
+    let view = shared.catalog.view();
+    let mut hosts: Vec<_> = shared
+        .peers
+        .live(shared.now())
+        .into_iter()
+        .map(|it| it.host)
+        .collect();
+    hosts.push(shared.settings.node.host.clone());
+    let mut controllers = lock(&shared.rollouts.controllers);
+    controllers.retain(|name, _| view.rollouts().any(|it| it.name == *name));
+    for rollout in view.rollouts() {
+        let key = Key::new(Kind::Rollout, rollout.name.clone());
+        let revision = shared.catalog.revision_of(&key);
+        let state = match view.is_withdrawn(&rollout.to) {
+            true => version::State::Withdrawn,
+            false => version::State::Live,
+        };
+        let controller = controllers.entry(rollout.name.clone()).or_insert_with(|| {
+            let node = Node {
+                host: shared.settings.node.host.clone(),
+                incarnation: shared.incarnation,
+            };
+            let controller = Controller::new(node, Rollout::clone(rollout), revision, state);
+            Arc::new(Mutex::new(controller))
+        });
+        let mut controller = lock(controller);
+        controller.configure(Rollout::clone(rollout), revision, state);
+        controller.place(&hosts);
+    }
+}
+
+/// The proposal of a decision; its identity depends on nothing else, so that a repeated append counts once.
+fn proposal(shared: &Shared, current: &Rollout, decision: Decision) -> Option<Proposal> {
+    let mut rollout = current.clone();
+    let mut base = BTreeMap::new();
+    let mut changes = Vec::new();
+    let revision: Revision = match decision {
+        Decision::Hold(_) => return None,
+        Decision::Halt { base, .. } => {
+            rollout.state = rollout::State::Halted;
+            base
+        }
+        Decision::Advance {
+            base,
+            next: Next::Stage(stage),
+        } => {
+            rollout.stage = stage;
+            base
+        }
+        Decision::Advance {
+            base: revision,
+            next: Next::Finished,
+        } => {
+            rollout.state = rollout::State::Finished;
+            let key = Key::new(Kind::Model, rollout.model.clone());
+            base.insert(key.clone(), shared.catalog.revision_of(&key));
+            changes.push(Change::Put(Object::Model(Model {
+                name: rollout.model.clone(),
+                default_version: rollout.to.clone(),
+            })));
+            revision
+        }
+    };
+    let text = format!("{}/{}/{revision}/{decision:?}", shared.incarnation, rollout.name);
+    let bits =
+        u128::from(hash::stable(text.as_bytes())) << 64 | u128::from(hash::rendezvous(&text, "proposal"));
+    base.insert(Key::new(Kind::Rollout, rollout.name.clone()), revision);
+    changes.push(Change::Put(Object::Rollout(rollout)));
+    Some(Proposal {
+        id: Id::from_bits(bits),
+        author: format!("node {}", shared.settings.node.host),
+        base,
+        changes,
+    })
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -25,6 +25,7 @@
 use crate::phase::{Cell, Phase};
 use crate::ports::Ports;
 use crate::ratings::Ratings;
+use crate::rollouts::Rollouts;
 use crate::secrets::Secrets;
 use crate::session::Keys;
 use crate::upstreams::Directory;
@@ -47,6 +48,7 @@
     pub biller: Biller,
     pub planner: Planner,
     pub ratings: Ratings,
+    pub rollouts: Rollouts,
     pub latencies: Latencies,
     pub once: Once,
     pub peers: Peers,
@@ -92,6 +94,7 @@
             admin_key: secrets.admin.as_deref().map(hash_key),
             planner: Planner::new(incarnation),
             ratings: Ratings::default(),
+            rollouts: Rollouts::default(),
             latencies: Latencies::default(),
             biller: Biller::new(
                 incarnation,
