--- a/crates/demo/tests/common/mod.rs
+++ b/crates/demo/tests/common/mod.rs
@@ -33,6 +33,8 @@
     pub error: Option<String>,
     /// Value of `ran` of the error, if any.
     pub ran: Option<String>,
+    /// Value of the header `Retry-After`, if any.
+    pub retry_after: Option<String>,
     pub text: String,
     /// Whether the answer ended as a complete one does.
     pub complete: bool,
@@ -74,6 +76,7 @@
         session: header("X-Session"),
         error: None,
         ran: None,
+        retry_after: Some(header("Retry-After")).filter(|it| !it.is_empty()),
         text: String::new(),
         complete: false,
     };
@@ -146,6 +149,19 @@
     }
 }
 
+/// Cost and cost of rejected steps of each bill.
+pub fn rejected_costs(cluster: &Cluster) -> Vec<(u64, u64)> {
+    let page = cluster.log_client().read(STREAM, 0, 100_000).unwrap();
+    let batches: BTreeMap<_, _> = page
+        .records
+        .iter()
+        .flat_map(|it| decode(&it.payload).unwrap())
+        .map(|it| (it.id, it))
+        .collect();
+    let records = batches.into_values().flat_map(|it| it.records);
+    records.map(|it| (it.cost, it.rejected)).collect()
+}
+
 /// Addresses that a node names to callers, with the key prefix of each.
 pub fn entries(address: SocketAddr, query: &str) -> Vec<Value> {
     let response = attohttpc::get(format!("http://{address}/v1/entries{query}"))
--- a/crates/node/src/catalog.rs
+++ b/crates/node/src/catalog.rs
@@ -57,6 +57,11 @@
         lock(&self.follower).state().revision()
     }
 
+    /// Revision that last changed an object, zero if it is absent.
+    pub(crate) fn revision_of(&self, key: &model::object::Key) -> Revision {
+        lock(&self.follower).state().revision_of(key)
+    }
+
     /// What a peer that holds `revision` lacks.
     pub(crate) fn delta(&self, revision: Revision, now: Duration) -> Delta {
         lock(&self.follower).delta(revision, now)
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -16,7 +16,7 @@
 use crate::ports::Ports;
 use crate::secrets::Secrets;
 use crate::shared::Shared;
-use crate::{billing, config_log, hosts, key_files, once};
+use crate::{billing, config_log, hosts, key_files, once, polling, ratings, rollouts, timer};
 
 /// Interval of the checks during a planned stop.
 const POLL: Duration = Duration::from_millis(20);
@@ -108,6 +108,10 @@
         thread("config-calls", &shared, config_log::call_log)?,
         thread("hosts", &shared, |it| hosts::run(it))?,
         thread("key-files", &shared, move |it| key_files::run(it, secrets))?,
+        thread("timer", &shared, |it| timer::run(it))?,
+        thread("ratings", &shared, |it| ratings::run(it))?,
+        thread("rollouts", &shared, |it| rollouts::run(it))?,
+        thread("polling", &shared, |it| polling::run(it))?,
         thread("gossip", &shared, move |it| gossip::run(it, &socket))?,
         thread("billing", &shared, billing::run)?,
         thread("billing-log", &shared, billing::append)?,
--- a/crates/node/src/hosts.rs
+++ b/crates/node/src/hosts.rs
@@ -14,7 +14,7 @@
         match shared.ports.hosts.list() {
             Ok(entries) => {
                 shared.peers.update(&entries, shared.now(), &mut shared.rng());
-                shared.upstreams.update(&entries);
+                shared.upstreams.update(entries, &shared.catalog.view());
             }
             Err(_) => {
                 shared.metrics.hosts_read_failures.inc();
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -93,6 +93,22 @@
     pub config_log_behind: Counter,
     /// Failed reads of the host list.
     pub hosts_read_failures: Counter,
+    /// Failed reads of load reports and cache events.
+    pub report_failures: Counter,
+    /// Second attempts started beside a first one without an answer.
+    pub hedges: Counter,
+    /// Streams moved because another stream on the same upstream went silent.
+    pub moved_streams: Counter,
+    /// Failed appends of proposals for roll-outs.
+    pub proposal_failures: Counter,
+    /// Steps that followed another one of the same request.
+    pub escalations: Counter,
+    /// Ratings that arrived in time.
+    pub ratings: Counter,
+    /// Ratings that arrived late.
+    pub ratings_late: Counter,
+    /// Ratings that did not arrive in time.
+    pub ratings_missing: Counter,
     /// Billing records that are not in the log yet.
     pub billing_unsettled: Gauge,
     /// Answers released before their billing record was replicated.
@@ -129,6 +145,14 @@
             config_read_failures: Counter::default(),
             config_log_behind: Counter::default(),
             hosts_read_failures: Counter::default(),
+            report_failures: Counter::default(),
+            hedges: Counter::default(),
+            moved_streams: Counter::default(),
+            proposal_failures: Counter::default(),
+            escalations: Counter::default(),
+            ratings: Counter::default(),
+            ratings_late: Counter::default(),
+            ratings_missing: Counter::default(),
             billing_unsettled: Gauge::default(),
             billing_underreplicated: Counter::default(),
             billing_append_failures: Counter::default(),
@@ -235,6 +259,39 @@
             "Failed reads of the host list",
             self.hosts_read_failures.clone(),
         );
+        registry.register(
+            "report_failures",
+            "Failed reads of load reports and cache events",
+            self.report_failures.clone(),
+        );
+        registry.register(
+            "hedges",
+            "Second attempts beside a first one without an answer",
+            self.hedges.clone(),
+        );
+        registry.register(
+            "moved_streams",
+            "Streams moved because another one on the same upstream went silent",
+            self.moved_streams.clone(),
+        );
+        let ratings = [
+            (
+                "proposal_failures",
+                "Failed appends of proposals",
+                &self.proposal_failures,
+            ),
+            (
+                "escalations",
+                "Steps after the first one of a request",
+                &self.escalations,
+            ),
+            ("ratings", "Ratings in time", &self.ratings),
+            ("ratings_late", "Ratings after their time-out", &self.ratings_late),
+            ("ratings_missing", "Ratings not in time", &self.ratings_missing),
+        ];
+        for (name, help, counter) in ratings {
+            registry.register(name, help, counter.clone());
+        }
         registry.register(
             "billing_unsettled",
             "Billing records not in the log yet",
--- a/crates/node/src/services.rs
+++ b/crates/node/src/services.rs
@@ -5,15 +5,14 @@
 
 use config::view::Tenant;
 use model::object::service::Repeat;
-use model::refusal::Reason;
 use model::{Class, Name, Refusal};
-use platform::service::{Call, Error, Reply as ServiceReply};
+use platform::service::{Call, Reply as ServiceReply};
 
+use crate::dispatch_call::{self, Plain};
 use crate::http::dispatch::refuse;
 use crate::http::exchange::Exchange;
 use crate::http::reply::Reply;
 use crate::http::{body, gate};
-use crate::metrics::Retry;
 use crate::shared::Shared;
 
 pub(crate) mod keyed;
@@ -22,9 +21,6 @@
 /// Path prefix of all services.
 pub(crate) const PREFIX: &str = "/v1/services/";
 
-/// Greatest number of attempts.
-const MAX_ATTEMPTS: usize = 3;
-
 /// An admitted call.
 struct Admitted {
     tenant: Arc<Tenant>,
@@ -35,6 +31,19 @@
     call: Call,
 }
 
+impl Admitted {
+    fn plain(&self) -> Plain<'_> {
+        Plain {
+            pool: &self.pool,
+            organisation: self.tenant.name(),
+            weight: self.tenant.organisation.weight,
+            repeat: self.repeat,
+            deadline: self.deadline,
+            call: &self.call,
+        }
+    }
+}
+
 /// Answers one call.
 pub(crate) fn serve(shared: &Shared, mut exchange: Exchange) {
     let admitted = match admit(shared, &mut exchange) {
@@ -85,47 +94,7 @@
     })
 }
 
-/// Sends the call; again only if it is idempotent or provably did not run.
+/// Sends the call as the policy decides.
 fn run(shared: &Shared, admitted: &Admitted) -> Result<ServiceReply, Refusal> {
-    let mut tried = Vec::new();
-    let mut rng = shared.rng();
-    let mut refusal = Refusal::not_run(Reason::NoUpstream);
-    while tried.len() < MAX_ATTEMPTS {
-        let Some(left) = admitted.deadline.checked_duration_since(Instant::now()) else {
-            return Err(Refusal {
-                reason: Reason::DeadlineExceeded,
-                ..refusal
-            });
-        };
-        let Some(assignment) = shared
-            .upstreams
-            .choose(&admitted.pool, &tried, shared.now(), &mut rng)
-        else {
-            return Err(refusal);
-        };
-        let upstream = &assignment.upstream;
-        let mut call = admitted.call.clone();
-        call.timeout = call.timeout.min(left);
-        let err = match shared.ports.services.call(upstream.address, &call) {
-            Ok(reply) => return Ok(reply),
-            Err(err) => err,
-        };
-        match (&err, admitted.repeat) {
-            (Error::Unknown, Repeat::NonIdempotent) => {
-                return Err(Refusal::unknown(Reason::OutcomeUnknown));
-            }
-            (Error::Unknown, Repeat::Idempotent) => {
-                refusal = Refusal::unknown(Reason::UpstreamFailed);
-                shared.metrics.retry(Retry::Broken);
-                upstream.eject(shared.now());
-            }
-            (Error::Connect, _) => {
-                shared.metrics.retry(Retry::Connect);
-                upstream.eject(shared.now());
-            }
-            (Error::NotRun, _) => shared.metrics.retry(Retry::Refused),
-        }
-        tried.push(upstream.name.clone());
-    }
-    Err(refusal)
+    dispatch_call::run(shared, &admitted.plain())
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -7,6 +7,8 @@
 use config::settings::Settings;
 use config::view::{KeyHash, hash_key};
 use model::Incarnation;
+use policy::balance::Place;
+use policy::cascade::Planner;
 use rand::rngs::{OsRng, SmallRng};
 use rand::{Rng, SeedableRng, TryRngCore};
 use tokio::runtime::Handle;
@@ -14,6 +16,7 @@
 use crate::billing::Biller;
 use crate::catalog::Catalog;
 use crate::config_log::Channels;
+use crate::latencies::Latencies;
 use crate::metrics::Metrics;
 use crate::once::Once;
 use crate::peers::Peers;
@@ -21,6 +24,8 @@
 use crate::peers::client::Client;
 use crate::phase::{Cell, Phase};
 use crate::ports::Ports;
+use crate::ratings::Ratings;
+use crate::rollouts::Rollouts;
 use crate::secrets::Secrets;
 use crate::session::Keys;
 use crate::upstreams::Directory;
@@ -39,6 +44,10 @@
     pub config_channels: Channels,
     pub upstreams: Directory,
     pub biller: Biller,
+    pub planner: Planner,
+    pub ratings: Ratings,
+    pub rollouts: Rollouts,
+    pub latencies: Latencies,
     pub once: Once,
     pub peers: Peers,
     pub client: Client,
@@ -61,6 +70,11 @@
     /// State of a node that starts now.
     pub(crate) fn new(settings: Settings, secrets: &Secrets, ports: Ports, runtime: Handle) -> Self {
         let incarnation = Incarnation::from_bits(OsRng.unwrap_err().random());
+        let start = Instant::now();
+        let place = Place {
+            name: settings.node.host.clone(),
+            domain: settings.node.failure_domain.clone(),
+        };
         let cluster_key = Key::new(secrets.cluster.clone());
         let mut rng = SmallRng::from_rng(&mut OsRng.unwrap_err());
         Self {
@@ -73,12 +87,16 @@
             catalog: Catalog::new(&settings.config),
             sessions: Keys::new(secrets.session_keys()),
             admin_key: Mutex::new(secrets.admin.as_deref().map(hash_key)),
+            planner: Planner::new(incarnation),
+            ratings: Ratings::default(),
+            rollouts: Rollouts::default(),
+            latencies: Latencies::default(),
             biller: Biller::new(
                 incarnation,
                 settings.node.failure_domain.clone(),
                 &settings.billing,
             ),
-            upstreams: Directory::new(settings.node.failure_domain.clone()),
+            upstreams: Directory::new(place, ports.engines.block_tokens(), start),
             settings,
             ports,
             incarnation,
@@ -86,7 +104,7 @@
             phase: Cell::default(),
             open: AtomicUsize::new(0),
             named_at: Mutex::new(None),
-            start: Instant::now(),
+            start,
             next_request: AtomicU64::new(0),
             next_seed: AtomicU64::new(OsRng.unwrap_err().random()),
         }
--- a/crates/policy/src/pool/state/attempt.rs
+++ b/crates/policy/src/pool/state/attempt.rs
@@ -17,15 +17,19 @@
         if self.room == Room::None {
             return;
         }
-        while let Some(ticket) = self.waiting.front().copied() {
-            if let Some(call) = self.calls.get(&ticket) {
-                let Some(slot) = self.engines.choose(call, now, rng) else {
-                    break;
-                };
-                self.send(ticket, slot, Kind::Retry, now, out);
-            }
-            self.waiting.pop_front();
-        }
+        // Each waiting request has tried other engines, so one that finds no place must not hold up the next.
+        let mut waiting = std::mem::take(&mut self.waiting);
+        waiting.retain(|ticket| {
+            let Some(call) = self.calls.get(ticket) else {
+                return false;
+            };
+            let Some(slot) = self.engines.choose(call, now, rng) else {
+                return true;
+            };
+            self.send(*ticket, slot, Kind::Retry, now, out);
+            false
+        });
+        self.waiting = waiting;
         while let Some(entry) = self.queue.peek() {
             let ticket = entry.ticket;
             let Some(call) = self.calls.get(&ticket) else {
@@ -175,10 +179,14 @@
         }
         let reason = match outcome {
             Outcome::Silent => Reason::UpstreamSilent,
+            Outcome::NotStarted(Cause::Busy) if !call.may_have_run => Reason::Overloaded,
+            Outcome::NotStarted(Cause::Connect | Cause::Leaving) if !call.may_have_run => Reason::NoUpstream,
             _ => Reason::UpstreamFailed,
         };
-        let resend =
-            may_resend(call.request.repeat, proof) && call.tries.len() < usize::from(self.settings.attempts);
+        // A request that every engine has had would wait in vain until its deadline.
+        let resend = may_resend(call.request.repeat, proof)
+            && call.tries.len() < usize::from(self.settings.attempts)
+            && self.engines.any_untried(call);
         if !resend || call.request.deadline <= now {
             self.refuse(attempt.ticket, reason, now, out);
         } else if self.budget.spend() {
