--- a/crates/ctl/src/failure.rs
+++ b/crates/ctl/src/failure.rs
@@ -5,7 +5,6 @@
 
 use config::check::Fault;
 use config::fold::SnapshotError;
-use config::record::Outcome;
 use model::Offset;
 use model::object::Key;
 
@@ -45,9 +44,6 @@
     /// Objects changed meanwhile.
     #[error("not published: {} objects changed since they were read", .0.len())]
     Conflict(Vec<Key>),
-    /// An earlier append of the same proposal was refused.
-    #[error("not published: the proposal was refused ({0:?})")]
-    Refused(Outcome),
     /// The log could not be read.
     #[error("cannot read the log: {0}")]
     Read(platform::log::Error),
@@ -88,7 +84,6 @@
             | Self::NoNode => EXIT_USAGE,
             Self::Absent(_)
             | Self::Conflict(_)
-            | Self::Refused(_)
             | Self::Truncated(_)
             | Self::Snapshot(..)
             | Self::Status(..) => EXIT_REFUSED,
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -7,11 +7,10 @@
 use std::time::{Duration, Instant};
 
 use config::settings::Settings;
-use tiny_http::{ListenAddr, Server};
 use tokio::runtime::Runtime;
 use tokio::sync::oneshot;
 
-use crate::http::{dispatch, listener};
+use crate::http::server as callers;
 use crate::peers::{gossip, server};
 use crate::phase::Phase;
 use crate::ports::Ports;
@@ -37,7 +36,10 @@
 /// Failure to start.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
-    /// The address for callers is not available.
+    /// The server of the caller API did not start.
+    #[error(transparent)]
+    Callers(#[from] callers::Error),
+    /// An address for other nodes is not available.
     #[error("cannot listen on {address}: {cause}")]
     Bind {
         /// The address.
@@ -45,15 +47,9 @@
         /// The failure.
         cause: std::io::Error,
     },
-    /// The server did not start.
-    #[error("cannot start the server: {0}")]
-    Server(Box<dyn std::error::Error + Send + Sync>),
     /// A thread or a socket is not available.
     #[error("cannot start a thread or read a socket: {0}")]
     Thread(#[from] std::io::Error),
-    /// The settings ask for TLS, which this build does not offer.
-    #[error("this build does not offer TLS towards callers")]
-    Tls,
 }
 
 /// Whether a planned stop completed.
@@ -87,19 +83,13 @@
 /// # Errors
 /// Any [`Error`].
 pub fn spawn(mut settings: Settings, secrets: Secrets, ports: Ports) -> Result<Handle, Error> {
-    if settings.tls.is_some() {
-        return Err(Error::Tls);
-    }
+    let callers = callers::Server::bind(&settings)?;
     let bind = |address| move |cause| Error::Bind { address, cause };
     let node = &mut settings.node;
-    let listener = listener::bind(node.entry).map_err(bind(node.entry))?;
-    let server = Server::from_listener(listener, None).map_err(Error::Server)?;
     let peer = TcpListener::bind(node.peer).map_err(bind(node.peer))?;
     let socket = UdpSocket::bind(node.gossip).map_err(bind(node.gossip))?;
     // With port 0 in the settings, other nodes and callers learn the port that was assigned.
-    if let ListenAddr::IP(address) = server.server_addr() {
-        node.entry = address;
-    }
+    node.entry = callers.address();
     node.peer = peer.local_addr()?;
     node.gossip = socket.local_addr()?;
     let address = node.entry;
@@ -121,7 +111,7 @@
         thread("gossip", &shared, move |it| gossip::run(it, &socket))?,
         thread("billing", &shared, billing::run)?,
         thread("billing-log", &shared, billing::append)?,
-        thread("dispatch", &shared, move |it| dispatch::run(it, &server))?,
+        thread("callers", &shared, move |it| callers.run(it))?,
     ];
     log::info!("host {} serves callers on {address}", shared.settings.node.host);
     Ok(Handle {
