node: exchange roll-out evidence and adequacy counters between nodes

Cause: MergeEvidence was declared and not served, so each node learnt alone and a roll-out was judged on one node's evidence. The messages carry all fields of the policy's counters. Result: ratings that one node receives reach the others; the test of it fails without the exchange, since the counter stays at zero.

--- a/crates/demo/tests/quality.rs
+++ b/crates/demo/tests/quality.rs
@@ -77,6 +77,21 @@
     }
 }
 
+/// Guards against nodes that each have to learn the quality of a version from their own requests alone.
+#[test]
+fn ratings_of_one_node_reach_the_others() {
+    let cluster = start();
+    let [rated, others @ ..] = &cluster.addresses()[..] else {
+        panic!("no node")
+    };
+    cascade(*rated, 2);
+    for address in others {
+        wait("counters", Duration::from_secs(10), || {
+            metric(*address, "evidence_received_total") >= 1.0
+        });
+    }
+}
+
 /// Guards against sessions that change their version when a cascade would choose another one.
 #[test]
 fn a_session_of_a_cascade_keeps_its_version() {
--- a/crates/load/src/capacity/evidence.rs
+++ b/crates/load/src/capacity/evidence.rs
@@ -5,17 +5,17 @@
 
 use super::{Line, Resource, Sample, Scope};
 
-/// Nodes that send trial traffic of one roll-out.
-const TRIAL_NODES: usize = 3;
+/// Counters of one roll-out: two trial nodes with both arms, and eight observers of the old version.
+const ROLLOUT_COUNTERS: usize = 2 * 2 + 8;
 
 /// Roll-outs under way at once.
 const ROLLOUTS: usize = 2;
 
 /// Seconds between two exchanges of a node with a peer.
-const INTERVAL_SECONDS: f64 = 2.0;
+const INTERVAL_SECONDS: f64 = 5.0;
 
-/// Adequacy counters in one exchange: those that changed, up to this bound.
-const POSTERIORS: usize = 10;
+/// Greatest number of adequacy counters in one exchange.
+const POSTERIORS: usize = 64;
 
 /// HTTP/2 and gRPC framing of one call.
 const CALL_BYTES: usize = 63;
@@ -23,7 +23,7 @@
 /// Cost of the exchange, which does not depend on the size of the fleet.
 pub fn lines() -> Vec<Line> {
     let exchange = MergeEvidenceRequest {
-        evidence: vec![evidence(); ROLLOUTS * TRIAL_NODES * 2],
+        evidence: vec![evidence(); ROLLOUTS * ROLLOUT_COUNTERS],
         posteriors: vec![posterior(); POSTERIORS],
     };
     // A node is the caller of one exchange and, on average, the callee of another one in each interval.
@@ -41,12 +41,17 @@
 fn evidence() -> EvidenceCounters {
     EvidenceCounters {
         rollout: "rollout-1".to_owned(),
-        version: "version-1".to_owned(),
+        revision: 1_000_000,
+        arm: 1,
         incarnation: vec![0; 16],
         started: 10_000,
+        failed: 100,
+        answered: 9_900,
+        slow: 500,
+        latency_ms: 20_000_000,
         adequate: 9_000,
         inadequate: 900,
-        failed: 100,
+        lost: 100,
     }
 }
 
@@ -58,5 +63,7 @@
         incarnation: vec![0; 16],
         adequate: 10_000,
         inadequate: 1_000,
+        escalated_adequate: 1_000,
+        escalated_inadequate: 100,
     }
 }
--- a/crates/node/src/evidence.rs
+++ b/crates/node/src/evidence.rs
@@ -8,7 +8,6 @@
 
 /// Counters of adequacy and of roll-outs.
 #[derive(Debug, Clone, Default)]
-#[allow(dead_code, reason = "used by the service for other nodes")]
 pub(crate) struct Counters {
     /// Ratings by organisation, class and version.
     pub adequacy: Vec<cascade::Record>,
@@ -17,7 +16,6 @@
 }
 
 /// Counters of all incarnations known; those of adequacy only if they grew at `since` or later on this node's clock.
-#[allow(dead_code, reason = "used by the service for other nodes")]
 pub(crate) fn counters(shared: &Shared, since: Duration) -> Counters {
     Counters {
         adequacy: shared.planner.export(since),
@@ -26,7 +24,6 @@
 }
 
 /// Merges counters of other nodes; repeated, reordered and outdated ones have no effect.
-#[allow(dead_code, reason = "used by the service for other nodes")]
 pub(crate) fn merge(shared: &Shared, counters: &Counters) {
     shared.planner.merge(&counters.adequacy, shared.now());
     shared.rollouts.merge(&counters.rollouts);
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -11,7 +11,7 @@
 use tokio::sync::oneshot;
 
 use crate::http::server as callers;
-use crate::peers::{gossip, server};
+use crate::peers::{exchange, gossip, server};
 use crate::phase::Phase;
 use crate::ports::Ports;
 use crate::secrets::Secrets;
@@ -113,6 +113,7 @@
         thread("rollouts", &shared, |it| rollouts::run(it))?,
         thread("polling", &shared, |it| polling::run(it))?,
         thread("gossip", &shared, move |it| gossip::run(it, &socket))?,
+        thread("evidence", &shared, |it| exchange::run(it))?,
         thread("billing", &shared, billing::run)?,
         thread("billing-log", &shared, billing::append)?,
         thread("callers", &shared, move |it| callers.run(it))?,
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -17,6 +17,8 @@
 pub(crate) mod auth;
 pub(crate) mod client;
 pub(crate) mod convert;
+mod evidence;
+pub(crate) mod exchange;
 pub(crate) mod gossip;
 mod guard;
 pub(crate) mod metrics;
--- a/crates/node/src/peers/client.rs
+++ b/crates/node/src/peers/client.rs
@@ -13,7 +13,7 @@
 use wire::peer::peer_client::PeerClient;
 use wire::peer::{
     ExecuteReply, ExecuteRequest, FetchConfigReply, FetchConfigRequest, HandOverRequest, HoldBatchRequest,
-    SettleBatchRequest,
+    MergeEvidenceReply, MergeEvidenceRequest, SettleBatchRequest,
 };
 
 use super::auth::Key;
@@ -108,6 +108,18 @@
         Ok(())
     }
 
+    /// Exchanges counters about the quality of versions.
+    pub(crate) fn merge_evidence(
+        &self,
+        to: Target,
+        message: MergeEvidenceRequest,
+    ) -> Result<MergeEvidenceReply, Unreachable> {
+        let send =
+            |mut client: PeerClient<Channel>, request| async move { client.merge_evidence(request).await };
+        self.runtime
+            .block_on(self.call(to, "MergeEvidence", message, SHORT, send))
+    }
+
     /// Reads the configuration records that a peer has beyond a revision.
     pub(crate) async fn fetch_config(
         &self,
--- a/crates/node/src/peers/metrics.rs
+++ b/crates/node/src/peers/metrics.rs
@@ -53,6 +53,12 @@
     pub config_fetch_failures: Counter,
     /// Configuration snapshots that this node wrote into the log.
     pub config_snapshots: Counter,
+    /// Exchanges of counters about the quality of versions.
+    pub evidence_exchanged: Counter,
+    /// Counters about the quality of versions that came from other nodes.
+    pub evidence_received: Counter,
+    /// Exchanges to which the partner did not reply.
+    pub evidence_failures: Counter,
     /// Whether this node refuses model requests because it may have missed changes.
     pub config_stale: Gauge,
 }
@@ -142,6 +148,21 @@
                 "Configuration snapshots written",
                 &self.config_snapshots,
             ),
+            (
+                "evidence_exchanged",
+                "Exchanges of counters about the quality of versions",
+                &self.evidence_exchanged,
+            ),
+            (
+                "evidence_received",
+                "Counters about the quality of versions that came from other nodes",
+                &self.evidence_received,
+            ),
+            (
+                "evidence_failures",
+                "Exchanges to which the partner did not reply",
+                &self.evidence_failures,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
--- a/crates/node/src/peers/server.rs
+++ b/crates/node/src/peers/server.rs
@@ -17,8 +17,8 @@
 };
 
 use super::client::MAX_MESSAGE_BYTES;
-use super::convert;
 use super::guard::Guard;
+use super::{convert, exchange};
 use crate::services::keyed;
 use crate::shared::Shared;
 use crate::{config_log, once};
@@ -122,8 +122,9 @@
 
     async fn merge_evidence(
         &self,
-        _: Request<MergeEvidenceRequest>,
+        request: Request<MergeEvidenceRequest>,
     ) -> Result<Response<MergeEvidenceReply>, Status> {
-        Err(Status::unimplemented("evidence is not exchanged yet"))
+        let reply = exchange::answer(&self.shared, &request.into_inner());
+        Ok(Response::new(reply))
     }
 }
