load: measure the way through the router against direct calls

Cause: nothing showed what the router itself costs.

Change: `bronzevale-load path` runs the daemon beside it as a process of its own and stand-in engines in its own process, and compares streams of 50 tokens at 20 ms from 32 callers with and without the router. Processor time and memory are those of the daemon.

--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cascade;
 pub mod decide;
 pub mod faults;
+pub mod path;
 pub mod report;
 pub mod rollout;
 pub mod rush;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -36,6 +36,8 @@
     ("faults", load::faults::run),
     ("affinity", load::affinity::run),
     ("decide", load::decide::run),
+    // The whole way.
+    ("path", load::path::run),
 ];
 
 const EXIT_MISSED: u8 = 1;
