--- a/crates/demo/tests/nodes.rs
+++ b/crates/demo/tests/nodes.rs
@@ -78,12 +78,18 @@
         cluster.addresses().iter().map(written).sum::<f64>()
     };
     wait("snapshot", Duration::from_secs(10), || written() >= 1.0);
-    // The next append removes all but the last records.
-    cluster.log.update(|it| it.retention = 20);
+    // The next append removes the records that created the objects, and keeps those after the snapshot's revision.
+    cluster.log.update(|it| it.retention = 300);
     cluster.publish(b"malformed").unwrap();
+    let first = cluster.log_client().read(config::STREAM, 0, 1).unwrap().first;
+    assert!(first > 1, "{first}");
+    // No peer can help.
+    for _ in 0..3 {
+        cluster.kill(0);
+    }
     cluster.add_node(&options()).unwrap();
-    let address = cluster.addresses()[3];
-    wait("start", Duration::from_secs(10), || cluster.nodes[3].is_ready());
+    let address = cluster.addresses()[0];
+    wait("start", Duration::from_secs(10), || cluster.nodes[0].is_ready());
     assert_eq!(chat(address, KEY, "small", &[]).text, answer("small-1"));
 }
 
@@ -132,3 +138,38 @@
     assert_eq!(stopping.join().unwrap(), Stopped::Complete);
     assert!(chat(addresses[1], KEY, "small", &[]).complete);
 }
+
+/// Guards against strangers who reach the ports between nodes and bill, book or join the fleet.
+#[test]
+fn strangers_are_refused_between_nodes() {
+    let cluster = start();
+    let node = &cluster.nodes[0];
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket
+        .send_to(b"no datagram of a node", node.gossip_address())
+        .unwrap();
+    let address = node.address();
+    let rejected = || metric(address, "gossip_rejected_total") == 1.0;
+    wait("rejected datagram", Duration::from_secs(5), rejected);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let peer = format!("http://{}", node.peer_address());
+    for tag in [None, Some("00")] {
+        let mut request = tonic::Request::new(wire::peer::ExecuteRequest::default());
+        if let Some(tag) = tag {
+            request
+                .metadata_mut()
+                .insert("x-cluster-tag", tag.parse().unwrap());
+        }
+        let status = runtime.block_on(async {
+            let mut client = wire::peer::peer_client::PeerClient::connect(peer.clone())
+                .await
+                .unwrap();
+            client.execute(request).await.unwrap_err()
+        });
+        assert_eq!(status.code(), tonic::Code::Unauthenticated, "{status}");
+    }
+    assert_eq!(metric(address, "peer_calls_rejected_total"), 2.0);
+}
