--- a/crates/demo/tests/nodes.rs
+++ b/crates/demo/tests/nodes.rs
@@ -111,7 +111,7 @@
     assert_eq!(metric(addresses[0], "members"), 2.0);
 }
 
-/// Guards against a drain by strangers, and against one that cuts off a stream or takes callers along.
+/// Guards against a drain without the operators' key, and against one that cuts off a stream or new callers.
 #[test]
 fn operators_drain_a_node() {
     let mut cluster = start();
@@ -139,9 +139,9 @@
     assert!(chat(addresses[1], KEY, "small", &[]).complete);
 }
 
-/// Guards against strangers who reach the ports between nodes and bill, book or join the fleet.
+/// Guards against unauthenticated processes that reach the ports between nodes and bill, book or join the fleet.
 #[test]
-fn strangers_are_refused_between_nodes() {
+fn unauthenticated_calls_are_refused_between_nodes() {
     let cluster = start();
     let node = &cluster.nodes[0];
     let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
--- a/crates/node/src/config_log.rs
+++ b/crates/node/src/config_log.rs
@@ -21,7 +21,7 @@
 /// Interval of ticks.
 const TICK: Duration = Duration::from_millis(50);
 
-/// Interval at which the follower learns of the peers.
+/// Interval at which the follower gets the list of peers.
 const PEERS: Duration = Duration::from_millis(200);
 
 /// Calls of the log service that wait; the follower has one read under way and reports a snapshot every 10 s.
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -172,10 +172,10 @@
         shared.once.seal();
         wait(end, || self.open_requests() == 0 && shared.once.running() == 0);
         let requests = self.open_requests();
-        if once::hand_over(shared) < once::KEEPERS && self.members() > once::KEEPERS {
+        if once::hand_over(shared) < once::TABLE_HOLDERS && self.members() > once::TABLE_HOLDERS {
             log::warn!(
                 "fewer than {} nodes took over the idempotency keys",
-                once::KEEPERS
+                once::TABLE_HOLDERS
             );
         }
         shared.biller.flush(shared.now());
--- a/crates/node/src/once.rs
+++ b/crates/node/src/once.rs
@@ -10,7 +10,7 @@
 use crate::shared::Shared;
 
 /// Peers that get the sealed table of a planned stop.
-pub(crate) const KEEPERS: usize = 2;
+pub(crate) const TABLE_HOLDERS: usize = 2;
 
 /// The keys that this node can answer for.
 #[derive(Debug)]
@@ -125,11 +125,11 @@
     };
     let message = crate::peers::convert::hand_over_message(&table);
     let mut kept = 0;
-    for keeper in shared.peers.keepers(shared.incarnation) {
-        if kept == KEEPERS {
+    for holder in shared.peers.table_holders(shared.incarnation) {
+        if kept == TABLE_HOLDERS {
             break;
         }
-        if shared.client.hand_over(keeper, message.clone()).is_ok() {
+        if shared.client.hand_over(holder, message.clone()).is_ok() {
             kept += 1;
             shared.metrics.peers.tables_sent.inc();
         }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -116,7 +116,7 @@
     }
 
     /// Live members in the order in which they keep what `issuer` hands over, the issuer excluded.
-    pub(crate) fn keepers(&self, issuer: Incarnation) -> Vec<Target> {
+    pub(crate) fn table_holders(&self, issuer: Incarnation) -> Vec<Target> {
         let key = issuer.to_string();
         let table = self.table();
         let mut members: Vec<_> = table
--- a/crates/node/src/peers/auth/tests.rs
+++ b/crates/node/src/peers/auth/tests.rs
@@ -1,4 +1,4 @@
-//! Guards against datagrams and calls of strangers.
+//! Guards against datagrams and calls that are not authenticated.
 
 #![allow(clippy::unwrap_used, reason = "a failed set-up ends the test")]
 
--- a/crates/node/src/peers/exchange.rs
+++ b/crates/node/src/peers/exchange.rs
@@ -61,7 +61,7 @@
 }
 
 fn exchange(shared: &Shared, turn: usize, interval: Duration) {
-    let mut partners = shared.peers.keepers(shared.incarnation);
+    let mut partners = shared.peers.table_holders(shared.incarnation);
     partners.truncate(PARTNERS);
     if partners.is_empty() {
         return;
--- a/crates/node/src/peers/gossip.rs
+++ b/crates/node/src/peers/gossip.rs
@@ -30,7 +30,7 @@
     let mut left = false;
     while shared.phase.get() < Phase::Stopped {
         let now = Instant::now();
-        // A change of the readiness is told at once.
+        // A change of the readiness is announced at once.
         if now >= next_status || shared.is_ready() != ready {
             next_status = now + STATUS;
             ready = shared.is_ready();
--- a/crates/node/src/peers/guard/tests.rs
+++ b/crates/node/src/peers/guard/tests.rs
@@ -9,7 +9,7 @@
 use crate::peers::auth::Key;
 use crate::peers::client::TAG;
 
-/// Guards against calls of strangers, and against nodes of a later version that are refused because their messages
+/// Guards against calls that are not authenticated, and against nodes of a later version that are refused because their messages
 /// have fields which this version does not know.
 #[test]
 fn only_signed_calls_pass_whatever_their_fields() {
--- a/crates/node/src/services/keyed.rs
+++ b/crates/node/src/services/keyed.rs
@@ -25,7 +25,7 @@
 
 /// Peers that are asked for the table of a stopped issuer. One more than have it, because the views of the members
 /// may differ by one.
-const ASKED: usize = crate::once::KEEPERS + 1;
+const ASKED: usize = crate::once::TABLE_HOLDERS + 1;
 
 /// Bound on the question to one of them; it answers from memory.
 const ASK_TIMEOUT: Duration = Duration::from_secs(1);
@@ -139,15 +139,15 @@
             }
         }
     }
-    ask_keepers(shared, admitted, key)
+    ask_table_holders(shared, admitted, key)
 }
 
 /// Asks the peers that may have the table of a stopped issuer.
-fn ask_keepers(shared: &Shared, admitted: &Admitted, key: &Key) -> Result {
+fn ask_table_holders(shared: &Shared, admitted: &Admitted, key: &Key) -> Result {
     let unknown = Refusal::unknown(Reason::OutcomeUnknown);
-    for keeper in shared.peers.keepers(key.issuer).into_iter().take(ASKED) {
+    for holder in shared.peers.table_holders(key.issuer).into_iter().take(ASKED) {
         let time = left(admitted).min(ASK_TIMEOUT);
-        match forward(shared, keeper, admitted, time) {
+        match forward(shared, holder, admitted, time) {
             // The peer does not have the table, or the table does not have the outcome.
             Some(Err(refusal)) if refusal == unknown => {}
             Some(result) => return result,
--- a/crates/node/src/upstreams/call.rs
+++ b/crates/node/src/upstreams/call.rs
@@ -36,7 +36,7 @@
         }
     }
 
-    /// What the group tells this request.
+    /// Notifications of the group to this request.
     pub(crate) fn signals(&self) -> &Receiver<Signal> {
         &self.signals
     }
@@ -59,7 +59,7 @@
         self.state = State::Ended;
     }
 
-    /// Tells the other requests of the group that a stream on `upstream` went silent.
+    /// Notifies the other requests of the group that a stream on `upstream` went silent.
     pub(crate) fn stalled(&self, upstream: &Upstream) {
         self.group.stalled(upstream);
     }
--- a/crates/node/src/upstreams/group.rs
+++ b/crates/node/src/upstreams/group.rs
@@ -28,7 +28,7 @@
 /// Weight of one answer in the expected tokens is 1 to this number.
 const OUTPUT_MEMORY: u32 = 16;
 
-/// What a request is told.
+/// Notification to a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Signal {
     /// Send the request.
@@ -162,7 +162,7 @@
         self.prefixes.load(Ordering::Relaxed)
     }
 
-    /// Tells all requests of the group that a stream on `upstream` went silent.
+    /// Notifies all requests of the group that a stream on `upstream` went silent.
     pub(super) fn stalled(&self, upstream: &Upstream) {
         for shard in &self.mailboxes {
             for mailbox in lock(shard).values() {
--- a/crates/node/src/upstreams/outcome.rs
+++ b/crates/node/src/upstreams/outcome.rs
@@ -1,4 +1,4 @@
-//! What a failure of a port tells the policy and the metrics.
+//! Mapping of a port's failures to outcomes of the policy and to metrics.
 
 use platform::{engine, service};
 use policy::pool::{Cause, Outcome};
