--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -38,6 +38,7 @@
     ("decide", load::decide::run),
     // The whole way.
     ("path", load::path::run),
+    ("peak", load::path::peak::run),
 ];
 
 const EXIT_MISSED: u8 = 1;
--- a/crates/load/src/path.rs
+++ b/crates/load/src/path.rs
@@ -9,6 +9,7 @@
 use crate::report::{Report, Table, Target};
 
 mod caller;
+pub mod peak;
 mod router;
 
 use caller::Times;
@@ -20,6 +21,9 @@
 /// Requests of each caller.
 const REQUESTS: usize = 6;
 
+/// Tokens of an answer.
+const ANSWER_TOKENS: u32 = 50;
+
 /// Streams that are open when memory is read.
 const OPEN: usize = 100;
 
@@ -39,7 +43,7 @@
     reason = "without the processes there is nothing to measure"
 )]
 pub fn run(seed: u64) -> Report {
-    let router = Router::start().expect("the stand-ins and the daemon start");
+    let router = Router::start(ANSWER_TOKENS).expect("the stand-ins and the daemon start");
     let engines = router.engines();
     // Connections, code and estimates are warm before anything is measured.
     measure(&engines, caller::direct, 1);
--- a/crates/load/src/path/router.rs
+++ b/crates/load/src/path/router.rs
@@ -28,13 +28,13 @@
 }
 
 impl Router {
-    /// Starts the stand-ins and the daemon.
-    pub fn start() -> Result<Self> {
+    /// Starts the stand-ins, whose answers have `answer_tokens` tokens 20 ms apart, and the daemon.
+    pub fn start(answer_tokens: u32) -> Result<Self> {
         let options = standin::engine::Options {
             versions: sample::VERSIONS.map(ToOwned::to_owned).to_vec(),
             concurrency: 64,
             token: Duration::from_millis(20),
-            answer_tokens: 50,
+            answer_tokens,
             ..standin::engine::Options::default()
         };
         let engines: Result<Vec<_>, _> = (0..ENGINES)
