policy: let a new limit grow by the nodes' common step until an engine reports a queue

Cause: one node at its share of the target's peak had a first token at 982 ms for 95 in 100, because limits grew from 8 by a tenth of a request a second while requests waited. Change: until the first reported queue, the step is the whole way to the set point divided by the nodes that share the engine.

--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -163,7 +163,17 @@
         };
         // An idle node keeps its limit: the report says nothing about a load that it did not send.
         if target > self.limit || waiting > wanted {
-            self.set(self.limit + Self::GAIN * (target - self.limit));
+            self.set(self.limit + self.gain(sharers) * (target - self.limit));
+        }
+    }
+
+    /// Smoothing factor for a report. Until the engine has once reported a queue, its nodes together take one whole
+    /// step for each report: at a tenth of a request a second, one node's share of the target's peak waited half a
+    /// second in its queue. A whole step of every node overran the engines that are left after several faults.
+    fn gain(&self, sharers: f64) -> f64 {
+        match self.capacity {
+            Capacity::Unknown => sharers.recip().max(Self::GAIN),
+            Capacity::Batch(_) => Self::GAIN,
         }
     }
 
--- a/crates/policy/src/limit/tests.rs
+++ b/crates/policy/src/limit/tests.rs
@@ -88,3 +88,20 @@
     assert!(run(1.2) > 30.0, "{}", run(1.2));
     assert!(run(5.0) < 2.0, "{}", run(5.0));
 }
+
+/// Guards against a node whose limits need half a minute to reach what idle engines can take.
+#[test]
+fn a_limit_grows_by_whole_requests_until_an_engine_reports_a_queue() {
+    let mut limit = Limit::new(1);
+    let mut now = Duration::ZERO;
+    for _ in 0..20 {
+        now += Duration::from_secs(1);
+        while limit.has_room() {
+            limit.sent(now);
+        }
+        now += Duration::from_secs(1);
+        let running = limit.inflight();
+        limit.report(Load { running, waiting: 0 }, Duration::ZERO, 1.0, now);
+    }
+    assert!(limit.get() >= 20.0, "{}", limit.get());
+}
