load: build control lines of the capacity experiment in one place

Change: Line::control serves all of them; the lines and their figures are the same. Result: format, clippy of load and the tests of load and xtask pass; the experiment itself was not run again.

--- a/crates/load/src/capacity/balancing.rs
+++ b/crates/load/src/capacity/balancing.rs
@@ -9,7 +9,7 @@
 use rand::rngs::SmallRng;
 
 use super::measure::{bytes_per_unit, seconds_per_unit};
-use super::{ENGINES, Line, NODES, Resource, Sample, Scope};
+use super::{ENGINES, Line, NODES, Resource};
 
 const MECHANISM: &str = "engine subset";
 const DOMAINS: usize = 13;
@@ -27,7 +27,8 @@
 
 /// Memory of the host list.
 pub fn list_memory() -> Line {
-    line(
+    Line::control(
+        MECHANISM,
         Resource::Memory,
         bytes_per_unit(ENGINES, hosts),
         "engine in the host list",
@@ -46,7 +47,13 @@
         };
         (0..POOLS).map(|_| filled()).collect::<Vec<_>>()
     });
-    line(Resource::Memory, state, "pool of 40 engines", POOLS as f64)
+    Line::control(
+        MECHANISM,
+        Resource::Memory,
+        state,
+        "pool of 40 engines",
+        POOLS as f64,
+    )
 }
 
 /// Memory of the index of cached prefixes, filled to the bound of the node.
@@ -67,7 +74,13 @@
         }
         index
     });
-    line(Resource::Memory, memory, "prefix block indexed", blocks as f64)
+    Line::control(
+        MECHANISM,
+        Resource::Memory,
+        memory,
+        "prefix block indexed",
+        blocks as f64,
+    )
 }
 
 /// Time of a change of the lists.
@@ -82,7 +95,8 @@
             }
         },
     );
-    line(
+    Line::control(
+        MECHANISM,
         Resource::Cpu,
         change,
         "change of the lists",
@@ -90,17 +104,6 @@
     )
 }
 
-fn line(resource: Resource, slope: Sample, per: &'static str, units: f64) -> Line {
-    Line {
-        mechanism: MECHANISM,
-        scope: Scope::Control,
-        resource,
-        slope,
-        per,
-        units,
-    }
-}
-
 fn pool() -> Pool {
     let node = Place {
         name: "node-0".into(),
--- a/crates/load/src/capacity/configuration.rs
+++ b/crates/load/src/capacity/configuration.rs
@@ -9,7 +9,7 @@
 use model::{Object, Offset};
 
 use super::measure::{bytes_per_unit, seconds_per_unit};
-use super::{CHANGES_PER_SECOND, Line, ORGANISATIONS, Resource, Sample, Scope, VERSIONS};
+use super::{CHANGES_PER_SECOND, Line, ORGANISATIONS, Resource, Sample, VERSIONS};
 use crate::report::Series;
 
 const MECHANISM: &str = "configuration log";
@@ -21,7 +21,8 @@
 /// Memory at the target's number of organisations.
 pub fn memory() -> Line {
     let memory = bytes_per_unit(1, || full_state(ORGANISATIONS));
-    line(
+    Line::control(
+        MECHANISM,
         Resource::Memory,
         memory,
         "state, lookup and 100,000 proposal ids",
@@ -34,22 +35,23 @@
     let fold = fold_seconds(ORGANISATIONS);
     let view = view_seconds(ORGANISATIONS);
     [
-        line(Resource::Cpu, fold, "change folded", CHANGES_PER_SECOND),
-        line(Resource::Cpu, view, "lookup rebuilt", CHANGES_PER_SECOND),
+        Line::control(
+            MECHANISM,
+            Resource::Cpu,
+            fold,
+            "change folded",
+            CHANGES_PER_SECOND,
+        ),
+        Line::control(
+            MECHANISM,
+            Resource::Cpu,
+            view,
+            "lookup rebuilt",
+            CHANGES_PER_SECOND,
+        ),
     ]
 }
 
-fn line(resource: Resource, slope: Sample, per: &'static str, units: f64) -> Line {
-    Line {
-        mechanism: MECHANISM,
-        scope: Scope::Control,
-        resource,
-        slope,
-        per,
-        units,
-    }
-}
-
 /// Time of a change against the number of organisations.
 pub fn series() -> Vec<Series> {
     let points = |measure: fn(usize) -> Sample| {
--- a/crates/load/src/capacity/line.rs
+++ b/crates/load/src/capacity/line.rs
@@ -76,6 +76,24 @@
 }
 
 impl Line {
+    /// A cost that counts against the control budget of a node.
+    pub fn control(
+        mechanism: &'static str,
+        resource: Resource,
+        slope: Sample,
+        per: &'static str,
+        units: f64,
+    ) -> Self {
+        Self {
+            mechanism,
+            scope: Scope::Control,
+            resource,
+            slope,
+            per,
+            units,
+        }
+    }
+
     /// Cost at the target.
     pub fn at_target(&self) -> f64 {
         self.slope.median * self.units
--- a/crates/load/src/capacity/members.rs
+++ b/crates/load/src/capacity/members.rs
@@ -12,7 +12,7 @@
 use rand::rngs::SmallRng;
 
 use super::measure::bytes_per_unit;
-use super::{Line, NODES, Resource, Sample, Scope};
+use super::{Line, NODES, Resource, Sample};
 use crate::report::Series;
 
 const MECHANISM: &str = "membership";
@@ -43,7 +43,7 @@
         fleet.run(GROWTH);
         fleet
     });
-    line(Resource::Memory, memory, "member known", NODES as f64)
+    Line::control(MECHANISM, Resource::Memory, memory, "member known", NODES as f64)
 }
 
 /// Bytes sent and time of one node, both independent of the fleet's size.
@@ -52,8 +52,14 @@
     let bytes = Sample::of(runs.iter().map(|it| it.bytes).collect());
     let cpu = Sample::of(runs.iter().map(|it| it.cpu).collect());
     [
-        line(Resource::Bytes, bytes, "second of one of 340 nodes", 1.0),
-        line(Resource::Cpu, cpu, "second of one of 340 nodes", 1.0),
+        Line::control(
+            MECHANISM,
+            Resource::Bytes,
+            bytes,
+            "second of one of 340 nodes",
+            1.0,
+        ),
+        Line::control(MECHANISM, Resource::Cpu, cpu, "second of one of 340 nodes", 1.0),
     ]
 }
 
@@ -66,17 +72,6 @@
     }
 }
 
-fn line(resource: Resource, slope: Sample, per: &'static str, units: f64) -> Line {
-    Line {
-        mechanism: MECHANISM,
-        scope: Scope::Control,
-        resource,
-        slope,
-        per,
-        units,
-    }
-}
-
 /// Cost of one node in one second.
 struct Cost {
     bytes: f64,
