ports: free the name platform for the users' platform; gossip: one codec for datagrams

The conversion of membership datagrams stood in node and again in membership's cost test.

Conclusion: no change of behaviour.

--- a/crates/ctl/src/bills.rs
+++ b/crates/ctl/src/bills.rs
@@ -5,7 +5,7 @@
 use ledger::STREAM;
 use ledger::bill::{Bill, Counts, Reader};
 use model::{Cost, Name, Offset};
-use platform::log::Log;
+use ports::log::Log;
 use serde::Serialize;
 
 use crate::args::{Args, Bills};
--- a/crates/ctl/src/failure.rs
+++ b/crates/ctl/src/failure.rs
@@ -46,7 +46,7 @@
     Conflict(Vec<Key>),
     /// The log could not be read.
     #[error("cannot read the log: {0}")]
-    Read(platform::log::Error),
+    Read(ports::log::Error),
     /// The log could not be appended to, and nothing was appended.
     #[error("not published: the log service is unavailable")]
     Append,
--- a/crates/ctl/src/journal.rs
+++ b/crates/ctl/src/journal.rs
@@ -6,8 +6,8 @@
 use config::fold::{State, Verdict};
 use config::record::Record;
 use model::Offset;
-use platform::http::log::Client;
-use platform::log::{self, Log};
+use ports::http::log::Client;
+use ports::log::{self, Log};
 
 use crate::args::Args;
 use crate::failure::Failure;
--- a/crates/ctl/src/publish.rs
+++ b/crates/ctl/src/publish.rs
@@ -9,7 +9,7 @@
 use config::record::{Change, Id, Proposal, Record, parse_key};
 use model::object::Key;
 use model::{Offset, Revision};
-use platform::log;
+use ports::log;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::json;
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -7,7 +7,7 @@
 
 use ledger::billing::{Batch, Id, Key, Record, encode};
 use model::{Incarnation, Usage};
-use platform::log::Log as _;
+use ports::log::Log as _;
 use serde_json::{Value, json};
 use standin::log::{Log, Options};
 
@@ -210,7 +210,7 @@
         .map(|it| encode(incarnation, std::slice::from_ref(it)).unwrap())
         .collect();
     let timeout = std::time::Duration::from_secs(1);
-    let client = platform::http::log::Client::new(bench.log.address(), timeout, timeout);
+    let client = ports::http::log::Client::new(bench.log.address(), timeout, timeout);
     client.append("bills", &payloads).unwrap();
     client.append("bills", &payloads[..1]).unwrap();
     let output = bench.check(&["bills"], OK);
--- a/crates/demo/src/cluster.rs
+++ b/crates/demo/src/cluster.rs
@@ -7,8 +7,8 @@
 use config::settings::Settings;
 use eyre::{Result, WrapErr, bail};
 use node::{Handle, Ports, Secrets, Stopped};
-use platform::hosts::{Entry, State};
-use platform::log::Log as _;
+use ports::hosts::{Entry, State};
+use ports::log::Log as _;
 use standin::{Engine, Hosts, Log, Rating, Service, Weights};
 
 use crate::link::{self, Link};
@@ -140,9 +140,9 @@
     }
 
     /// A client of the log service.
-    pub fn log_client(&self) -> platform::http::log::Client {
+    pub fn log_client(&self) -> ports::http::log::Client {
         let timeout = Duration::from_secs(2);
-        platform::http::log::Client::new(self.log.address(), timeout, timeout)
+        ports::http::log::Client::new(self.log.address(), timeout, timeout)
     }
 
     /// Stops all nodes gracefully and returns how each stopped.
--- a/crates/demo/src/link.rs
+++ b/crates/demo/src/link.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use model::Offset;
-use platform::log::{Error, Log, Page};
+use ports::log::{Error, Log, Page};
 
 /// State of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/demo/tests/common/mod.rs
+++ b/crates/demo/tests/common/mod.rs
@@ -17,7 +17,7 @@
 use ledger::billing::{Key, decode};
 use model::Object;
 use model::object::version;
-use platform::log::Log;
+use ports::log::Log;
 use serde_json::{Value, json};
 
 /// Tokens of a whole answer of the engine stand-in.
--- a/crates/demo/tests/nodes.rs
+++ b/crates/demo/tests/nodes.rs
@@ -9,7 +9,7 @@
 use demo::link::State;
 use demo::sample::KEY;
 use node::Stopped;
-use platform::log::Log;
+use ports::log::Log;
 
 mod common;
 
--- a/crates/demo/tests/rollout.rs
+++ b/crates/demo/tests/rollout.rs
@@ -14,7 +14,7 @@
 use demo::sample::KEY;
 use model::Object;
 use model::object::{Key, Kind, Rollout, rollout};
-use platform::log::Log as _;
+use ports::log::Log as _;
 
 mod common;
 
--- /dev/null
+++ b/crates/gossip/src/lib.rs
@@ -0,0 +1,123 @@
+//! Wire format of membership datagrams: conversion between [`membership`] and the generated messages.
+//!
+//! A datagram that does not decode is dropped whole; an update inside it that does not decode is left out.
+
+use std::time::Duration;
+
+use membership::{Addresses, Body, Datagram, Member, Readiness, State, Version};
+use model::Incarnation;
+use wire::peer;
+
+/// Bytes of an incarnation.
+pub fn incarnation_bytes(incarnation: Incarnation) -> Vec<u8> {
+    incarnation.bits().to_be_bytes().to_vec()
+}
+
+/// Reads an incarnation.
+pub fn incarnation(bytes: &[u8]) -> Option<Incarnation> {
+    let bits = u128::from_be_bytes(bytes.try_into().ok()?);
+    Some(Incarnation::from_bits(bits))
+}
+
+/// Message of a datagram; `epoch` is the sender's.
+pub fn datagram_message(datagram: &Datagram, epoch: u32) -> peer::Datagram {
+    let body = match datagram.body.clone() {
+        Body::Ping { sequence } => peer::datagram::Body::Ping(peer::Ping { sequence }),
+        Body::Ack { sequence } => peer::datagram::Body::Ack(peer::Ack { sequence }),
+        Body::PingRequest { sequence, target } => peer::datagram::Body::PingRequest(peer::PingRequest {
+            sequence,
+            target_host: target.to_string(),
+        }),
+    };
+    peer::Datagram {
+        body: Some(body),
+        from: Some(member_message(&datagram.from)),
+        updates: datagram.updates.iter().map(member_message).collect(),
+        epoch,
+    }
+}
+
+/// Reads a datagram; updates that do not parse are left out.
+pub fn datagram(message: peer::Datagram) -> Option<Datagram> {
+    let body = match message.body? {
+        peer::datagram::Body::Ping(it) => Body::Ping {
+            sequence: it.sequence,
+        },
+        peer::datagram::Body::Ack(it) => Body::Ack {
+            sequence: it.sequence,
+        },
+        peer::datagram::Body::PingRequest(it) => Body::PingRequest {
+            sequence: it.sequence,
+            target: it.target_host.into(),
+        },
+    };
+    Some(Datagram {
+        body,
+        from: member(message.from?)?,
+        updates: message.updates.into_iter().filter_map(member).collect(),
+    })
+}
+
+fn member_message(member: &Member) -> peer::Member {
+    let state = match member.state {
+        State::Alive => peer::MemberState::Alive,
+        State::Suspect => peer::MemberState::Suspect,
+        State::Leaving => peer::MemberState::Leaving,
+        State::Dead => peer::MemberState::Dead,
+    };
+    peer::Member {
+        host: member.host.to_string(),
+        incarnation: incarnation_bytes(member.incarnation),
+        counter: member.version.counter(),
+        state: state.into(),
+        failure_domain: member.domain.to_string(),
+        gossip_address: member.addresses.gossip.to_string(),
+        peer_address: member.addresses.peer.to_string(),
+        entry_address: member.addresses.entry.to_string(),
+        revision: member.revision,
+        revision_age_ms: millis(member.age),
+        load_permille: u32::from(member.load),
+        ready: member.readiness == Readiness::Ready,
+    }
+}
+
+fn member(message: peer::Member) -> Option<Member> {
+    let state = match message.state() {
+        peer::MemberState::Alive => State::Alive,
+        peer::MemberState::Suspect => State::Suspect,
+        peer::MemberState::Leaving => State::Leaving,
+        peer::MemberState::Dead => State::Dead,
+    };
+    Some(Member {
+        incarnation: incarnation(&message.incarnation)?,
+        version: Version::from_counter(message.counter),
+        state,
+        addresses: Addresses {
+            gossip: message.gossip_address.parse().ok()?,
+            peer: message.peer_address.parse().ok()?,
+            entry: message.entry_address.parse().ok()?,
+        },
+        host: message.host.into(),
+        domain: message.failure_domain.into(),
+        revision: message.revision,
+        age: age(message.revision_age_ms),
+        load: u16::try_from(message.load_permille).unwrap_or(u16::MAX),
+        readiness: match message.ready {
+            true => Readiness::Ready,
+            false => Readiness::NotReady,
+        },
+    })
+}
+
+/// Milliseconds of a message; the greatest number stands for "unknown".
+pub fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
+/// Age of a revision.
+pub fn age(millis: u32) -> Duration {
+    match millis {
+        u32::MAX => Duration::MAX,
+        millis => Duration::from_millis(millis.into()),
+    }
+}
--- a/crates/load/src/capacity/polling.rs
+++ b/crates/load/src/capacity/polling.rs
@@ -8,10 +8,10 @@
 use std::thread;
 use std::time::Duration;
 
-use platform::engine::Engines;
-use platform::hosts::Hosts;
-use platform::http;
-use platform::log::Log;
+use ports::engine::Engines;
+use ports::hosts::Hosts;
+use ports::http;
+use ports::log::Log;
 
 use super::{Line, Resource, Sample, Scope};
 
--- a/crates/load/src/path/router.rs
+++ b/crates/load/src/path/router.rs
@@ -7,8 +7,8 @@
 
 use demo::sample;
 use eyre::{Result, WrapErr, bail, eyre};
-use platform::hosts::{Entry, State};
-use platform::log::Log as _;
+use ports::hosts::{Entry, State};
+use ports::log::Log as _;
 use standin::{Engine, Hosts, Log};
 
 /// Engines, with eight places each before any measurement.
@@ -52,7 +52,7 @@
         let lag = Duration::ZERO;
         let hosts = Hosts::bind(any(0), standin::hosts::Options { entries, lag })?;
         let log = Log::bind(any(0), standin::log::Options::default())?;
-        let client = platform::http::log::Client::new(log.address(), READY, READY);
+        let client = ports::http::log::Client::new(log.address(), READY, READY);
         client.append(config::STREAM, &[sample::payload()])?;
         let directory = std::env::temp_dir().join(format!("bronzevale-path-{}", std::process::id()));
         fs::create_dir_all(&directory)?;
--- a/crates/membership/tests/cost.rs
+++ b/crates/membership/tests/cost.rs
@@ -5,9 +5,8 @@
 use std::time::Duration;
 
 use fleet::{Fleet, Traffic};
-use membership::{Body, Datagram, Event, Member, Readiness, State};
+use membership::{Datagram, Event, State};
 use prost::Message;
-use wire::peer;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -119,46 +118,6 @@
 }
 
 fn size(datagram: &Datagram) -> u64 {
-    encode(datagram).encoded_len() as u64 + OVERHEAD
-}
-
-fn encode(datagram: &Datagram) -> peer::Datagram {
-    let body = match datagram.body.clone() {
-        Body::Ping { sequence } => peer::datagram::Body::Ping(peer::Ping { sequence }),
-        Body::Ack { sequence } => peer::datagram::Body::Ack(peer::Ack { sequence }),
-        Body::PingRequest { sequence, target } => peer::datagram::Body::PingRequest(peer::PingRequest {
-            sequence,
-            target_host: target.to_string(),
-        }),
-    };
-    peer::Datagram {
-        body: Some(body),
-        from: Some(encode_member(&datagram.from)),
-        updates: datagram.updates.iter().map(encode_member).collect(),
-        // The longest encoding.
-        epoch: u32::MAX,
-    }
-}
-
-fn encode_member(member: &Member) -> peer::Member {
-    let state = match member.state {
-        State::Alive => peer::MemberState::Alive,
-        State::Suspect => peer::MemberState::Suspect,
-        State::Leaving => peer::MemberState::Leaving,
-        State::Dead => peer::MemberState::Dead,
-    };
-    peer::Member {
-        host: member.host.to_string(),
-        incarnation: member.incarnation.bits().to_be_bytes().to_vec(),
-        counter: member.version.counter(),
-        state: state.into(),
-        failure_domain: member.domain.to_string(),
-        gossip_address: member.addresses.gossip.to_string(),
-        peer_address: member.addresses.peer.to_string(),
-        entry_address: member.addresses.entry.to_string(),
-        revision: member.revision,
-        revision_age_ms: member.age.as_millis() as u32,
-        load_permille: u32::from(member.load),
-        ready: member.readiness == Readiness::Ready,
-    }
+    // The greatest epoch has the longest encoding.
+    gossip::datagram_message(datagram, u32::MAX).encoded_len() as u64 + OVERHEAD
 }
--- a/crates/node/src/chat/request.rs
+++ b/crates/node/src/chat/request.rs
@@ -2,7 +2,7 @@
 
 use model::refusal::Reason;
 use model::{Name, Refusal, Tokens};
-use platform::engine::Message;
+use ports::engine::Message;
 use serde::Deserialize;
 
 /// Whether the caller receives the answer in parts.
--- a/crates/node/src/chat/steps.rs
+++ b/crates/node/src/chat/steps.rs
@@ -6,9 +6,9 @@
 use model::object::Version;
 use model::refusal::Reason;
 use model::{Cost, Ran, Refusal, Tokens, Usage};
-use platform::rating;
 use policy::cascade::{Action, Gate, Plan, Position, Run, Verdict};
 use policy::rollout::Event;
+use ports::rating;
 
 use super::answer::Answer;
 use super::choice::Choice;
--- a/crates/node/src/dispatch_call.rs
+++ b/crates/node/src/dispatch_call.rs
@@ -10,8 +10,8 @@
 use model::object::service::Repeat;
 use model::refusal::Reason;
 use model::{Class, Name, Ran, Refusal, Usage};
-use platform::service::{Call, Error, Reply};
 use policy::pool::{Cause, Kind, Outcome, Request};
+use ports::service::{Call, Error, Reply};
 
 use crate::shared::Shared;
 use crate::upstreams::call::Call as Submitted;
--- a/crates/node/src/engine/attempt.rs
+++ b/crates/node/src/engine/attempt.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use crossbeam::channel::{Receiver, Sender, bounded};
-use platform::engine::{Engines, Error, Event, Request};
+use ports::engine::{Engines, Error, Event, Request};
 
 /// Events that the reader may be ahead of the caller.
 const EVENTS: usize = 64;
--- a/crates/node/src/engine/generation.rs
+++ b/crates/node/src/engine/generation.rs
@@ -11,8 +11,8 @@
 use model::object::service::Repeat;
 use model::refusal::Reason;
 use model::{Class, Name, Refusal, Tokens, Upstream, Usage, hash};
-use platform::engine::{self, Error, Event, Message};
 use policy::pool::{Cause, Kind, Request};
+use ports::engine::{self, Error, Event, Message};
 
 use super::attempt::{self, Item};
 use super::sink::Sink;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -35,8 +35,8 @@
 mod timer;
 mod upstreams;
 
+pub use crate::ports::Ports;
 pub use handle::{Error, Handle, Stopped, spawn};
 pub use peers::convert::datagram_bytes;
-pub use ports::Ports;
 pub use secrets::Secrets;
 pub use upstreams::INDEX_BLOCKS;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -11,7 +11,7 @@
 use ledger::once::EPOCH;
 use membership::{Addresses, Event, Listed, Member, Readiness, Seed, State, Table, Version};
 use model::{Incarnation, hash};
-use platform::hosts::{Entry, State as HostState};
+use ports::hosts::{Entry, State as HostState};
 use rand::rngs::SmallRng;
 
 pub(crate) mod auth;
--- a/crates/node/src/polling.rs
+++ b/crates/node/src/polling.rs
@@ -128,7 +128,7 @@
         }
     }
 
-    fn read(&self, shared: &Shared) -> Result<(), platform::engine::Error> {
+    fn read(&self, shared: &Shared) -> Result<(), ports::engine::Error> {
         let engines = &shared.ports.engines;
         let report = engines.report(self.address)?;
         self.group.report(&self.upstream, &report);
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use config::settings::Settings;
-use platform::engine::Engines;
-use platform::hosts::Hosts;
-use platform::http;
-use platform::log::Log;
-use platform::rating::Rating;
-use platform::service::Services;
-use platform::weights::Weights;
+use ports::engine::Engines;
+use ports::hosts::Hosts;
+use ports::http;
+use ports::log::Log;
+use ports::rating::Rating;
+use ports::service::Services;
+use ports::weights::Weights;
 
 /// Bound on calls to the log, the host list, the weight store and the engines' reports.
 const TIMEOUT: Duration = Duration::from_secs(2);
--- a/crates/node/src/ratings.rs
+++ b/crates/node/src/ratings.rs
@@ -7,9 +7,9 @@
 
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, TryRecvError, bounded};
 use model::{Class, Name};
-use platform::rating;
 use policy::cascade::{Observation, Outcome, Position, Verdict};
 use policy::rollout::Event;
+use ports::rating;
 
 use crate::phase::Phase;
 use crate::rollouts::Trial;
--- a/crates/node/src/services.rs
+++ b/crates/node/src/services.rs
@@ -6,7 +6,7 @@
 use config::view::Tenant;
 use model::object::service::Repeat;
 use model::{Class, Name, Refusal};
-use platform::service::{Call, Reply as ServiceReply};
+use ports::service::{Call, Reply as ServiceReply};
 
 use crate::dispatch_call::{self, Plain};
 use crate::http::dispatch::refuse;
--- a/crates/node/src/services/keyed.rs
+++ b/crates/node/src/services/keyed.rs
@@ -7,7 +7,7 @@
 use model::object::service::Repeat;
 use model::refusal::Reason;
 use model::{Ran, Refusal};
-use platform::service::Call;
+use ports::service::Call;
 use wire::peer::{ExecuteRequest, execute_reply};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -201,7 +201,7 @@
     settled(shared, answer)
 }
 
-fn outcome(result: std::result::Result<platform::service::Reply, Refusal>) -> Outcome {
+fn outcome(result: std::result::Result<ports::service::Reply, Refusal>) -> Outcome {
     match result {
         Ok(reply) => Outcome::Done(Response {
             status: reply.status,
--- a/crates/node/src/upstreams.rs
+++ b/crates/node/src/upstreams.rs
@@ -9,9 +9,9 @@
 use config::view::View;
 use model::object::pool::Role;
 use model::{Name, Tokens};
-use platform::hosts::{Entry, State};
 use policy::balance::Place;
 use policy::pool::{Host, HostState, Settings};
+use ports::hosts::{Entry, State};
 
 pub(crate) mod call;
 pub(crate) mod group;
--- a/crates/node/src/upstreams/group.rs
+++ b/crates/node/src/upstreams/group.rs
@@ -11,11 +11,11 @@
 
 use crossbeam::channel::{Receiver, Sender, unbounded};
 use model::{Class, Name, Refusal, Tokens, Upstream};
-use platform::engine::{CacheChange, CacheEvent, Report};
 use policy::affinity;
 use policy::balance::Place;
 use policy::limit::Load;
 use policy::pool::{Action, Attempt, Host, Kind, Pool, Request, Settings, Status, Ticket};
+use ports::engine::{CacheChange, CacheEvent, Report};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
--- a/crates/node/src/upstreams/outcome.rs
+++ b/crates/node/src/upstreams/outcome.rs
@@ -1,7 +1,7 @@
 //! Mapping of a port's failures to outcomes of the policy and to metrics.
 
-use platform::{engine, service};
 use policy::pool::{Cause, Outcome};
+use ports::{engine, service};
 
 use crate::metrics::Retry;
 
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use model::{Class, Tokens};
-use platform::engine::Message;
+use ports::engine::Message;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
--- a/crates/standin/src/hosts.rs
+++ b/crates/standin/src/hosts.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use platform::hosts::{Entry, State as HostState};
+use ports::hosts::{Entry, State as HostState};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -8,8 +8,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use platform::engine::{Message, Request};
-use platform::service::Call;
+use ports::engine::{Message, Request};
+use ports::service::Call;
 
 pub const SHORT: Duration = Duration::from_millis(300);
 pub const LONG: Duration = Duration::from_secs(10);
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -10,8 +10,8 @@
 use std::time::{Duration, Instant};
 
 use common::{LONG, SHORT, any_port, closed_port, eventually, generation, raw_server, raw_server_with};
-use platform::engine::{CacheChange, Engines, Error, Event, Order, Refusal, Request, Stream};
-use platform::http::engine::Client;
+use ports::engine::{CacheChange, Engines, Error, Event, Order, Refusal, Request, Stream};
+use ports::http::engine::Client;
 use standin::engine::{Engine, Fencing, Options};
 
 fn client() -> Client {
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -8,11 +8,11 @@
 use std::time::{Duration, Instant};
 
 use common::{LONG, SHORT, any_port, closed_port, eventually, raw_server};
-use platform::hosts::{Entry, Hosts as _, State};
-use platform::log::{Error, Log as _};
-use platform::rating::{self, Rating as _, Verdict};
-use platform::weights::{self, Weights as _};
-use platform::{hosts, http};
+use ports::hosts::{Entry, Hosts as _, State};
+use ports::log::{Error, Log as _};
+use ports::rating::{self, Rating as _, Verdict};
+use ports::weights::{self, Weights as _};
+use ports::{hosts, http};
 use standin::{Hosts, Log, Rating, Weights};
 
 fn payloads(texts: &[&str]) -> Vec<Vec<u8>> {
--- a/crates/standin/tests/service.rs
+++ b/crates/standin/tests/service.rs
@@ -7,8 +7,8 @@
 use std::net::TcpListener;
 
 use common::{LONG, SHORT, any_port, call, closed_port, raw_server};
-use platform::http::service::Client;
-use platform::service::{Call, Error, Services};
+use ports::http::service::Client;
+use ports::service::{Call, Error, Services};
 use standin::service::{Options, Service};
 
 fn service() -> Service {
@@ -96,17 +96,17 @@
 raw!(
     unavailable_without_statement_is_a_reply,
     b"HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n",
-    Ok(platform::service::Reply { status: 503, .. })
+    Ok(ports::service::Reply { status: 503, .. })
 );
 raw!(
     statement_with_another_status_is_a_reply,
     b"HTTP/1.1 500 Error\r\nX-Ran: no\r\nContent-Length: 0\r\n\r\n",
-    Ok(platform::service::Reply { status: 500, .. })
+    Ok(ports::service::Reply { status: 500, .. })
 );
 raw!(
     redirect_is_not_followed,
     b"HTTP/1.1 307 Temporary Redirect\r\nLocation: /elsewhere\r\nContent-Length: 0\r\n\r\n",
-    Ok(platform::service::Reply { status: 307, .. })
+    Ok(ports::service::Reply { status: 307, .. })
 );
 
 #[test]
--- a/xtask/tests/repository.rs
+++ b/xtask/tests/repository.rs
@@ -18,26 +18,41 @@
     ("lease", &["model"]),
     ("membership", &["model"]),
     ("wire", &["model"]),
-    ("platform", &["model"]),
+    ("gossip", &["membership", "model", "wire"]),
+    ("ports", &["model"]),
     (
         "node",
         &[
             "config",
+            "gossip",
             "ledger",
             "lease",
             "membership",
             "model",
-            "platform",
+            "ports",
             "policy",
             "wire",
         ],
     ),
-    ("daemon", &["config", "node", "platform"]),
-    ("ctl", &["config", "ledger", "model", "platform"]),
+    ("forward", &["model"]),
+    (
+        "entry",
+        &["config", "forward", "gossip", "membership", "model", "wire"],
+    ),
+    ("daemon", &["config", "entry", "node", "platform", "ports"]),
+    ("ctl", &["config", "ledger", "model", "ports"]),
 ];
 
 /// Crates whose code must not read clocks, start threads or perform I/O.
-const PURE: &[&str] = &["config", "ledger", "lease", "membership", "model", "policy"];
+const PURE: &[&str] = &[
+    "config",
+    "forward",
+    "ledger",
+    "lease",
+    "membership",
+    "model",
+    "policy",
+];
 
 /// What pure code must not mention.
 const IMPURE: &[&str] = &[
@@ -105,10 +120,43 @@
     }
 }
 
+/// Guards against names of a platform that spread beyond its adapter.
+#[test]
+fn platform_names_stay_in_the_adapter() {
+    const NAMES: &[&str] = &[
+        "bronzevale-attempt",
+        "keyed.servers",
+        "/log-read",
+        "pathPrefix",
+        "coldLeftMs",
+    ];
+    for file in sources(&root().join("crates")) {
+        let text = fs::read_to_string(&file).unwrap().to_lowercase();
+        let found = NAMES.iter().find(|it| text.contains(&it.to_lowercase()));
+        assert_eq!(found, None, "in {}", file.display());
+    }
+}
+
+/// Guards against decisions in the adapter of a platform, which must be the same on every platform.
+#[test]
+fn platform_adapter_only_translates() {
+    for file in sources(&root().join("platform/src")) {
+        let text = fs::read_to_string(&file).unwrap();
+        let found = IMPURE
+            .iter()
+            .chain(&["rand::", "tokio::"])
+            .find(|it| text.contains(**it));
+        assert_eq!(found, None, "in {}", file.display());
+    }
+}
+
 /// Guards against files that have grown too large to read.
 #[test]
 fn source_files_are_small() {
-    for file in sources(&root().join("crates")) {
+    for file in sources(&root().join("crates"))
+        .into_iter()
+        .chain(sources(&root().join("platform")))
+    {
         if file.components().any(|it| it.as_os_str() == "generated") {
             continue;
         }
