forward: decide about forwarded requests without I/O

Beliefs with an age, the directory of engines, the flow of one request with what is known about its execution, streams cut at event boundaries, the node's share of the retry budget, placement, choice of the model, and releases with sessions that stay.

--- /dev/null
+++ b/crates/forward/src/placement.rs
@@ -0,0 +1,104 @@
+//! Which engine serves a request.
+//!
+//! Engines whose prefix cache probably holds the shared parts of the prompt are preferred: rendezvous hashing names
+//! the same few engines for a part on every node, without messages. Load decides among them, and among all engines
+//! when the preferred ones are busier than the rest by more than the cached tokens are worth.
+
+use std::sync::Arc;
+
+use model::hash;
+use model::{Domain, Name};
+use rand::Rng;
+
+use crate::Moment;
+use crate::directory::Engine;
+use crate::load::Loads;
+
+/// What is to be placed.
+#[derive(Debug, Clone)]
+pub struct Demand<'a> {
+    /// Failure domain of this node.
+    pub domain: &'a Domain,
+    /// Key of the prompt's part that should be found in a cache; `None` if nothing can be shared.
+    pub affinity: Option<u64>,
+    /// Model that will run it, which has a cache of its own.
+    pub model: Option<&'a Name>,
+    /// Engines that were tried already.
+    pub tried: &'a [Arc<Engine>],
+}
+
+/// Engines among which a part of a prompt is spread.
+const AFFINE: usize = 2;
+
+/// Fraction of an engine's slots that an engine outside of the node's failure domain must be less loaded by; bytes
+/// between domains are priced, and each way adds about a millisecond.
+const DOMAIN_COST: f64 = 0.10;
+
+/// Fraction of the slots that an engine without the cached part must be less loaded by: reading the part again costs
+/// about as much as a few percent of a batch.
+const AFFINITY_GAIN: f64 = 0.08;
+
+/// Load that an avoided engine seems to have more, so that it is used only if all others are full.
+const AVOIDED: f64 = 10.0;
+
+/// Greatest random difference, which keeps nodes with equal views from choosing the same engine.
+const JITTER: f64 = 0.01;
+
+/// The engine for a request, or `None` if there is none that was not tried.
+pub fn choose(
+    engines: &[Arc<Engine>],
+    loads: &Loads,
+    demand: &Demand<'_>,
+    now: Moment,
+    rng: &mut impl Rng,
+) -> Option<Arc<Engine>> {
+    let affine = demand.affinity.map(|it| preferred(engines, demand, it));
+    let untried = engines
+        .iter()
+        .filter(|it| demand.tried.iter().all(|tried| tried.id != it.id));
+    let scored = untried.map(|it| {
+        let near = *it.domain == **demand.domain;
+        let cached = affine.as_ref().is_some_and(|ids| ids.contains(&&*it.id));
+        let score = score(it, loads, now) + if near { 0.0 } else { DOMAIN_COST }
+            - if cached { AFFINITY_GAIN } else { 0.0 }
+            + rng.random_range(0.0..JITTER);
+        (score, it)
+    });
+    scored
+        .min_by(|a, b| a.0.total_cmp(&b.0))
+        .map(|(_, it)| it.clone())
+}
+
+/// Whether every engine has as many requests as it can process and some that wait.
+pub fn is_full(engines: &[Arc<Engine>], loads: &Loads, now: Moment) -> bool {
+    let full = |it: &Arc<Engine>| {
+        loads
+            .get(it)
+            .is_some_and(|load| load.requests(now) >= f64::from(it.slots) * FULL)
+    };
+    !engines.is_empty() && engines.iter().all(full)
+}
+
+/// Requests per slot from which an engine counts as full.
+const FULL: f64 = 1.5;
+
+/// Share of the slots in use, weighted by how slow the engine is.
+fn score(engine: &Engine, loads: &Loads, now: Moment) -> f64 {
+    let Some(load) = loads.get(engine) else {
+        return 0.0;
+    };
+    let used = (load.requests(now) + 1.0) / f64::from(engine.slots.max(1));
+    let avoided = if load.is_avoided(now) { AVOIDED } else { 0.0 };
+    used * load.slowness() + avoided
+}
+
+fn preferred<'a>(engines: &'a [Arc<Engine>], demand: &Demand<'_>, part: u64) -> Vec<&'a str> {
+    let model = demand.model.map_or("", |it| it);
+    let key = format!("{part:x}/{model}");
+    let near = engines.iter().filter(|it| *it.domain == **demand.domain);
+    let near: Vec<_> = hash::highest(&key, near.map(|it| &*it.id), AFFINE);
+    if near.is_empty() {
+        return hash::highest(&key, engines.iter().map(|it| &*it.id), AFFINE);
+    }
+    near
+}
--- /dev/null
+++ b/crates/forward/src/release.rs
@@ -0,0 +1,371 @@
+//! How much traffic a new version of a service gets while it is brought in.
+//!
+//! The operators order a release; its stage is a record in the platform's store that only moves forward, so any node
+//! may drive it. Nodes exchange counters of answers for each route and version. A version that fails or is slow on
+//! one route gets no more traffic on any node that knows so, and the driver records that it was reverted.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use model::{Incarnation, Name, hash};
+
+use crate::Moment;
+
+/// An operators' order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Order {
+    /// Service.
+    pub service: Name,
+    /// Version to bring in.
+    pub target: Name,
+    /// Time in which it must be brought in or reverted.
+    pub duration: Duration,
+    /// Offset of the order in its log; a later order replaces an earlier one.
+    pub offset: u64,
+}
+
+/// How far a release is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// A share of the traffic by the index of the stage.
+    Trial(u8),
+    /// All traffic goes to the new version, and the old engines may stop.
+    Complete,
+    /// The new version gets no traffic.
+    Reverted,
+}
+
+impl Stage {
+    /// Number that stands for the stage between nodes.
+    pub fn code(self) -> u8 {
+        match self {
+            Self::Trial(stage) => stage.min(Self::COMPLETE - 1),
+            Self::Complete => Self::COMPLETE,
+            Self::Reverted => Self::REVERTED,
+        }
+    }
+
+    /// The stage that a number stands for.
+    pub fn from_code(code: u8) -> Self {
+        match code {
+            Self::COMPLETE => Self::Complete,
+            Self::REVERTED => Self::Reverted,
+            stage => Self::Trial(stage),
+        }
+    }
+
+    const COMPLETE: u8 = 254;
+    const REVERTED: u8 = 255;
+}
+
+/// The recorded state of a release.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Status {
+    /// Offset of the order.
+    pub order: u64,
+    /// Version to bring in.
+    pub target: Name,
+    /// Stage.
+    pub stage: Stage,
+    /// Time since the order when the record was written.
+    pub elapsed: Duration,
+    /// Time since the order from which all nodes act on the stage, so that they change together.
+    pub effective: Duration,
+}
+
+/// Which version answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Arm {
+    /// Any version but the target.
+    Old,
+    /// The target.
+    New,
+}
+
+/// Answers on one route.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Answers of the old version.
+    pub old: u64,
+    /// Those that were failures.
+    pub old_bad: u64,
+    /// Answers of the new version.
+    pub new: u64,
+    /// Those that were failures or far slower than the old version's.
+    pub new_bad: u64,
+}
+
+impl Tally {
+    fn add(&mut self, other: &Self) {
+        self.old += other.old;
+        self.old_bad += other.old_bad;
+        self.new += other.new;
+        self.new_bad += other.new_bad;
+    }
+
+    fn is_bad(&self) -> bool {
+        let old = self.old_bad as f64 / self.old.max(1) as f64;
+        let new = self.new_bad as f64 / self.new.max(1) as f64;
+        self.new_bad >= MIN_BAD && new > BAD_SHARE + 2.0 * old
+    }
+}
+
+/// The counters of one process, by route.
+pub type Counters = BTreeMap<Name, Tally>;
+
+/// Bad answers before a version can be judged; fewer may come from an engine that crashes.
+const MIN_BAD: u64 = 4;
+
+/// Share of bad answers on one route above which a version is bad, besides twice the old version's share.
+const BAD_SHARE: f64 = 0.15;
+
+/// Answers of the new version before it may get more traffic.
+const MIN_ANSWERS: u64 = 24;
+
+/// A time to the first byte this many times as long as the old version's usual one is slow.
+pub const SLOW: f64 = 4.0;
+
+/// Stages: the part of the time after which each begins, and its share of the traffic.
+///
+/// The share stays small for the first half, because a session must not change to the new version in that time, and
+/// a bad version may get only a small part of all requests. The last stage leaves time for the old engines' streams.
+const STAGES: [(f64, f64); 4] = [(0.0, 0.09), (0.52, 0.30), (0.60, 0.65), (0.67, 1.0)];
+
+/// Time that nodes need to tell each other of a stage, or of the sessions that they hold on the old version: three
+/// rounds of the exchange.
+const EXCHANGE: Duration = Duration::from_millis(1500);
+
+/// Part of the time after which the old engines may stop.
+const COMPLETE: f64 = 0.84;
+
+/// What the driver of a release should record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Decision {
+    /// Nothing new.
+    Hold,
+    /// The stage.
+    Record(Stage),
+}
+
+/// One release as a node knows it.
+#[derive(Debug, Clone)]
+pub struct Release {
+    order: Order,
+    began: Moment,
+    stage: Stage,
+    /// Stage that is in force until `effective`.
+    previous: Stage,
+    effective: Duration,
+    recorded: bool,
+    halted: bool,
+    counters: HashMap<Incarnation, Counters>,
+    /// Time within which requests of a session follow each other.
+    session: Duration,
+    /// Sessions that the first stage would move and that were seen on the old version, with the last time.
+    held: HashMap<u64, Moment>,
+}
+
+impl Release {
+    /// An order that was just read; requests of a session follow each other within `session`.
+    pub fn new(order: Order, session: Duration, now: Moment) -> Self {
+        Self {
+            order,
+            began: now,
+            stage: Stage::Trial(0),
+            previous: Stage::Trial(0),
+            effective: Duration::ZERO,
+            recorded: false,
+            halted: false,
+            counters: HashMap::new(),
+            session,
+            held: HashMap::new(),
+        }
+    }
+
+    /// The order.
+    pub fn order(&self) -> &Order {
+        &self.order
+    }
+
+    /// The stage that is in force.
+    pub fn active_stage(&self, now: Moment) -> Stage {
+        let waits = matches!(self.stage, Stage::Trial(_)) && self.elapsed(now) < self.effective;
+        if waits { self.previous } else { self.stage }
+    }
+
+    /// The newest stage, which may not be in force yet.
+    pub fn stage(&self) -> Stage {
+        self.stage
+    }
+
+    /// Whether the release was recorded as complete or reverted.
+    pub fn has_ended(&self) -> bool {
+        self.recorded && self.stage >= Stage::Complete
+    }
+
+    /// Whether the new version was found to be bad.
+    pub fn is_halted(&self) -> bool {
+        self.halted
+    }
+
+    /// Time since the order.
+    pub fn elapsed(&self, now: Moment) -> Duration {
+        now.saturating_sub(self.began)
+    }
+
+    /// Takes over a recorded state; states of other orders and earlier stages have no effect.
+    pub fn recorded(&mut self, status: &Status, now: Moment) {
+        if status.order != self.order.offset || status.target != self.order.target {
+            return;
+        }
+        self.recorded = true;
+        self.began = self.began.min(now.saturating_sub(status.elapsed));
+        // An end that was recorded is final; of two that were, the store keeps the first.
+        if status.stage > self.stage {
+            self.previous = self.active_stage(now);
+            self.stage = status.stage;
+            self.effective = status.effective;
+        }
+    }
+
+    /// The record of a stage that is decided now.
+    pub fn status(&self, stage: Stage, now: Moment) -> Status {
+        let elapsed = self.elapsed(now);
+        Status {
+            order: self.order.offset,
+            target: self.order.target.clone(),
+            stage,
+            elapsed,
+            effective: elapsed + EXCHANGE,
+        }
+    }
+
+    /// The newest record, as it is passed on between nodes; `None` if nothing is recorded.
+    pub fn newest_status(&self, now: Moment) -> Option<Status> {
+        let status = self.status(self.stage, now);
+        let effective = self.effective;
+        self.recorded.then_some(Status { effective, ..status })
+    }
+
+    /// Stops the traffic to the new version, because another node found it to be bad.
+    pub fn halt(&mut self) {
+        self.halted = true;
+    }
+
+    /// Which version a request should get; `session` is the same for requests that must stay on one version.
+    ///
+    /// In the first stage, sessions that began on the old version stay there. Which ones these are is found in a
+    /// time without trials at the beginning, in which every live session sends a request through some node.
+    pub fn arm(&mut self, session: &[u8], now: Moment) -> Arm {
+        let stage = self.active_stage(now);
+        let share = match stage {
+            Stage::Complete => return Arm::New,
+            Stage::Reverted => return Arm::Old,
+            Stage::Trial(_) if self.halted => return Arm::Old,
+            Stage::Trial(stage) => STAGES[usize::from(stage).min(STAGES.len() - 1)].1,
+        };
+        // The place is drawn anew for each order, so that not the same sessions meet every new version first.
+        let mut seeded = self.order.offset.to_be_bytes().to_vec();
+        seeded.extend_from_slice(session);
+        let place = hash::stable(&seeded);
+        if place as f64 / u64::MAX as f64 >= share {
+            return Arm::Old;
+        }
+        let first = stage == Stage::Trial(0);
+        if first && (self.elapsed(now) < self.session + EXCHANGE || self.is_held(place, now)) {
+            self.held.insert(place, now);
+            return Arm::Old;
+        }
+        Arm::New
+    }
+
+    /// Sessions that stay on the old version, with the time since their last request.
+    pub fn held(&self, now: Moment) -> impl Iterator<Item = (u64, Duration)> {
+        let age = move |(session, last): (&u64, &Moment)| (*session, now.saturating_sub(*last));
+        self.held.iter().map(age).filter(|it| it.1 <= self.session)
+    }
+
+    /// Takes over a session that another node holds on the old version.
+    pub fn hold(&mut self, session: u64, age: Duration, now: Moment) {
+        let last = now.saturating_sub(age);
+        let known = self.held.entry(session).or_insert(last);
+        *known = last.max(*known);
+    }
+
+    fn is_held(&self, session: u64, now: Moment) -> bool {
+        let last = self.held.get(&session);
+        last.is_some_and(|it| now.saturating_sub(*it) <= self.session + EXCHANGE)
+    }
+
+    /// Counts an answer of this process.
+    pub fn answered(&mut self, own: Incarnation, route: &Name, arm: Arm, bad: bool) {
+        let counters = self.counters.entry(own).or_default();
+        let tally = counters.entry(route.clone()).or_default();
+        let bad = u64::from(bad);
+        match arm {
+            Arm::Old => (tally.old, tally.old_bad) = (tally.old + 1, tally.old_bad + bad),
+            Arm::New => (tally.new, tally.new_bad) = (tally.new + 1, tally.new_bad + bad),
+        }
+        self.judge();
+    }
+
+    /// The counters of one process.
+    pub fn counters(&self, of: Incarnation) -> Option<&Counters> {
+        self.counters.get(&of)
+    }
+
+    /// Takes over another process's counters; they only grow, so the larger ones are the newer ones.
+    pub fn merge(&mut self, of: Incarnation, counters: Counters) {
+        let known = self.counters.entry(of).or_default();
+        for (route, tally) in counters {
+            let known = known.entry(route).or_default();
+            if tally.old + tally.new >= known.old + known.new {
+                *known = tally;
+            }
+        }
+        self.judge();
+    }
+
+    /// What the driver should record now.
+    pub fn decide(&self, now: Moment) -> Decision {
+        if self.has_ended() {
+            return Decision::Hold;
+        }
+        if self.halted {
+            return Decision::Record(Stage::Reverted);
+        }
+        let Stage::Trial(stage) = self.stage else {
+            return Decision::Hold;
+        };
+        if !self.recorded {
+            return Decision::Record(Stage::Trial(0));
+        }
+        let part = self.elapsed(now).as_secs_f64() / self.order.duration.as_secs_f64().max(0.001);
+        if self.answers() < MIN_ANSWERS {
+            return Decision::Hold;
+        }
+        match STAGES.get(usize::from(stage) + 1) {
+            Some((begin, _)) if part >= *begin => Decision::Record(Stage::Trial(stage + 1)),
+            None if part >= COMPLETE => Decision::Record(Stage::Complete),
+            _ => Decision::Hold,
+        }
+    }
+
+    fn answers(&self) -> u64 {
+        self.totals().values().map(|it| it.new).sum()
+    }
+
+    fn totals(&self) -> Counters {
+        let mut totals = Counters::new();
+        for (route, tally) in self.counters.values().flatten() {
+            totals.entry(route.clone()).or_default().add(tally);
+        }
+        totals
+    }
+
+    fn judge(&mut self) {
+        if !self.halted {
+            self.halted = self.totals().values().any(Tally::is_bad);
+        }
+    }
+}
--- /dev/null
+++ b/crates/forward/tests/release.rs
@@ -0,0 +1,195 @@
+//! Guards against bad versions that reach many callers, sessions that change version, and releases that go back.
+
+use std::time::Duration;
+
+use forward::release::{Arm, Counters, Decision, Order, Release, Stage, Tally};
+use model::{Incarnation, Name};
+
+const SESSION: Duration = Duration::from_secs(5);
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn order() -> Order {
+    Order {
+        service: "pool".into(),
+        target: "v2".into(),
+        duration: SECOND * 24,
+        offset: 7,
+    }
+}
+
+fn release() -> Release {
+    Release::new(order(), SESSION, Duration::ZERO)
+}
+
+fn own() -> Incarnation {
+    Incarnation::from_bits(1)
+}
+
+fn answer(release: &mut Release, arm: Arm, bad: bool, count: u32) {
+    let route = Name::from("drafts");
+    (0..count).for_each(|_| release.answered(own(), &route, arm, bad));
+}
+
+/// Lets a driver record what it decides until `until`.
+fn drive(release: &mut Release, until: Duration) -> Vec<Stage> {
+    let mut stages = vec![];
+    let mut now = Duration::ZERO;
+    while now <= until {
+        if let Decision::Record(stage) = release.decide(now) {
+            let status = release.status(stage, now);
+            release.recorded(&status, now);
+            stages.push(stage);
+        }
+        now += Duration::from_millis(500);
+    }
+    stages
+}
+
+fn share(release: &mut Release, now: Duration) -> f64 {
+    let sessions = 0..2000_u32;
+    let new = sessions.filter(|it| release.arm(&it.to_be_bytes(), now) == Arm::New);
+    new.count() as f64 / 2000.0
+}
+
+#[test]
+fn good_version_is_complete_in_time() {
+    let mut release = release();
+    answer(&mut release, Arm::Old, false, 500);
+    answer(&mut release, Arm::New, false, 30);
+    let stages = drive(&mut release, order().duration);
+    assert_eq!(stages.first(), Some(&Stage::Trial(0)));
+    assert_eq!(stages.last(), Some(&Stage::Complete));
+    assert!(release.has_ended());
+}
+
+#[test]
+fn version_without_answers_gets_no_more_traffic() {
+    let mut release = release();
+    assert_eq!(drive(&mut release, order().duration), [Stage::Trial(0)]);
+}
+
+#[test]
+fn version_that_fails_on_one_route_is_reverted() {
+    let mut release = release();
+    let good = Name::from("advice");
+    (0..400).for_each(|_| release.answered(own(), &good, Arm::New, false));
+    answer(&mut release, Arm::Old, false, 200);
+    answer(&mut release, Arm::New, true, 4);
+    assert_eq!(release.arm(b"any", SECOND * 20), Arm::Old);
+    assert_eq!(release.decide(SECOND), Decision::Record(Stage::Reverted));
+}
+
+#[test]
+fn failures_that_the_old_version_has_too_do_not_count() {
+    let mut release = release();
+    answer(&mut release, Arm::Old, false, 70);
+    answer(&mut release, Arm::Old, true, 30);
+    answer(&mut release, Arm::New, false, 70);
+    answer(&mut release, Arm::New, true, 30);
+    assert!(!release.is_halted());
+}
+
+#[test]
+fn evidence_of_other_nodes_counts() {
+    let mut release = release();
+    for bits in 2..6 {
+        let tally = Tally {
+            new: 1,
+            new_bad: 1,
+            ..Tally::default()
+        };
+        release.merge(
+            Incarnation::from_bits(bits),
+            Counters::from([("drafts".into(), tally)]),
+        );
+    }
+    assert!(release.is_halted());
+}
+
+#[test]
+fn repeated_notice_counts_once() {
+    let mut release = release();
+    let tally = Tally {
+        new: 1,
+        new_bad: 1,
+        ..Tally::default()
+    };
+    let counters = Counters::from([("drafts".into(), tally)]);
+    (0..10).for_each(|_| release.merge(Incarnation::from_bits(2), counters.clone()));
+    assert!(!release.is_halted());
+}
+
+#[test]
+fn sessions_under_way_stay_in_the_first_stage() {
+    let mut release = release();
+    let sessions: Vec<_> = (0..500_u32).map(u32::to_be_bytes).collect();
+    let mut now = Duration::ZERO;
+    // Each session sends a request every four seconds until the second stage.
+    while now < SECOND * 12 {
+        for session in &sessions {
+            assert_eq!(release.arm(session, now), Arm::Old);
+        }
+        now += SECOND * 4;
+    }
+    assert!(
+        share(&mut release, SECOND * 12) > 0.0,
+        "new sessions take part in the trial"
+    );
+}
+
+#[test]
+fn session_that_another_node_holds_stays() {
+    let now = SECOND * 8;
+    let mut moved = (0..500_u32).filter(|it| release().arm(&it.to_be_bytes(), now) == Arm::New);
+    let session = moved.next().unwrap_or_default().to_be_bytes();
+    let mut elsewhere = release();
+    elsewhere.arm(&session, SECOND * 5);
+    let mut here = release();
+    for (held, age) in elsewhere.held(now) {
+        here.hold(held, age, now);
+    }
+    assert_eq!(here.arm(&session, now), Arm::Old);
+}
+
+#[test]
+fn stage_is_in_force_on_all_nodes_at_the_same_time() {
+    let (mut driver, mut other) = (release(), release());
+    let decided = SECOND * 13;
+    let status = driver.status(Stage::Trial(3), decided);
+    driver.recorded(&status, decided);
+    let heard = decided + SECOND;
+    assert_eq!(driver.active_stage(heard), Stage::Trial(0));
+    other.recorded(&status, heard);
+    for now in [heard, decided + SECOND * 2] {
+        assert_eq!(driver.active_stage(now), other.active_stage(now));
+    }
+    assert_eq!(share(&mut other, decided + SECOND * 2), 1.0);
+}
+
+#[test]
+fn end_is_final() {
+    let mut release = release();
+    release.recorded(&release.status(Stage::Reverted, SECOND), SECOND);
+    release.recorded(&release.status(Stage::Trial(3), SECOND * 2), SECOND * 2);
+    assert_eq!(release.stage(), Stage::Reverted);
+    assert_eq!(release.decide(SECOND * 20), Decision::Hold);
+}
+
+#[test]
+fn state_of_an_earlier_order_has_no_effect() {
+    let mut release = release();
+    let mut status = release.status(Stage::Complete, SECOND);
+    status.order = 3;
+    release.recorded(&status, SECOND);
+    assert_eq!(release.stage(), Stage::Trial(0));
+}
+
+#[test]
+fn new_driver_knows_when_the_release_began() {
+    let mut release = Release::new(order(), SESSION, SECOND * 100);
+    let mut status = release.status(Stage::Trial(1), SECOND * 100);
+    status.elapsed = SECOND * 15;
+    release.recorded(&status, SECOND * 100);
+    assert_eq!(release.elapsed(SECOND * 101), SECOND * 16);
+}
