entry, platform: serve the users' platform

Cause: nothing of bronzevale ran on the users' machines; the present daemon spends a thread for each request and a blocking connection for each call.

Change: crates/entry is a node on one small tokio runtime; platform/ is the adapter with names, formats and calls only; bronzevaled serves either front by its settings; deploy/ has the deploy file and the settings template. Each call has a connection of its own: an answer that comes late and a connection that went silent can't concern another request.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -10,6 +10,7 @@
 use ini::Ini;
 use model::{Domain, Host};
 
+pub mod entry;
 mod fault;
 mod http;
 mod reader;
@@ -161,17 +162,27 @@
     /// Every fault in the text: syntax, unknown or repeated keys, missing or malformed values, values out of range
     /// and values that contradict one another.
     pub fn parse(file: &str, text: &str) -> Result<Self, Faults> {
-        let ini = Ini::load_from_str(text).map_err(|err| Faults::syntax(file, &err))?;
-        let mut reader = Reader::new(file, &ini);
-        let settings = read(&mut reader);
-        if let Some(it) = &settings {
-            check(it, &mut reader);
-        }
-        let faults = reader.finish();
-        match settings {
-            Some(it) if faults.is_empty() => Ok(it),
-            _ => Err(faults),
-        }
+        parse(file, text, read, check)
+    }
+}
+
+/// Reads and checks INI text with the functions for one kind of settings.
+fn parse<T>(
+    file: &str,
+    text: &str,
+    read: impl FnOnce(&mut Reader<'_>) -> Option<T>,
+    check: impl FnOnce(&T, &mut Reader<'_>),
+) -> Result<T, Faults> {
+    let ini = Ini::load_from_str(text).map_err(|err| Faults::syntax(file, &err))?;
+    let mut reader = Reader::new(file, &ini);
+    let settings = read(&mut reader);
+    if let Some(it) = &settings {
+        check(it, &mut reader);
+    }
+    let faults = reader.finish();
+    match settings {
+        Some(it) if faults.is_empty() => Ok(it),
+        _ => Err(faults),
     }
 }
 
--- a/crates/config/src/settings/reader.rs
+++ b/crates/config/src/settings/reader.rs
@@ -15,6 +15,8 @@
 
 const ADDRESS: &str = "an IP address with a port";
 const NUMBER: &str = "a whole number";
+const FRACTION: &str = "a number of zero or more";
+const FLAG: &str = "true or false";
 const NAME: &str = "a name of 1 to 64 letters, digits, '-', '_' or '.'";
 const PATH: &str = "a path";
 const MAX_NAME_LEN: usize = 64;
@@ -134,6 +136,23 @@
         self.number(section, key, range, default).map(Duration::from_secs)
     }
 
+    /// A required number that need not be whole.
+    pub(super) fn fraction(&mut self, section: &'static str, key: &'static str) -> Option<f64> {
+        let value = self.required(section, key)?;
+        let number: f64 = self.parse(section, key, value, FRACTION)?;
+        if !number.is_finite() || number < 0.0 {
+            self.malformed(section, key, value, FRACTION);
+            return None;
+        }
+        Some(number)
+    }
+
+    /// A required `true` or `false`.
+    pub(super) fn flag(&mut self, section: &'static str, key: &'static str) -> Option<bool> {
+        let value = self.required(section, key)?;
+        self.parse(section, key, value, FLAG)
+    }
+
     pub(super) fn contradiction(&mut self, section: &str, key: &str, other: &'static str) {
         self.fault(section, key, Cause::Contradiction { other });
     }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,11 +1,17 @@
 //! The entry node as a process.
+//!
+//! The settings say which of two fronts it serves: the project's own interface (`node`), or the requests of a
+//! platform's callers (`entry`).
 
-use std::path::PathBuf;
+mod log_sink;
+mod platform_node;
+
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
 
 use argh::FromArgs;
-use config::settings::Settings;
+use config::settings::{Settings, entry};
 use eyre::{Result, WrapErr, eyre};
 use node::{Handle, Ports, Secrets, Stopped};
 use signal_hook::consts::{SIGINT, SIGTERM};
@@ -34,7 +40,7 @@
         Ok(args) => args,
         Err(code) => return code,
     };
-    let settings = match read(&args) {
+    let settings = match read(&args.config) {
         Ok(settings) => settings,
         Err(err) => {
             eprintln!("{err:#}");
@@ -44,8 +50,17 @@
     if args.check {
         return ExitCode::SUCCESS;
     }
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    match run(settings) {
+    let result = match settings {
+        Front::Own(settings) => {
+            env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+            run(*settings)
+        }
+        Front::Platform(settings) => {
+            log_sink::install();
+            platform_node::run(*settings, &args.config)
+        }
+    };
+    match result {
         Ok(code) => code,
         Err(err) => {
             log::error!("{err:#}");
@@ -71,10 +86,23 @@
     })
 }
 
-fn read(args: &Args) -> Result<Settings> {
-    let file = args.config.display().to_string();
-    let text = std::fs::read_to_string(&args.config).wrap_err_with(|| file.clone())?;
-    Ok(Settings::parse(&file, &text)?)
+/// Settings of one of the two fronts.
+#[derive(Debug)]
+enum Front {
+    /// The project's own interface.
+    Own(Box<Settings>),
+    /// The requests of a platform's callers.
+    Platform(Box<entry::Settings>),
+}
+
+fn read(path: &Path) -> Result<Front> {
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path).wrap_err_with(|| file.clone())?;
+    if entry::Settings::recognises(&text) {
+        let settings = entry::Settings::parse(&file, &text)?;
+        return Ok(Front::Platform(Box::new(settings)));
+    }
+    Ok(Front::Own(Box::new(Settings::parse(&file, &text)?)))
 }
 
 fn run(settings: Settings) -> Result<ExitCode> {
--- /dev/null
+++ b/crates/entry/src/client.rs
@@ -0,0 +1,84 @@
+//! The HTTP client for engines and the store.
+//!
+//! Each call has a connection of its own. A connection that went silent, an answer that came late and bytes behind
+//! an answer can therefore never concern another call, and a call that failed before its connection was made is
+//! known not to have run.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+/// Greatest size of an answer's head in bytes.
+const MAX_HEAD: usize = 64 << 10;
+
+/// Why there is no answer.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Error {
+    /// No connection was made; the peer got nothing.
+    #[error("no connection: {0}")]
+    Connect(String),
+    /// The request may have reached the peer.
+    #[error("no answer: {0}")]
+    Exchange(#[from] hyper::Error),
+}
+
+/// A connection; dropping it closes the socket, which cancels the peer's work.
+#[derive(Debug)]
+pub(crate) struct Connection(JoinHandle<()>);
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// An open connection that carried no request yet.
+#[derive(Debug)]
+pub(crate) struct Ready {
+    sender: http1::SendRequest<Full<Bytes>>,
+    connection: Connection,
+}
+
+/// Connects within `limit`.
+pub(crate) async fn connect(address: SocketAddr, limit: Duration) -> Result<Ready, Error> {
+    let stream = match timeout(limit, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(err)) => return Err(Error::Connect(err.to_string())),
+        Err(_) => return Err(Error::Connect("time-out".to_owned())),
+    };
+    stream.set_nodelay(true).ok();
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|err| Error::Connect(err.to_string()))?;
+    let task = tokio::spawn(async move {
+        if let Err(err) = connection.await {
+            log::debug!("connection to {address}: {err}");
+        }
+    });
+    Ok(Ready {
+        sender,
+        connection: Connection(task),
+    })
+}
+
+impl Ready {
+    /// Sends the request and waits for the head of the answer.
+    pub(crate) async fn send(
+        mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Connection), Error> {
+        let response = self.sender.send_request(request).await?;
+        Ok((response, self.connection))
+    }
+}
--- /dev/null
+++ b/crates/entry/src/front.rs
@@ -0,0 +1,120 @@
+//! Listening sockets and connections.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::time::sleep;
+
+use crate::answer::Payload;
+use crate::shared::{Shared, lock};
+use crate::{control, request};
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// Pause after a failed accept; it fails at once again while descriptors are short.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Idle time of a connection while no configuration states a bound.
+const DEFAULT_IDLE: Duration = Duration::from_secs(60);
+
+/// Greatest head of a request while no configuration states a bound; the HTTP library takes no less than 8 KiB.
+const DEFAULT_MAX_HEAD: usize = 64 << 10;
+const MIN_MAX_HEAD: usize = 8 << 10;
+
+/// What a listening socket serves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Role {
+    /// Requests of callers.
+    Entry,
+    /// Readiness, entry addresses and operators' questions.
+    Control,
+}
+
+/// Listens on an address.
+pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Accepts connections until the process ends.
+pub(crate) async fn accept(shared: Arc<Shared>, listener: TcpListener, role: Role) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve(shared.clone(), stream, role));
+            }
+            Err(err) => {
+                log::warn!(error:% = err; "connection not accepted");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(shared: Arc<Shared>, stream: TcpStream, role: Role) {
+    // Otherwise an event waits for the acknowledgement of the one before it.
+    if let Err(err) = stream.set_nodelay(true) {
+        log::debug!("TCP_NODELAY: {err}");
+    }
+    shared.metrics.connections.inc();
+    let limits = lock(&shared.catalog).value().map(|it| it.limits);
+    let idle = limits.map_or(DEFAULT_IDLE, |it| it.idle_timeout);
+    let head = limits
+        .map_or(DEFAULT_MAX_HEAD, |it| it.head_bytes)
+        .max(MIN_MAX_HEAD);
+    let mut leaving = shared.leaving.subscribe();
+    let service = service_fn(|request| answer(shared.clone(), role, request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // The library's time-out also covers the wait for the first byte.
+        .header_read_timeout(idle)
+        .max_buf_size(head)
+        // A connection that is made while the node leaves serves one request.
+        .keep_alive(!*leaving.borrow_and_update())
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let result = tokio::select! {
+        it = connection.as_mut() => it,
+        _ = leaving.changed() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(err) = result {
+        log::debug!("connection of a caller: {err}");
+    }
+    shared.metrics.connections.dec();
+}
+
+async fn answer(
+    shared: Arc<Shared>,
+    role: Role,
+    request: Request<Incoming>,
+) -> Result<Response<Payload>, Infallible> {
+    let mut response = match role {
+        Role::Entry => request::handle(shared.clone(), request).await,
+        Role::Control => control::handle(&shared, &request.into_parts().0),
+    };
+    if shared.is_leaving() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    Ok(response)
+}
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,112 @@
+//! Counters and histograms in the Prometheus text format.
+
+use prometheus_client::encoding::text;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// Name and value of one label.
+type Label = [(&'static str, &'static str); 1];
+
+/// Metrics of a node.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Requests of callers, by the class of the final status.
+    pub requests: Family<Label, Counter>,
+    /// Refusals of this node, by reason.
+    pub refusals: Family<Label, Counter>,
+    /// Failed attempts, by failure.
+    pub failures: Family<Label, Counter>,
+    /// Second and later attempts, by reason.
+    pub retries: Family<Label, Counter>,
+    /// Second and later attempts that the retry budget did not permit.
+    pub retries_denied: Counter,
+    /// Streams that went on at another engine.
+    pub resumed: Counter,
+    /// Streams that broke off.
+    pub broken: Counter,
+    /// Calls to the store.
+    pub store_calls: Counter,
+    /// Calls to the store without a usable answer.
+    pub store_failures: Counter,
+    /// Connections of callers.
+    pub connections: Gauge,
+    /// Seconds to the first byte of an answer.
+    pub first_byte: Histogram,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Self {
+        let mut it = Self {
+            registry: Registry::with_prefix("bronzevale"),
+            requests: Family::default(),
+            refusals: Family::default(),
+            failures: Family::default(),
+            retries: Family::default(),
+            retries_denied: Counter::default(),
+            resumed: Counter::default(),
+            broken: Counter::default(),
+            store_calls: Counter::default(),
+            store_failures: Counter::default(),
+            connections: Gauge::default(),
+            first_byte: Histogram::new(exponential_buckets(0.002, 2.0, 14)),
+        };
+        it.register();
+        it
+    }
+
+    /// All metrics as text.
+    pub(crate) fn encode(&self) -> String {
+        let mut out = String::new();
+        if let Err(err) = text::encode(&mut out, &self.registry) {
+            log::error!("cannot encode metrics: {err}");
+        }
+        out
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "requests",
+            "Requests by class of the final status",
+            self.requests.clone(),
+        );
+        registry.register(
+            "refusals",
+            "Refusals of this node by reason",
+            self.refusals.clone(),
+        );
+        registry.register("failures", "Failed attempts by failure", self.failures.clone());
+        registry.register(
+            "retries",
+            "Second and later attempts by reason",
+            self.retries.clone(),
+        );
+        registry.register(
+            "retries_denied",
+            "Attempts beyond the retry budget",
+            self.retries_denied.clone(),
+        );
+        registry.register(
+            "streams_resumed",
+            "Streams continued elsewhere",
+            self.resumed.clone(),
+        );
+        registry.register("streams_broken", "Streams that broke off", self.broken.clone());
+        registry.register("store_calls", "Calls to the store", self.store_calls.clone());
+        registry.register(
+            "store_failures",
+            "Failed calls to the store",
+            self.store_failures.clone(),
+        );
+        registry.register("connections", "Connections of callers", self.connections.clone());
+        registry.register(
+            "first_byte_seconds",
+            "Time to the first byte",
+            self.first_byte.clone(),
+        );
+    }
+}
--- /dev/null
+++ b/crates/entry/src/shared.rs
@@ -0,0 +1,197 @@
+//! State that the tasks of a node share, in parts with a lock each.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::Duration;
+
+use config::settings::entry::Settings;
+use forward::Moment;
+use forward::allowance::{Allowance, Bound, Need};
+use forward::belief::Belief;
+use forward::catalog::Configuration;
+use forward::directory::{Directory, Engine};
+use forward::load::Loads;
+use forward::release::{Arm, Release, Stage};
+use membership::Table;
+use model::{Incarnation, Name};
+use tokio::sync::watch;
+
+use crate::clock;
+use crate::dialect::Dialect;
+use crate::metrics::Metrics;
+
+/// Smoothed times to the first byte by route and model.
+type Usual = HashMap<(Name, Option<Name>), Duration>;
+
+/// State of a node.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    settings: RwLock<Arc<Settings>>,
+    pub dialect: Arc<dyn Dialect>,
+    pub incarnation: Incarnation,
+    pub catalog: Mutex<Belief<Configuration>>,
+    pub directory: Mutex<Directory>,
+    pub loads: Mutex<Loads>,
+    pub releases: Mutex<BTreeMap<Name, Release>>,
+    pub members: Mutex<Table>,
+    allowances: Mutex<HashMap<Name, Allowance>>,
+    usual: Mutex<Usual>,
+    pub metrics: Metrics,
+    /// Whether the list of engines was read since the start.
+    pub engines_known: AtomicBool,
+    /// Requests of callers that were read and have no final answer.
+    pub active: AtomicUsize,
+    pub leaving: watch::Sender<bool>,
+}
+
+/// Locks a part of the state; a panic of another task does not make it unusable.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Shared {
+    /// Time without a reading of the engines after which entries may have lapsed, in heartbeats: an engine's entry
+    /// lapses after three, and its last renewal may be one old when the outage begins.
+    const OUTAGE_HEARTBEATS: u32 = 2;
+
+    /// Smoothing factor of the usual times.
+    const GAIN: f64 = 0.1;
+
+    pub(crate) fn new(
+        settings: Settings,
+        dialect: Arc<dyn Dialect>,
+        members: Table,
+        incarnation: Incarnation,
+    ) -> Self {
+        let outage = settings.store.heartbeat * Self::OUTAGE_HEARTBEATS;
+        Self {
+            settings: RwLock::new(Arc::new(settings)),
+            dialect,
+            incarnation,
+            catalog: Mutex::new(Belief::unknown()),
+            directory: Mutex::new(Directory::new(outage)),
+            loads: Mutex::default(),
+            releases: Mutex::default(),
+            members: Mutex::new(members),
+            allowances: Mutex::default(),
+            usual: Mutex::default(),
+            metrics: Metrics::new(),
+            engines_known: AtomicBool::new(false),
+            active: AtomicUsize::new(0),
+            leaving: watch::Sender::new(false),
+        }
+    }
+
+    /// The present settings.
+    pub(crate) fn settings(&self) -> Arc<Settings> {
+        let settings = self.settings.read().unwrap_or_else(PoisonError::into_inner);
+        settings.clone()
+    }
+
+    /// Replaces the settings; the addresses in use stay those of the start.
+    pub(crate) fn reload(&self, settings: Settings) {
+        let mut present = self.settings.write().unwrap_or_else(PoisonError::into_inner);
+        *present = Arc::new(settings);
+    }
+
+    /// Whether the node is about to stop.
+    pub(crate) fn is_leaving(&self) -> bool {
+        *self.leaving.borrow()
+    }
+
+    /// Whether callers may be sent to this node.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.engines_known.load(Ordering::Relaxed) && self.is_current(clock::now())
+    }
+
+    /// Whether the configuration is recent enough for all requests.
+    pub(crate) fn is_current(&self, now: Moment) -> bool {
+        let catalog = lock(&self.catalog);
+        match catalog.value() {
+            Some(it) if it.needs_keys() => catalog.is_fresh(now, self.settings().bounds.revocation),
+            Some(_) => true,
+            None => false,
+        }
+    }
+
+    /// Number of live nodes, this one included.
+    pub(crate) fn node_count(&self) -> usize {
+        let members = lock(&self.members);
+        1 + members.members().filter(|it| it.is_live()).count()
+    }
+
+    /// Counts a request to a service.
+    pub(crate) fn count_request(&self, service: &Name, now: Moment) {
+        self.with_allowance(service, |it| it.request(now));
+    }
+
+    /// Takes the allowance for one further arrival at a service, if there is any.
+    pub(crate) fn take_allowance(&self, service: &Name, need: Need, now: Moment) -> bool {
+        let nodes = self.node_count();
+        let taken = self.with_allowance(service, |it| it.take(need, nodes, now));
+        if !taken {
+            self.metrics.retries_denied.inc();
+        }
+        taken
+    }
+
+    fn with_allowance<T>(&self, service: &Name, f: impl FnOnce(&mut Allowance) -> T) -> T {
+        let mut allowances = lock(&self.allowances);
+        let allowance = allowances.entry(service.clone()).or_insert_with(|| {
+            let bounds = &self.settings().bounds;
+            Allowance::new(Bound {
+                ratio: bounds.retry_ratio,
+                slack: bounds.retry_slack,
+                window: bounds.retry_window,
+            })
+        });
+        f(allowance)
+    }
+
+    /// Engines of a service that may get a request, and whether they belong to the version that is brought in.
+    ///
+    /// `key` is the same for requests that should stay on one version.
+    pub(crate) fn engines(&self, service: &Name, key: &[u8], now: Moment) -> (Vec<Arc<Engine>>, Arm) {
+        let all: Vec<_> = lock(&self.directory).available(service, now).cloned().collect();
+        let mut releases = lock(&self.releases);
+        let Some(release) = releases.get_mut(service) else {
+            return (all, Arm::Old);
+        };
+        let target = release.order().target.clone();
+        let (new, old): (Vec<_>, Vec<_>) = all.into_iter().partition(|it| it.version == target);
+        match release.arm(key, now) {
+            Arm::New if !new.is_empty() => (new, Arm::New),
+            // Without an old engine, the new ones are all that is left, unless they were found to be bad.
+            Arm::Old if old.is_empty() && !release.is_halted() && release.stage() != Stage::Reverted => {
+                (new, Arm::New)
+            }
+            _ => (old, Arm::Old),
+        }
+    }
+
+    /// Usual time to the first byte, if it is known.
+    pub(crate) fn usual(&self, route: &Name, model: Option<&Name>) -> Option<Duration> {
+        let key = (route.clone(), model.cloned());
+        lock(&self.usual).get(&key).copied()
+    }
+
+    /// Adds a measured time to the first byte.
+    pub(crate) fn note_first_byte(&self, route: &Name, model: Option<&Name>, time: Duration) {
+        let mut usual = lock(&self.usual);
+        let known = usual.entry((route.clone(), model.cloned())).or_insert(time);
+        *known = known.mul_f64(1.0 - Self::GAIN) + time.mul_f64(Self::GAIN);
+    }
+
+    /// Counts an answer for the release under way on a service, if there is one.
+    pub(crate) fn note_answer(&self, service: &Name, route: &Name, arm: Arm, bad: bool) {
+        if let Some(release) = lock(&self.releases).get_mut(service) {
+            let halted = release.is_halted();
+            release.answered(self.incarnation, route, arm, bad);
+            if release.is_halted() && !halted {
+                let target = &release.order().target;
+                log::warn!(service = **service, target = **target, route = **route; "release halted: bad answers");
+            }
+        }
+    }
+}
