--- /dev/null
+++ b/crates/config/tests/entry_settings.rs
@@ -0,0 +1,54 @@
+//! Guards against settings of an entry node that are read wrongly or whose faults are found one at a time.
+
+use std::time::Duration;
+
+use config::settings::entry::Settings;
+
+const TEXT: &str = "[node]\nhost = edge-a-1\nfailure_domain = a\nregion = r\ncores = 2\n\
+     [listen]\nentry = 10.1.0.1:80\nready = 10.1.0.1:81\ndirectory = 10.1.0.1:82\ncontrol = 10.1.0.1:83\n\
+     gossip = 10.1.0.1:7340\nseeds = 10.1.0.1:83,10.2.0.1:83\n\
+     [store]\naddress = 10.200.0.1:90\nheartbeat_ms = 1200\n\
+     [bounds]\nrevocation_ms = 5000\nstrict_revocation = true\ngrace_seconds = 8\nretry_ratio = 0.9\nretry_slack = 56\n";
+
+#[test]
+fn settings_are_read() {
+    let settings = Settings::parse("node.ini", TEXT).unwrap();
+    assert_eq!((&*settings.node.host, settings.node.cores), ("edge-a-1", 2));
+    assert_eq!(settings.store.heartbeat, Duration::from_millis(1200));
+    assert_eq!(settings.bounds.retry_ratio, 0.9);
+    // Datagrams of all hosts have one port, and a node is no seed of its own.
+    assert_eq!(settings.seeds, ["10.2.0.1:7340".parse().unwrap()]);
+}
+
+#[test]
+fn kinds_of_settings_are_told_apart() {
+    assert!(Settings::recognises(TEXT));
+    assert!(!Settings::recognises(include_str!(
+        "../../../examples/lumefolha-entry-1.ini"
+    )));
+}
+
+macro_rules! faults {
+    ($($name:ident: $from:literal => $to:literal, $($fault:literal),+;)*) => {
+        $(#[test]
+        fn $name() {
+            let text = TEXT.replace($from, $to);
+            assert_ne!(text, TEXT);
+            let faults = Settings::parse("node.ini", &text).unwrap_err().to_string();
+            $(assert!(faults.contains($fault), "{faults}");)+
+        })*
+    };
+}
+
+faults! {
+    every_fault_is_found: "cores = 2\n" => "cores = 0\ncolour = red\n",
+        "[node] cores: 0 is not between 1 and 256", "[node] colour: unknown key";
+    missing_address_is_found: "address = 10.200.0.1:90\n" => "", "[store] address: the key is missing";
+    negative_ratio_is_found: "0.9" => "-0.9", "[bounds] retry_ratio: \"-0.9\" is not a number of zero or more";
+    flag_of_another_form_is_found: "strict_revocation = true" => "strict_revocation = yes",
+        "[bounds] strict_revocation: \"yes\" is not true or false";
+    wait_beyond_the_trust_in_keys_is_found: "heartbeat_ms = 1200" => "config_wait_ms = 6000",
+        "[store] config_wait_ms: the value contradicts bounds.revocation_ms";
+    answers_that_outlive_the_process_are_found: "grace_seconds = 8" => "grace_seconds = 3",
+        "[bounds] entry_lifetime_seconds: the value contradicts bounds.grace_seconds";
+}
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -8,6 +8,7 @@
 use forward::catalog::Kind;
 use forward::directory::Engine;
 use forward::flow::Failure;
+use forward::lane::Work;
 use forward::placement::{self, Demand};
 use forward::release::{Arm, SLOW};
 use http_body_util::{BodyExt, Full, Limited};
@@ -87,23 +88,31 @@
 struct Place {
     shared: Arc<Shared>,
     engine: Arc<Engine>,
-    tokens: u64,
+    /// Work that counts as pending until the answer begins.
+    pending: Work,
 }
 
 impl Place {
-    fn take(shared: &Arc<Shared>, engine: &Arc<Engine>, tokens: u64) -> Self {
-        lock(&shared.loads).sent(engine, tokens);
+    fn take(shared: &Arc<Shared>, engine: &Arc<Engine>, work: Work) -> Self {
+        lock(&shared.loads).sent(engine, work);
         Self {
             shared: shared.clone(),
             engine: engine.clone(),
-            tokens,
+            pending: work,
         }
     }
+
+    /// Notes that the answer has begun.
+    fn begin(&mut self) {
+        let pending = std::mem::take(&mut self.pending);
+        lock(&self.shared.loads).begun(&self.engine, pending);
+    }
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
-        lock(&self.shared.loads).ended(&self.engine, self.tokens);
+        self.begin();
+        lock(&self.shared.loads).ended(&self.engine);
     }
 }
 
@@ -114,8 +123,7 @@
         return Outcome::NoEngine;
     };
     job.tried.push(engine.clone());
-    let tokens = job.demand.tokens.map_or(0, |(prompt, output)| prompt + output);
-    let place = Place::take(&job.shared, &engine, tokens);
+    let mut place = Place::take(&job.shared, &engine, job.work().unwrap_or_default());
     let limit = CONNECT_TIMEOUT.min(job.remaining());
     let ready = match client::connect(engine.address, limit).await {
         Ok(ready) => ready,
@@ -147,6 +155,7 @@
         }
     };
     let elapsed = clock::now().saturating_sub(begin);
+    place.begin();
     let (head, body) = response.into_parts();
     let answer = job.shared.dialect.head(&head);
     if let Some(report) = answer.report {
@@ -170,6 +179,7 @@
         domain,
         affinity: job.affinity(),
         model: job.model.as_ref(),
+        size: job.shared.size(&job.service, job.work(), job.tried.is_empty()),
         tried: &job.tried,
     };
     let loads = lock(&job.shared.loads);
--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -34,7 +34,7 @@
     pub session: Option<String>,
     /// Whether the system chooses the model.
     pub any_model: bool,
-    /// Tokens of the prompt and the greatest number of generated ones.
+    /// Tokens of the prompt, and the expected number of generated ones.
     pub tokens: Option<(u64, u64)>,
     /// Parts of the prompt in their order.
     pub parts: Vec<u64>,
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -10,6 +10,7 @@
 use forward::catalog::{Configuration, Kind, Limits, Organisation, Route};
 use forward::directory::Engine;
 use forward::flow::{Answer, Failure, Flow, Next};
+use forward::lane::Work;
 use forward::quality::{self, Situation, Verdict};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -235,6 +236,20 @@
         self.demand.session.as_ref().unwrap_or(&self.id).as_bytes()
     }
 
+    /// Estimated work, by the prices of the models relative to the smallest one's; `None` for plain services.
+    pub(crate) fn work(&self) -> Option<Work> {
+        let (prompt, _) = self.demand.tokens?;
+        let catalog = lock(&self.shared.catalog);
+        let service = catalog.value()?.service(&self.service);
+        let cost = |model: Option<&Name>| service.and_then(|it| it.model_costs.get(model?).copied());
+        let smallest = cost(self.route.models.first());
+        let factor = match (cost(self.model.as_ref()), smallest) {
+            (Some(own), Some(least)) if least > 0.0 => own / least,
+            _ => 1.0,
+        };
+        Some(prompt as f64 * factor)
+    }
+
     /// The longest part of the prompt that other requests share.
     pub(crate) fn affinity(&self) -> Option<u64> {
         let [shared @ .., _] = &self.demand.parts[..] else {
@@ -314,17 +329,16 @@
             confidence: sent.answer.confidence,
             elapsed,
             goal: self.route.goal,
+            tokens: self.demand.tokens,
             expected,
         };
         let wanted = quality::judge(situation) == Verdict::Escalate;
         if !wanted || !self.take_allowance(Need::Quality, now) {
             return false;
         }
-        let (confidence, expected_ms) = (
-            sent.answer.confidence,
-            expected.map_or(0, |it| it.as_millis() as u64),
-        );
-        log::info!(id = self.id, confidence:?, expected_ms, model = *largest; "answer dropped for a larger model");
+        let confidence = sent.answer.confidence.unwrap_or_default();
+        let expected_ms = expected.map_or(0, |it| it.as_millis() as u64);
+        log::info!(id = self.id, confidence, expected_ms, model = *largest; "answer dropped for a larger model");
         self.shared
             .metrics
             .retries
@@ -371,7 +385,8 @@
             .inc();
         let elapsed_ms = clock::now().saturating_sub(self.arrived).as_millis() as u64;
         let engine = self.tried.last().map_or("", |it| &*it.id);
-        let (route, model, runs) = (&*self.route.name, self.model.as_deref(), self.flow.runs());
-        log::info!(id = self.id, route, status, outcome, engine, model:?, runs, elapsed_ms; "request ended");
+        let model = self.model.as_deref().unwrap_or_default();
+        let (route, runs) = (&*self.route.name, self.flow.runs());
+        log::info!(id = self.id, route, status, outcome, engine, model, runs, elapsed_ms; "request ended");
     }
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -11,7 +11,9 @@
 use forward::belief::Belief;
 use forward::catalog::Configuration;
 use forward::directory::{Directory, Engine};
+use forward::lane::{Lanes, Work};
 use forward::load::Loads;
+use forward::placement::Size;
 use forward::release::{Arm, Release, Stage};
 use membership::Table;
 use model::{Incarnation, Name};
@@ -37,6 +39,7 @@
     pub members: Mutex<Table>,
     allowances: Mutex<HashMap<Name, Allowance>>,
     usual: Mutex<Usual>,
+    lanes: Mutex<HashMap<Name, Lanes>>,
     pub metrics: Metrics,
     /// Whether the list of engines was read since the start.
     pub engines_known: AtomicBool,
@@ -76,6 +79,7 @@
             members: Mutex::new(members),
             allowances: Mutex::default(),
             usual: Mutex::default(),
+            lanes: Mutex::default(),
             metrics: Metrics::new(),
             engines_known: AtomicBool::new(false),
             active: AtomicUsize::new(0),
@@ -170,6 +174,20 @@
         }
     }
 
+    /// Size of a request among those of its service; a new one is counted.
+    pub(crate) fn size(&self, service: &Name, work: Option<Work>, is_new: bool) -> Option<Size> {
+        let work = work?;
+        let mut lanes = lock(&self.lanes);
+        let lanes = lanes.entry(service.clone()).or_default();
+        if is_new {
+            lanes.note(work);
+        }
+        Some(Size {
+            lane: lanes.position(work),
+            mean: lanes.mean(),
+        })
+    }
+
     /// Usual time to the first byte, if it is known.
     pub(crate) fn usual(&self, route: &Name, model: Option<&Name>) -> Option<Duration> {
         let key = (route.clone(), model.cloned());
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -5,7 +5,7 @@
 //!
 //! - [`belief`], [`catalog`], [`directory`]: what a node believes about configuration and engines, and how old it is
 //! - [`flow`]: one request with its attempts; decides what may still be sent and which answer is true
-//! - [`load`], [`placement`], [`quality`]: which engine and which model serve a request
+//! - [`lane`], [`load`], [`placement`], [`quality`]: which engine and which model serve a request
 //! - [`event`]: event streams cut at event boundaries, continued without gaps or repetitions
 //! - [`allowance`]: the share of the fleet's retry budget that a node may use
 //! - [`release`]: how much traffic a new version of a service gets
@@ -18,6 +18,7 @@
 pub mod directory;
 pub mod event;
 pub mod flow;
+pub mod lane;
 pub mod load;
 pub mod placement;
 pub mod quality;
--- a/crates/forward/src/load.rs
+++ b/crates/forward/src/load.rs
@@ -9,6 +9,7 @@
 use crate::Moment;
 use crate::directory::Engine;
 use crate::flow::Failure;
+use crate::lane::Work;
 
 /// Load that an engine reported with an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,8 +28,8 @@
     born: u64,
     /// Requests of this node under way.
     pub in_flight: u32,
-    /// Prompt and expected output tokens of this node's requests under way.
-    pub tokens: u64,
+    /// Work of this node's requests that have no answer yet, whose prompts the engine may still have to read.
+    pub pending: Work,
     /// Requests of other nodes by the last report.
     others: f64,
     reported: Option<Moment>,
@@ -53,7 +54,7 @@
         Self {
             born,
             in_flight: 0,
-            tokens: 0,
+            pending: 0.0,
             others: 0.0,
             reported: None,
             failures: 0,
@@ -108,17 +109,22 @@
     }
 
     /// Notes a request on its way.
-    pub fn sent(&mut self, engine: &Engine, tokens: u64) {
+    pub fn sent(&mut self, engine: &Engine, work: Work) {
         let load = self.entry(engine);
         load.in_flight += 1;
-        load.tokens += tokens;
+        load.pending += work;
+    }
+
+    /// Notes that the answer to a request has begun, or that there is none.
+    pub fn begun(&mut self, engine: &Engine, work: Work) {
+        let load = self.entry(engine);
+        load.pending = (load.pending - work).max(0.0);
     }
 
     /// Notes the end of a request.
-    pub fn ended(&mut self, engine: &Engine, tokens: u64) {
+    pub fn ended(&mut self, engine: &Engine) {
         let load = self.entry(engine);
         load.in_flight = load.in_flight.saturating_sub(1);
-        load.tokens = load.tokens.saturating_sub(tokens);
     }
 
     /// Notes a report.
--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -4,6 +4,7 @@
 //! the same few engines for a part on every node, without messages. Load decides among them, and among all engines
 //! when the preferred ones are busier than the rest by more than the cached tokens are worth.
 
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use model::hash;
@@ -12,6 +13,7 @@
 
 use crate::Moment;
 use crate::directory::Engine;
+use crate::lane::Work;
 use crate::load::Loads;
 
 /// What is to be placed.
@@ -23,10 +25,21 @@
     pub affinity: Option<u64>,
     /// Model that will run it, which has a cache of its own.
     pub model: Option<&'a Name>,
+    /// Its size; `None` if sizes do not matter.
+    pub size: Option<Size>,
     /// Engines that were tried already.
     pub tried: &'a [Arc<Engine>],
 }
 
+/// Size of a request among others.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Size {
+    /// Place among the engines of a domain, from 0 for the smallest.
+    pub lane: f64,
+    /// Mean work of a request.
+    pub mean: Work,
+}
+
 /// Engines among which a part of a prompt is spread.
 const AFFINE: usize = 2;
 
@@ -38,6 +51,12 @@
 /// about as much as a few percent of a batch.
 const AFFINITY_GAIN: f64 = 0.08;
 
+/// Fraction of the slots that an engine at the other end of the sizes must be less loaded by.
+const LANE_COST: f64 = 0.4;
+
+/// Fraction of the slots that each request of mean work counts for while the engine may be reading its prompt.
+const PENDING_COST: f64 = 0.015;
+
 /// Load that an avoided engine seems to have more, so that it is used only if all others are full.
 const AVOIDED: f64 = 10.0;
 
@@ -53,15 +72,23 @@
     rng: &mut impl Rng,
 ) -> Option<Arc<Engine>> {
     let affine = demand.affinity.map(|it| preferred(engines, demand, it));
+    let lanes = demand
+        .size
+        .map(|it| lane_costs(engines, it.lane))
+        .unwrap_or_default();
+    let mean = demand.size.map_or(f64::INFINITY, |it| it.mean.max(1.0));
     let untried = engines
         .iter()
         .filter(|it| demand.tried.iter().all(|tried| tried.id != it.id));
     let scored = untried.map(|it| {
         let near = *it.domain == **demand.domain;
         let cached = affine.as_ref().is_some_and(|ids| ids.contains(&&*it.id));
-        let score = score(it, loads, now) + if near { 0.0 } else { DOMAIN_COST }
-            - if cached { AFFINITY_GAIN } else { 0.0 }
-            + rng.random_range(0.0..JITTER);
+        let lane = lanes.get(&*it.id).copied().unwrap_or_default();
+        let pending = loads.get(it).map_or(0.0, |load| load.pending) / mean;
+        let score =
+            score(it, loads, now) + lane + PENDING_COST * pending + if near { 0.0 } else { DOMAIN_COST }
+                - if cached { AFFINITY_GAIN } else { 0.0 }
+                + rng.random_range(0.0..JITTER);
         (score, it)
     });
     scored
@@ -102,3 +129,22 @@
     }
     near
 }
+
+/// What it costs to use each engine for a request at the place `lane` among all sizes.
+fn lane_costs(engines: &[Arc<Engine>], lane: f64) -> HashMap<&str, f64> {
+    let mut domains: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+    for engine in engines {
+        domains.entry(&engine.domain).or_default().push(&engine.id);
+    }
+    let mut costs = HashMap::with_capacity(engines.len());
+    for ids in domains.values_mut() {
+        ids.sort_unstable();
+        let half = 0.5 / ids.len() as f64;
+        for (rank, id) in ids.iter().enumerate() {
+            let middle = (2 * rank + 1) as f64 * half;
+            let distance = ((lane - middle).abs() - half).max(0.0);
+            costs.insert(*id, LANE_COST * distance);
+        }
+    }
+    costs
+}
--- a/crates/forward/src/quality.rs
+++ b/crates/forward/src/quality.rs
@@ -18,6 +18,8 @@
     pub elapsed: Duration,
     /// Time within which the first event has its full worth.
     pub goal: Duration,
+    /// Prompt tokens and expected output tokens; `None` if the request does not state them.
+    pub tokens: Option<(u64, u64)>,
     /// Usual time of the largest model to its first byte; `None` if it was not used lately.
     pub expected: Option<Duration>,
 }
@@ -31,9 +33,24 @@
     Escalate,
 }
 
-/// Confidence below which an answer is dropped while the service has room. Measured on both sites: 30 and 70 were
-/// worth less than 50.
-const THRESHOLD: f64 = 50.0;
+/// Confidence below which an answer is dropped if its tokens are all output. About one in ten answers of this
+/// confidence is too poor, which is what another answer costs of its worth then.
+const THRESHOLD: f64 = 63.0;
+
+/// What the threshold falls for each unit of [`price`] above [`LEAST_PRICE`].
+const PRICE_SLOPE: f64 = 168.0;
+
+/// Price of a request with a short prompt and a long answer.
+const LEAST_PRICE: f64 = 0.13;
+
+/// Price of requests that do not state their tokens.
+const USUAL_PRICE: f64 = 0.2;
+
+/// What a prompt token costs, relative to a generated one.
+const PROMPT_COST: f64 = 0.25;
+
+/// What a generated token is worth, relative to one of the prompt.
+const OUTPUT_WORTH: f64 = 10.0;
 
 /// Part of the goal that may be used up when the first event of the second answer is expected; the rest covers the
 /// spread of the time to the first byte.
@@ -55,9 +72,22 @@
     let expected = situation.expected.unwrap_or(situation.elapsed);
     let reserve = USABLE * goal - (situation.elapsed + expected).as_secs_f64();
     let room = (reserve / (FALL * goal).max(0.001)).clamp(0.0, 1.0);
-    if f64::from(confidence) < THRESHOLD * room {
+    if f64::from(confidence) < threshold(situation.tokens) * room {
         Verdict::Escalate
     } else {
         Verdict::Accept
     }
 }
+
+/// Confidence below which another answer is worth its price.
+fn threshold(tokens: Option<(u64, u64)>) -> f64 {
+    let price = tokens.map_or(USUAL_PRICE, |(prompt, output)| {
+        price(prompt as f64, output as f64)
+    });
+    THRESHOLD - PRICE_SLOPE * (price - LEAST_PRICE)
+}
+
+/// Cost of a request relative to its worth, both as the users count tokens.
+fn price(prompt: f64, output: f64) -> f64 {
+    (PROMPT_COST * prompt + output) / (prompt + OUTPUT_WORTH * output).max(1.0)
+}
--- a/crates/forward/tests/decisions.rs
+++ b/crates/forward/tests/decisions.rs
@@ -9,7 +9,7 @@
 use forward::directory::Engine;
 use forward::flow::Failure;
 use forward::load::{Loads, Report};
-use forward::placement::{self, Demand};
+use forward::placement::{self, Demand, Size};
 use forward::quality::{self, Situation, Verdict};
 use model::Domain;
 use model::object::service::Repeat;
@@ -134,6 +134,7 @@
         domain: &Domain::from("a"),
         affinity,
         model: None,
+        size: None,
         tried,
     };
     placement::choose(engines, loads, &demand, SECOND, rng)
@@ -156,7 +157,7 @@
     let first = choose(&all, &loads, None, &[], &mut rng);
     assert_eq!(first.map(|it| it.domain.to_string()).as_deref(), Some("a"));
     for near in all.iter().filter(|it| &*it.domain == "a") {
-        (0..8).for_each(|_| loads.sent(near, 0));
+        (0..8).for_each(|_| loads.sent(near, 0.0));
     }
     let next = choose(&all, &loads, None, &[], &mut rng);
     assert_ne!(next.map(|it| it.domain.to_string()).as_deref(), Some("a"));
@@ -171,7 +172,7 @@
         let Some(it) = choose(&all, &loads, None, &[], &mut rng) else {
             continue;
         };
-        loads.sent(&it, 0);
+        loads.sent(&it, 0.0);
     }
     let counts: Vec<_> = all
         .iter()
@@ -180,6 +181,32 @@
     assert_eq!(counts, [4; 6]);
 }
 
+#[test]
+fn engine_that_reads_long_prompts_is_left_alone() {
+    let all: Vec<_> = (0..2).map(|it| engine(&format!("e{it}"), "a", 64)).collect();
+    let mut loads = Loads::default();
+    loads.sent(&all[0], 900_000.0);
+    loads.sent(&all[1], 1_000.0);
+    loads.sent(&all[1], 1_000.0);
+    let mut rng = StdRng::seed_from_u64(1);
+    let size = Size {
+        lane: 0.25,
+        mean: 10_000.0,
+    };
+    let demand = Demand {
+        domain: &Domain::from("a"),
+        affinity: None,
+        model: None,
+        size: Some(size),
+        tried: &[],
+    };
+    let chosen = placement::choose(&all, &loads, &demand, SECOND, &mut rng);
+    assert_eq!(chosen.as_deref(), Some(&*all[1]));
+    loads.begun(&all[0], 900_000.0);
+    let chosen = placement::choose(&all, &loads, &demand, SECOND, &mut rng);
+    assert_eq!(chosen.as_deref(), Some(&*all[0]));
+}
+
 #[test]
 fn shared_part_finds_the_same_engines_on_every_node() {
     let all = engines(18);
@@ -195,7 +222,7 @@
 fn failed_engine_is_avoided_for_a_time() {
     let all = engines(2);
     let mut loads = Loads::default();
-    loads.sent(&all[0], 0);
+    loads.sent(&all[0], 0.0);
     loads.failed(&all[0], Failure::Unreachable, SECOND);
     let load = loads.get(&all[0]).cloned();
     assert!(load.as_ref().is_some_and(|it| it.is_avoided(SECOND)));
@@ -211,7 +238,7 @@
         waiting: 2,
         slots: 8,
     };
-    loads.sent(&all[0], 0);
+    loads.sent(&all[0], 0.0);
     loads.reported(&all[0], report, SECOND);
     let at = |now| loads.get(&all[0]).map_or(0.0, |it| it.requests(now));
     assert!((at(SECOND) - 8.0).abs() < 1e-9);
@@ -223,6 +250,7 @@
         confidence: Some(confidence),
         elapsed: Duration::from_millis(elapsed_ms),
         goal: SECOND * 2,
+        tokens: Some((628, 290)),
         expected: Some(Duration::from_millis(expected_ms)),
     }
 }
@@ -237,6 +265,18 @@
     };
 }
 
+#[test]
+fn answer_that_costs_much_of_its_worth_is_escalated_at_less_confidence() {
+    let verdict = |tokens| {
+        quality::judge(Situation {
+            tokens: Some(tokens),
+            ..situation(50, 50, 200)
+        })
+    };
+    assert_eq!(verdict((628, 290)), Verdict::Escalate);
+    assert_eq!(verdict((2368, 23)), Verdict::Accept);
+}
+
 verdicts! {
     doubtful_answer_is_escalated: 20, 50 ms, 200 ms => Escalate;
     confident_answer_is_passed_on: 90, 50 ms, 200 ms => Accept;
