release: keep the trial share until late; settings: times that are not whole

Change: three stages, the second at 0.60 of the time; times in [bounds] and the heartbeat need not be whole.

--- a/crates/config/src/settings/entry.rs
+++ b/crates/config/src/settings/entry.rs
@@ -160,7 +160,7 @@
     let address = reader.address("store", "address");
     let engine_poll = reader.millis("store", "engine_poll_ms", 50..=60_000, 1_300);
     let config_wait = reader.millis("store", "config_wait_ms", 50..=30_000, 2_000);
-    let heartbeat = reader.millis("store", "heartbeat_ms", 10..=600_000, 1_000);
+    let heartbeat = reader.fractional_millis("store", "heartbeat_ms", 10..=600_000, 1_000);
     Some(Store {
         address: address?,
         engine_poll: engine_poll?,
@@ -169,16 +169,17 @@
     })
 }
 
+/// The platform states these figures as whole numbers or fractions.
 fn bounds(reader: &mut Reader<'_>) -> Option<Bounds> {
-    let config = reader.millis("bounds", "config_ms", 1..=600_000, 2_000);
-    let revocation = reader.millis("bounds", "revocation_ms", 1..=3_600_000, 5_000);
+    let config = reader.fractional_millis("bounds", "config_ms", 1..=600_000, 2_000);
+    let revocation = reader.fractional_millis("bounds", "revocation_ms", 1..=3_600_000, 5_000);
     let strict = reader.flag("bounds", "strict_revocation");
-    let grace = reader.seconds("bounds", "grace_seconds", 1..=86_400, 8);
-    let lifetime = reader.seconds("bounds", "entry_lifetime_seconds", 1..=3_600, 1);
+    let grace = reader.fractional_seconds("bounds", "grace_seconds", 1..=86_400, 8);
+    let lifetime = reader.fractional_seconds("bounds", "entry_lifetime_seconds", 1..=3_600, 1);
     let ratio = reader.fraction("bounds", "retry_ratio");
     let slack = reader.fraction("bounds", "retry_slack");
-    let window = reader.seconds("bounds", "retry_window_seconds", 1..=3_600, 10);
-    let session = reader.seconds("bounds", "session_seconds", 0..=3_600, 5);
+    let window = reader.fractional_seconds("bounds", "retry_window_seconds", 1..=3_600, 10);
+    let session = reader.fractional_seconds("bounds", "session_seconds", 0..=3_600, 5);
     Some(Bounds {
         config: config?,
         revocation: revocation?,
--- a/crates/config/src/settings/reader.rs
+++ b/crates/config/src/settings/reader.rs
@@ -147,6 +147,49 @@
         Some(number)
     }
 
+    /// A time in seconds that need not be whole, within a range in seconds.
+    pub(super) fn fractional_seconds(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        range: RangeInclusive<u64>,
+        default: u64,
+    ) -> Option<Duration> {
+        self.fractional_time(section, key, range, default, 1.0)
+    }
+
+    /// A time in milliseconds that need not be whole, within a range in milliseconds.
+    pub(super) fn fractional_millis(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        range: RangeInclusive<u64>,
+        default: u64,
+    ) -> Option<Duration> {
+        self.fractional_time(section, key, range, default, 0.001)
+    }
+
+    fn fractional_time(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        range: RangeInclusive<u64>,
+        default: u64,
+        unit_seconds: f64,
+    ) -> Option<Duration> {
+        let number = match self.value(section, key) {
+            Some(_) => self.fraction(section, key)?,
+            None => default as f64,
+        };
+        let (low, high) = range.into_inner();
+        if number < low as f64 || number > high as f64 {
+            let value = number as u64;
+            self.fault(section, key, Cause::Range { value, low, high });
+            return None;
+        }
+        Some(Duration::from_secs_f64(number * unit_seconds))
+    }
+
     /// A required `true` or `false`.
     pub(super) fn flag(&mut self, section: &'static str, key: &'static str) -> Option<bool> {
         let value = self.required(section, key)?;
--- a/crates/config/tests/entry_settings.rs
+++ b/crates/config/tests/entry_settings.rs
@@ -20,6 +20,20 @@
     assert_eq!(settings.seeds, ["10.2.0.1:7340".parse().unwrap()]);
 }
 
+#[test]
+fn times_need_not_be_whole() {
+    let text = TEXT.replace(
+        "grace_seconds = 8",
+        "grace_seconds = 8.5\nsession_seconds = 8.25\nconfig_ms = 2000.0",
+    );
+    let bounds = Settings::parse("node.ini", &text).unwrap().bounds;
+    assert_eq!(
+        (bounds.grace, bounds.session),
+        (Duration::from_millis(8500), Duration::from_millis(8250))
+    );
+    assert_eq!(bounds.config, Duration::from_secs(2));
+}
+
 #[test]
 fn kinds_of_settings_are_told_apart() {
     assert!(Settings::recognises(TEXT));
@@ -44,6 +58,8 @@
     every_fault_is_found: "cores = 2\n" => "cores = 0\ncolour = red\n",
         "[node] cores: 0 is not between 1 and 256", "[node] colour: unknown key";
     missing_address_is_found: "address = 10.200.0.1:90\n" => "", "[store] address: the key is missing";
+    time_out_of_range_is_found: "grace_seconds = 8" => "grace_seconds = 0.5",
+        "[bounds] grace_seconds: 0 is not between 1 and 86400";
     negative_ratio_is_found: "0.9" => "-0.9", "[bounds] retry_ratio: \"-0.9\" is not a number of zero or more";
     flag_of_another_form_is_found: "strict_revocation = true" => "strict_revocation = yes",
         "[bounds] strict_revocation: \"yes\" is not true or false";
--- a/crates/forward/src/release.rs
+++ b/crates/forward/src/release.rs
@@ -127,9 +127,10 @@
 
 /// Stages: the part of the time after which each begins, and its share of the traffic.
 ///
-/// The share stays small for the first half, because a session must not change to the new version in that time, and
-/// a bad version may get only a small part of all requests. The last stage leaves time for the old engines' streams.
-const STAGES: [(f64, f64); 4] = [(0.0, 0.09), (0.52, 0.30), (0.60, 0.65), (0.67, 1.0)];
+/// The share stays small for most of the time, because a session must not change to the new version in the first
+/// half, and a version that turns bad late may have got only a small part of all requests by then. The last stage
+/// leaves time for the old engines' streams.
+const STAGES: [(f64, f64); 3] = [(0.0, 0.09), (0.60, 0.45), (0.66, 1.0)];
 
 /// Time that nodes need to tell each other of a stage, or of the sessions that they hold on the old version: three
 /// rounds of the exchange.
--- a/crates/forward/tests/release.rs
+++ b/crates/forward/tests/release.rs
@@ -46,9 +46,10 @@
     stages
 }
 
+/// Share of sessions that begin at `now` and get the new version.
 fn share(release: &mut Release, now: Duration) -> f64 {
-    let sessions = 0..2000_u32;
-    let new = sessions.filter(|it| release.arm(&it.to_be_bytes(), now) == Arm::New);
+    let mut begun = |it: u32| release.arm(format!("{it} at {now:?}").as_bytes(), now);
+    let new = (0..2000).filter(|it| begun(*it) == Arm::New);
     new.count() as f64 / 2000.0
 }
 
@@ -63,6 +64,26 @@
     assert!(release.has_ended());
 }
 
+/// Guards against a version that turns bad late and has reached many callers by then.
+#[test]
+fn version_that_turns_bad_late_has_reached_few() {
+    const STEP: Duration = Duration::from_millis(500);
+    let mut release = release();
+    answer(&mut release, Arm::Old, false, 500);
+    answer(&mut release, Arm::New, false, 30);
+    let (mut now, mut exposed) = (Duration::ZERO, 0.0);
+    while now < order().duration.mul_f64(0.8) {
+        if let Decision::Record(stage) = release.decide(now) {
+            let status = release.status(stage, now);
+            release.recorded(&status, now);
+        }
+        exposed += share(&mut release, now) * STEP.as_secs_f64();
+        now += STEP;
+    }
+    let part = exposed / order().duration.as_secs_f64();
+    assert!(part < 0.15, "{part}");
+}
+
 #[test]
 fn version_without_answers_gets_no_more_traffic() {
     let mut release = release();
@@ -156,7 +177,7 @@
 fn stage_is_in_force_on_all_nodes_at_the_same_time() {
     let (mut driver, mut other) = (release(), release());
     let decided = SECOND * 13;
-    let status = driver.status(Stage::Trial(3), decided);
+    let status = driver.status(Stage::Trial(2), decided);
     driver.recorded(&status, decided);
     let heard = decided + SECOND;
     assert_eq!(driver.active_stage(heard), Stage::Trial(0));
