entry: usual times to the first byte by the length of the prompt

Cause: the expected time of the largest model was the mean of its route, so that the longest prompts were escalated though their second answer is late.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -299,11 +299,13 @@
         };
     }
     shared.metrics.first_byte.observe(elapsed.as_secs_f64());
-    let usual = shared.usual(route, job.model.as_ref()).unwrap_or(elapsed);
+    let usual = shared
+        .usual(route, job.model.as_ref(), job.prompt_tokens())
+        .unwrap_or(elapsed);
     let ratio = elapsed.as_secs_f64() / usual.as_secs_f64().max(0.001);
     lock(&shared.loads).answered(engine, ratio);
     if arm == Arm::Old {
-        shared.note_first_byte(route, job.model.as_ref(), elapsed);
+        shared.note_first_byte(route, job.model.as_ref(), job.prompt_tokens(), elapsed);
     }
     shared.note_answer(&job.service, route, arm, ratio > SLOW);
     Outcome::Answered(sent)
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -236,6 +236,11 @@
         self.demand.session.as_ref().unwrap_or(&self.id).as_bytes()
     }
 
+    /// Tokens of the prompt; 0 for plain services.
+    pub(crate) fn prompt_tokens(&self) -> u64 {
+        self.demand.tokens.map_or(0, |(prompt, _)| prompt)
+    }
+
     /// Estimated work, by the prices of the models relative to the smallest one's; `None` for plain services.
     pub(crate) fn work(&self) -> Option<Work> {
         let (prompt, _) = self.demand.tokens?;
@@ -324,7 +329,9 @@
             return false;
         }
         let elapsed = now.saturating_sub(self.arrived);
-        let expected = self.shared.usual(&self.route.name, Some(&largest));
+        let expected = self
+            .shared
+            .usual(&self.route.name, Some(&largest), self.prompt_tokens());
         let situation = Situation {
             confidence: sent.answer.confidence,
             elapsed,
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -23,7 +23,7 @@
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
 
-/// Smoothed times to the first byte by route and model.
+/// Smoothed times to the first byte for each token of the prompt, by route and model.
 type Usual = HashMap<(Name, Option<Name>), Duration>;
 
 /// State of a node.
@@ -58,6 +58,9 @@
     /// lapses after three, and its last renewal may be one old when the outage begins.
     const OUTAGE_HEARTBEATS: u32 = 2;
 
+    /// Prompt tokens that take about as long to read as a request usually waits in an engine's queue.
+    const QUEUE_TOKENS: f64 = 2000.0;
+
     /// Smoothing factor of the usual times.
     const GAIN: f64 = 0.1;
 
@@ -188,17 +191,24 @@
         })
     }
 
-    /// Usual time to the first byte, if it is known.
-    pub(crate) fn usual(&self, route: &Name, model: Option<&Name>) -> Option<Duration> {
+    /// Usual time to the first byte for a prompt of `tokens`, if it is known.
+    pub(crate) fn usual(&self, route: &Name, model: Option<&Name>, tokens: u64) -> Option<Duration> {
         let key = (route.clone(), model.cloned());
-        lock(&self.usual).get(&key).copied()
+        let per_token = lock(&self.usual).get(&key).copied()?;
+        Some(per_token.mul_f64(Self::weight(tokens)))
     }
 
-    /// Adds a measured time to the first byte.
-    pub(crate) fn note_first_byte(&self, route: &Name, model: Option<&Name>, time: Duration) {
+    /// Adds a measured time to the first byte for a prompt of `tokens`.
+    pub(crate) fn note_first_byte(&self, route: &Name, model: Option<&Name>, tokens: u64, time: Duration) {
+        let per_token = time.div_f64(Self::weight(tokens));
         let mut usual = lock(&self.usual);
-        let known = usual.entry((route.clone(), model.cloned())).or_insert(time);
-        *known = known.mul_f64(1.0 - Self::GAIN) + time.mul_f64(Self::GAIN);
+        let known = usual.entry((route.clone(), model.cloned())).or_insert(per_token);
+        *known = known.mul_f64(1.0 - Self::GAIN) + per_token.mul_f64(Self::GAIN);
+    }
+
+    /// What the time to the first byte grows with; the constant part stands for the wait in the engine's queue.
+    fn weight(tokens: u64) -> f64 {
+        tokens as f64 + Self::QUEUE_TOKENS
     }
 
     /// Counts an answer for the release under way on a service, if there is one.
