entry: paces follow the bounds of the deployment; a bound on connections

An attempt that reached no engine used the retry budget though nothing arrived. A caller that left while its stream moved was logged as a broken stream.

Also: an engine with this node's part of its connections in use is avoided; fields and a function that nothing used are gone.

--- a/crates/config/src/settings/entry.rs
+++ b/crates/config/src/settings/entry.rs
@@ -58,6 +58,8 @@
     pub revocation: Duration,
     /// Whether requests with a key are refused when the configuration is older.
     pub strict_revocation: bool,
+    /// Time after which an engine that is about to stop must get no new work.
+    pub drain: Duration,
     /// Time between the request to stop and the end of the process.
     pub grace: Duration,
     /// Time for which callers may keep an answer with entry addresses.
@@ -109,8 +111,8 @@
     let node = node(reader);
     let listen = listen(reader);
     let seeds = reader.addresses("listen", "seeds");
-    let store = store(reader);
     let bounds = bounds(reader);
+    let store = store(reader, bounds.as_ref());
     let listen = listen?;
     // The platform lists the addresses for operators; datagrams have the same port on all hosts.
     let gossip_port = listen.gossip.port();
@@ -156,15 +158,39 @@
     })
 }
 
-fn store(reader: &mut Reader<'_>) -> Option<Store> {
+/// Part of the bound on an engine that stops after which the list of engines is read again; the rest covers slow
+/// answers and the way of a request.
+const ENGINE_POLL_PART: f64 = 0.65;
+
+/// Part of the bound on a new configuration that one reading waits, so that the age stays below the bound.
+const CONFIG_WAIT_PART: f64 = 0.9;
+
+/// Part of the trust in keys that one reading waits; an outage then leaves as much time until keys are refused.
+const REVOCATION_WAIT_PART: f64 = 0.4;
+
+/// Reads the section; times that are not set follow from the bounds.
+fn store(reader: &mut Reader<'_>, bounds: Option<&Bounds>) -> Option<Store> {
     let address = reader.address("store", "address");
-    let engine_poll = reader.millis("store", "engine_poll_ms", 50..=60_000, 1_300);
-    let config_wait = reader.millis("store", "config_wait_ms", 50..=30_000, 2_000);
     let heartbeat = reader.fractional_millis("store", "heartbeat_ms", 10..=600_000, 1_000);
+    let engine_poll = reader.millis("store", "engine_poll_ms", 50..=60_000, 50);
+    let config_wait = reader.millis("store", "config_wait_ms", 50..=30_000, 50);
+    let bounds = bounds?;
+    let derived_wait = bounds
+        .config
+        .mul_f64(CONFIG_WAIT_PART)
+        .min(bounds.revocation.mul_f64(REVOCATION_WAIT_PART));
+    let derived_poll = bounds.drain.mul_f64(ENGINE_POLL_PART);
+    let or = |key, set: Duration, derived: Duration| {
+        if reader.is_set("store", key) {
+            set
+        } else {
+            derived.max(set)
+        }
+    };
     Some(Store {
         address: address?,
-        engine_poll: engine_poll?,
-        config_wait: config_wait?,
+        engine_poll: or("engine_poll_ms", engine_poll?, derived_poll),
+        config_wait: or("config_wait_ms", config_wait?, derived_wait),
         heartbeat: heartbeat?,
     })
 }
@@ -174,6 +200,7 @@
     let config = reader.fractional_millis("bounds", "config_ms", 1..=600_000, 2_000);
     let revocation = reader.fractional_millis("bounds", "revocation_ms", 1..=3_600_000, 5_000);
     let strict = reader.flag("bounds", "strict_revocation");
+    let drain = reader.fractional_millis("bounds", "drain_ms", 1..=600_000, 2_000);
     let grace = reader.fractional_seconds("bounds", "grace_seconds", 1..=86_400, 8);
     let lifetime = reader.fractional_seconds("bounds", "entry_lifetime_seconds", 1..=3_600, 1);
     let ratio = reader.fraction("bounds", "retry_ratio");
@@ -184,6 +211,7 @@
         config: config?,
         revocation: revocation?,
         strict_revocation: strict?,
+        drain: drain?,
         grace: grace?,
         entry_lifetime: lifetime?,
         retry_ratio: ratio?,
@@ -200,7 +228,8 @@
         reader.contradiction("store", "config_wait_ms", "bounds.revocation_ms");
     }
     // Callers use an answer for up to three times its lifetime; the process must still take their requests.
-    if bounds.entry_lifetime * 3 >= bounds.grace {
+    let lifetime_is_set = reader.is_set("bounds", "entry_lifetime_seconds");
+    if lifetime_is_set && bounds.entry_lifetime * 3 >= bounds.grace {
         reader.contradiction("bounds", "entry_lifetime_seconds", "bounds.grace_seconds");
     }
 }
--- a/crates/config/src/settings/reader.rs
+++ b/crates/config/src/settings/reader.rs
@@ -54,6 +54,11 @@
         self.sections.contains_key(section)
     }
 
+    /// Whether a key is set.
+    pub(super) fn is_set(&self, section: &str, key: &str) -> bool {
+        self.sections.get(section).is_some_and(|it| it.contains_key(key))
+    }
+
     pub(super) fn name(&mut self, section: &'static str, key: &'static str) -> Option<Name> {
         let value = self.required(section, key)?;
         let valid = |it: char| it.is_ascii_alphanumeric() || "-_.".contains(it);
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -195,6 +195,7 @@
         affinity: job.affinity(),
         model: job.model.as_ref(),
         size: job.shared.size(&job.service, job.work(), job.tried.is_empty()),
+        max_in_flight: max_in_flight(job),
         tried: &job.tried,
     };
     let loads = lock(&job.shared.loads);
@@ -202,6 +203,14 @@
     Some((engine, arm))
 }
 
+/// This node's part of the connections that an engine of the service accepts.
+fn max_in_flight(job: &Job) -> u32 {
+    let catalog = lock(&job.shared.catalog).value().cloned();
+    let service = catalog.as_ref().and_then(|it| it.service(&job.service));
+    let nodes = u32::try_from(job.shared.node_count()).unwrap_or(u32::MAX);
+    service.map_or(u32::MAX, |it| (it.max_connections / nodes).max(1))
+}
+
 fn compose(
     job: &Job,
     engine: &Engine,
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -278,6 +278,8 @@
         let now = clock::now();
         let next = self.flow.failed(failure, now);
         let retry = match next {
+            // Nothing arrived at an engine, so the next attempt is no repeated arrival.
+            Next::Retry(_) if failure == Failure::Unreachable => true,
             Next::Retry(_) => std::mem::take(&mut self.reserved) || self.take_allowance(Need::Failure, now),
             Next::Finish(_) => false,
         };
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -59,6 +59,9 @@
             }
         }
     }
+    if sender.is_closed() {
+        return job.log_end(499, "caller left");
+    }
     job.shared.metrics.broken.inc();
     job.log_end(502, "stream broken");
     // The error makes the connection end without the mark of a complete body.
--- a/crates/forward/src/catalog.rs
+++ b/crates/forward/src/catalog.rs
@@ -88,8 +88,6 @@
     pub name: Name,
     /// Greatest number of connections that one engine accepts from all nodes together.
     pub max_connections: u32,
-    /// Tokens that one engine's memory holds; absent for plain services.
-    pub token_memory: Option<u64>,
     /// Price of each model per 1,000 generated tokens.
     pub model_costs: HashMap<Name, f64>,
 }
--- a/crates/forward/src/directory.rs
+++ b/crates/forward/src/directory.rs
@@ -35,8 +35,6 @@
     pub slots: u32,
     /// Whether it is about to stop.
     pub draining: bool,
-    /// Time for which it stays slow after its start.
-    pub warm_up: Duration,
 }
 
 #[derive(Debug, Clone)]
--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -27,6 +27,8 @@
     pub model: Option<&'a Name>,
     /// Its size; `None` if sizes do not matter.
     pub size: Option<Size>,
+    /// Requests of this node that an engine may have at the same time.
+    pub max_in_flight: u32,
     /// Engines that were tried already.
     pub tried: &'a [Arc<Engine>],
 }
@@ -85,10 +87,12 @@
         let cached = affine.as_ref().is_some_and(|ids| ids.contains(&&*it.id));
         let lane = lanes.get(&*it.id).copied().unwrap_or_default();
         let pending = loads.get(it).map_or(0.0, |load| load.pending) / mean;
-        let score =
-            score(it, loads, now) + lane + PENDING_COST * pending + if near { 0.0 } else { DOMAIN_COST }
-                - if cached { AFFINITY_GAIN } else { 0.0 }
-                + rng.random_range(0.0..JITTER);
+        let score = score(it, loads, demand, now)
+            + lane
+            + PENDING_COST * pending
+            + if near { 0.0 } else { DOMAIN_COST }
+            - if cached { AFFINITY_GAIN } else { 0.0 }
+            + rng.random_range(0.0..JITTER);
         (score, it)
     });
     scored
@@ -96,26 +100,14 @@
         .map(|(_, it)| it.clone())
 }
 
-/// Whether every engine has as many requests as it can process and some that wait.
-pub fn is_full(engines: &[Arc<Engine>], loads: &Loads, now: Moment) -> bool {
-    let full = |it: &Arc<Engine>| {
-        loads
-            .get(it)
-            .is_some_and(|load| load.requests(now) >= f64::from(it.slots) * FULL)
-    };
-    !engines.is_empty() && engines.iter().all(full)
-}
-
-/// Requests per slot from which an engine counts as full.
-const FULL: f64 = 1.5;
-
 /// Share of the slots in use, weighted by how slow the engine is.
-fn score(engine: &Engine, loads: &Loads, now: Moment) -> f64 {
+fn score(engine: &Engine, loads: &Loads, demand: &Demand<'_>, now: Moment) -> f64 {
     let Some(load) = loads.get(engine) else {
         return 0.0;
     };
     let used = (load.requests(now) + 1.0) / f64::from(engine.slots.max(1));
-    let avoided = if load.is_avoided(now) { AVOIDED } else { 0.0 };
+    let avoid = load.is_avoided(now) || load.in_flight >= demand.max_in_flight;
+    let avoided = if avoid { AVOIDED } else { 0.0 };
     used * load.slowness() + avoided
 }
 
