platform tests: ports that no other test can get meanwhile

Its engine 'that cannot be reached' had an address whose port was bound, read and released; the system hands such ports out again, and the stand-ins of tests that run at the same time listen on them.

Shown: with the address of another listener in place of the released one the test fails in the same way (left 502, right 200).

Change: such addresses come from below the range of ports that the system assigns (32768 and up), by a counter. The assertion is unchanged. The addresses of the nodes in these tests had the same weakness.

Ruled out: the node; it reports an answer of a stranger as 'may have run', which is true.

--- a/crates/daemon/tests/platform_node.rs
+++ b/crates/daemon/tests/platform_node.rs
@@ -7,13 +7,14 @@
 
 use std::fs;
 use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, channel};
 use std::thread;
 use std::time::Duration;
 
+use common::free_address;
 use common::http::call;
 use common::store::Store;
 
@@ -35,19 +36,16 @@
     fn spawn(name: &str) -> Self {
         let store = Store::spawn();
         store.put("keyed.op", "config", CONFIG);
-        let free = || TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-        let (control, gossip) = (
-            free(),
-            UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap(),
-        );
+        let control = free_address();
         let text = format!(
             "[node]\nhost = n1\nfailure_domain = a\nregion = r\n\
-             [listen]\nentry = {}\nready = {}\ndirectory = {}\ncontrol = {control}\ngossip = {gossip}\n\
+             [listen]\nentry = {}\nready = {}\ndirectory = {}\ncontrol = {control}\ngossip = {}\n\
              [store]\naddress = {}\n\
              [bounds]\nstrict_revocation = true\ngrace_seconds = 5\nretry_ratio = 0.9\nretry_slack = 56\n",
-            free(),
-            free(),
-            free(),
+            free_address(),
+            free_address(),
+            free_address(),
+            free_address(),
             store.address
         );
         let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.ini"));
