entry: estimate the work of a request once for each attempt

Found in the last read of the change: choice and placement each computed it, under the lock of the configuration, on the way of every request. No change of behaviour.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -119,12 +119,13 @@
 /// Sends a request to an engine and waits for the head of the answer; `last_event` continues a stream behind it.
 pub(crate) async fn attempt(job: &mut Job, last_event: Option<u64>) -> Outcome {
     job.flow.begin();
-    let Some((engine, arm)) = choose(job) else {
+    let work = job.work();
+    let Some((engine, arm)) = choose(job, work) else {
         return Outcome::NoEngine;
     };
     log_attempt(job, &engine, arm);
     job.tried.push(engine.clone());
-    let mut place = Place::take(&job.shared, &engine, job.work().unwrap_or_default());
+    let mut place = Place::take(&job.shared, &engine, work.unwrap_or_default());
     let limit = CONNECT_TIMEOUT.min(job.remaining());
     let ready = match client::connect(engine.address, limit).await {
         Ok(ready) => ready,
@@ -186,7 +187,7 @@
     log::info!(id = job.id, engine = *engine.id, version, arm:?, model, load = known, run, waited_ms; "attempt");
 }
 
-fn choose(job: &Job) -> Option<(Arc<Engine>, Arm)> {
+fn choose(job: &Job, work: Option<Work>) -> Option<(Arc<Engine>, Arm)> {
     let now = clock::now();
     let (engines, arm) = job.shared.engines(&job.service, job.session(), now);
     let domain = &job.shared.settings().node.failure_domain;
@@ -194,7 +195,7 @@
         domain,
         affinity: job.affinity(),
         model: job.model.as_ref(),
-        size: job.shared.size(&job.service, job.work(), job.tried.is_empty()),
+        size: job.shared.size(&job.service, work, job.tried.is_empty()),
         max_in_flight: max_in_flight(job),
         tried: &job.tried,
     };
@@ -299,7 +300,7 @@
     let (shared, route) = (&job.shared, &job.route.name);
     if status.is_server_error() {
         shared.note_answer(&job.service, route, arm, true);
-        let promises = matches!(status, StatusCode::SERVICE_UNAVAILABLE);
+        let promises = status == StatusCode::SERVICE_UNAVAILABLE;
         let answer = sent.collect(job.remaining()).await.ok();
         return Outcome::Failed {
             failure: Failure::Failed,
