entry: nodes pass readings of the store on to each other; sessions keep their version on large fleets

Now two nodes read each topic and the others ask one of them; an answer's age counts from the moment at which the question was sent, so neither a slow datagram nor a suspended host makes it look younger. A node reads the store itself when no reader has a recent reading, or after it took an engine for gone.

Now a session takes five bytes, a notice fits into one packet, and bursts are of 8 in random order with pauses. - States of releases are read only without a judge's notice; the second judge decides when the first one does not.

The price of calls no longer grows with the fleet.

--- a/crates/config/src/settings/entry.rs
+++ b/crates/config/src/settings/entry.rs
@@ -158,12 +158,13 @@
     })
 }
 
-/// Part of the bound on an engine that stops after which the list of engines is read again; the rest covers slow
-/// answers and the way of a request.
-const ENGINE_POLL_PART: f64 = 0.65;
+/// Part of the bound on an engine that stops after which the list of engines is read again. A node that learns of it
+/// from another one adds at most the same; the rest covers slow answers and the way of a request.
+const ENGINE_POLL_PART: f64 = 0.4;
 
-/// Part of the bound on a new configuration that one reading waits, so that the age stays below the bound.
-const CONFIG_WAIT_PART: f64 = 0.9;
+/// Part of the bound on a new configuration that one reading waits, so that the age stays below the bound also on a
+/// node that learns of it from another one.
+const CONFIG_WAIT_PART: f64 = 0.55;
 
 /// Part of the trust in keys that one reading waits; an outage then leaves as much time until keys are refused.
 const REVOCATION_WAIT_PART: f64 = 0.4;
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -124,6 +124,7 @@
         return Outcome::NoEngine;
     };
     log_attempt(job, &engine, arm);
+    job.arm = Some(arm);
     job.tried.push(engine.clone());
     let mut place = Place::take(&job.shared, &engine, work.unwrap_or_default());
     let limit = CONNECT_TIMEOUT.min(job.remaining());
@@ -184,7 +185,8 @@
         job.flow.runs() + 1,
     );
     let (model, version) = (job.model.as_deref().unwrap_or_default(), &*engine.version);
-    log::info!(id = job.id, engine = *engine.id, version, arm:?, model, load = known, run, waited_ms; "attempt");
+    let session = job.demand.session.as_deref().unwrap_or_default();
+    log::info!(id = job.id, session, engine = *engine.id, version, arm:?, model, load = known, run, waited_ms; "attempt");
 }
 
 fn choose(job: &Job, work: Option<Work>) -> Option<(Arc<Engine>, Arm)> {
@@ -283,7 +285,7 @@
 async fn judge(job: &Job, engine: &Arc<Engine>, arm: Arm, sent: Sent, elapsed: Duration) -> Outcome {
     let status = sent.head.status;
     if status == StatusCode::MISDIRECTED_REQUEST {
-        lock(&job.shared.directory).forget(&engine.id, engine.born);
+        lock(&job.shared.directory).forget(&engine.id, engine.born, clock::now());
         return Outcome::failed(Failure::Misdirected);
     }
     if sent.answer.not_run {
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -88,7 +88,7 @@
         "age_ms": catalog.age(now).map(|it| it.as_millis() as u64),
     });
     drop(catalog);
-    let engines: Vec<_> = follow::listed(shared)
+    let engines: Vec<_> = follow::engines::listed(shared)
         .iter()
         .map(|it| json!({ "id": *it.id, "service": *it.service, "version": *it.version, "draining": it.draining }))
         .collect();
--- /dev/null
+++ b/crates/entry/src/follow/engines.rs
@@ -0,0 +1,140 @@
+//! The list of engines.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use forward::Moment;
+use forward::directory::Engine;
+use forward::relay::Reading;
+use model::Upstream;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use super::{note_connection, pause, read_all};
+use crate::clock;
+use crate::dialect::{Fact, Tail, Topic};
+use crate::relay::{self, Change, Subject};
+use crate::shared::{Shared, lock};
+use crate::store::{self, Error};
+
+/// Heartbeats after an engine was taken for gone in which one that lives has shown it.
+const DOUBT_HEARTBEATS: u32 = 3;
+
+/// An engine's name, and its entry unless it is gone or cannot be read.
+type Entry = (Upstream, Option<Engine>);
+
+/// Follows the list of engines: reads everything, then changes at a steady pace.
+pub(crate) async fn run(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    let mut next = None;
+    let mut connected = true;
+    loop {
+        let result = match next {
+            None => read_engines(&shared).await.map(Some),
+            Some(from) => follow(&shared, &socket, from).await,
+        };
+        note_connection(&mut connected, "list of engines", result.as_ref().err());
+        match result {
+            Ok(it) => next = it,
+            Err(_) => pause().await,
+        }
+    }
+}
+
+/// Learns changes from another node or reads them from the store, and waits until the next ones are due.
+async fn follow(shared: &Shared, socket: &UdpSocket, from: u64) -> Result<Option<u64>, Error> {
+    let poll = shared.settings().store.engine_poll;
+    if let Some((reading, asked)) = ask(shared, socket, from, poll).await {
+        let changes = reading.changes.into_iter().map(Change::into_entry);
+        apply(shared, changes, reading.next, asked.saturating_sub(reading.age));
+        sleep(poll.div_f64(relay::ASKS)).await;
+        return Ok(Some(reading.next));
+    }
+    let next = read_changes(shared, from).await?;
+    if next.is_some() {
+        sleep(poll).await;
+    }
+    Ok(next)
+}
+
+async fn ask(
+    shared: &Shared,
+    socket: &UdpSocket,
+    from: u64,
+    poll: Duration,
+) -> Option<(Reading<Change>, Moment)> {
+    let doubt = shared.settings().store.heartbeat * DOUBT_HEARTBEATS;
+    // An engine that was taken for gone and lives shows it by its next heartbeat, which other nodes do not pass on.
+    if lock(&shared.directory).has_forgotten(clock::now(), doubt) {
+        return None;
+    }
+    relay::ask(shared, socket, Subject::Engines, from, poll).await
+}
+
+async fn read_engines(shared: &Shared) -> Result<u64, Error> {
+    let asked = clock::now();
+    let (facts, end) = read_all(shared, Topic::Engines).await?;
+    let present = facts.into_iter().filter_map(|it| match it {
+        Fact::Engine(_, engine) => engine,
+        _ => None,
+    });
+    let mut directory = lock(&shared.directory);
+    directory.resume(asked);
+    directory.replace(present.collect(), asked);
+    lock(&shared.relay.engines).restart(end, asked);
+    lock(&shared.loads).retain(directory.engines());
+    if !shared.engines_known.swap(true, Ordering::Relaxed) {
+        log::info!(engines = directory.engines().count(); "engines known");
+    }
+    Ok(end)
+}
+
+/// Reads changes from the store; `None` if records are missing and everything must be read again.
+async fn read_changes(shared: &Shared, from: u64) -> Result<Option<u64>, Error> {
+    let asked = clock::now();
+    match store::tail(shared, Topic::Engines, from, Duration::ZERO).await? {
+        Tail::Expired => Ok(None),
+        Tail::Records { facts, next } => {
+            let entries = facts.into_iter().filter_map(|it| match it {
+                Fact::Engine(id, engine) => Some((id, engine)),
+                _ => None,
+            });
+            apply(shared, entries, next, asked);
+            Ok(Some(next))
+        }
+    }
+}
+
+/// Applies entries of a reading that was made at the time `at` and ends before `next`.
+fn apply(shared: &Shared, entries: impl Iterator<Item = Entry>, next: u64, at: Moment) {
+    let mut directory = lock(&shared.directory);
+    directory.resume(at);
+    let mut news = vec![];
+    let mut changed = false;
+    for (id, engine) in entries {
+        let draining = engine.as_ref().is_some_and(|it| it.draining);
+        let change = Change::new(&id, engine.as_ref());
+        let listed = engine.is_some();
+        if directory.apply(&id, engine, at) {
+            changed = true;
+            log_engine(&id, listed, draining);
+            news.push(change);
+        } else if !listed {
+            // Other nodes may still hold an engine that this one has forgotten.
+            news.push(change);
+        }
+    }
+    lock(&shared.relay.engines).extend(next, news, at);
+    if changed {
+        lock(&shared.loads).retain(directory.engines());
+    }
+}
+
+fn log_engine(id: &Upstream, listed: bool, draining: bool) {
+    log::info!(engine = **id, listed, draining; "engine changed");
+}
+
+/// Engines that are listed, for operators.
+pub(crate) fn listed(shared: &Shared) -> Vec<Arc<Engine>> {
+    lock(&shared.directory).engines().cloned().collect()
+}
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -68,9 +68,9 @@
         let socket = UdpSocket::bind(listen.gossip).await;
         let socket = Arc::new(socket.map_err(|cause| bind_error(listen.gossip, cause))?);
         tokio::spawn(members::run(shared.clone(), socket.clone()));
+        tokio::spawn(follow::operators::run(shared.clone(), socket.clone()));
+        tokio::spawn(follow::engines::run(shared.clone(), socket.clone()));
         tokio::spawn(releases::run(shared.clone(), socket));
-        tokio::spawn(follow::operators(shared.clone()));
-        tokio::spawn(follow::engines(shared.clone()));
         let sockets = [
             (listen.entry, Role::Entry),
             (listen.ready, Role::Control),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod front;
 mod members;
 mod metrics;
+mod relay;
 mod releases;
 mod request;
 mod shared;
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -1,4 +1,4 @@
-//! Datagrams between nodes: membership, and the evidence of releases.
+//! Datagrams between nodes: membership, readings of the store, and the evidence of releases.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -11,6 +11,7 @@
 use wire::peer;
 
 use crate::clock;
+use crate::relay::{self, Answer, Question};
 use crate::releases::{self, Notice};
 use crate::shared::{Shared, lock};
 
@@ -26,6 +27,8 @@
 /// First byte of a datagram, which tells what follows.
 const MEMBERSHIP: u8 = b'm';
 const NOTICE: u8 = b'n';
+const QUESTION: u8 = b'q';
+const ANSWER: u8 = b'a';
 
 /// Sends and receives datagrams until the process ends.
 pub(crate) async fn run(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
@@ -53,7 +56,7 @@
                 handle(&shared, &socket, Event::Tick);
             }
             received = socket.recv_from(&mut buffer) => match received {
-                Ok((len, _)) => receive(&shared, &socket, &buffer[..len]),
+                Ok((len, from)) => receive(&shared, &socket, &buffer[..len], from),
                 // A datagram to a closed port is reported here; it concerns one peer only.
                 Err(err) => log::debug!("gossip socket: {err}"),
             },
@@ -83,7 +86,7 @@
     Status { readiness, ..status }
 }
 
-fn receive(shared: &Shared, socket: &UdpSocket, bytes: &[u8]) {
+fn receive(shared: &Shared, socket: &UdpSocket, bytes: &[u8], from: SocketAddr) {
     let Some((kind, content)) = bytes.split_first() else {
         return;
     };
@@ -99,6 +102,18 @@
             Ok(notice) => releases::noticed(shared, notice),
             Err(err) => log::debug!("a notice does not decode: {err}"),
         },
+        QUESTION => match serde_json::from_slice::<Question>(content) {
+            Ok(question) => {
+                if let Some(answer) = relay::answer(shared, &question) {
+                    send_content(socket, ANSWER, &answer, from);
+                }
+            }
+            Err(err) => log::debug!("a question does not decode: {err}"),
+        },
+        ANSWER => match serde_json::from_slice::<Answer>(content) {
+            Ok(answer) => relay::answered(shared, answer),
+            Err(err) => log::debug!("an answer does not decode: {err}"),
+        },
         _ => log::debug!("a datagram of an unknown kind"),
     }
 }
@@ -110,9 +125,7 @@
         match action {
             Action::Send { to, datagram } => {
                 let message = gossip::datagram_message(&datagram, 0);
-                let mut bytes = vec![MEMBERSHIP];
-                bytes.extend_from_slice(&message.encode_to_vec());
-                send(socket, &bytes, to);
+                send_content(socket, MEMBERSHIP, &message.encode_to_vec(), to);
             }
             Action::Changed(member) if member.state == State::Dead => {
                 log::warn!(host = *member.host; "host taken for dead");
@@ -127,16 +140,26 @@
 
 /// Sends a notice about a release to some members.
 pub(crate) fn notify(socket: &UdpSocket, notice: &Notice, to: impl Iterator<Item = SocketAddr>) {
-    let mut bytes = vec![NOTICE];
     match serde_json::to_vec(notice) {
-        Ok(content) => bytes.extend_from_slice(&content),
-        Err(err) => return log::error!("a notice does not encode: {err}"),
+        Ok(content) => to.for_each(|it| send_content(socket, NOTICE, &content, it)),
+        Err(err) => log::error!("a notice does not encode: {err}"),
     }
-    for address in to {
-        send(socket, &bytes, address);
+}
+
+/// Sends a question about the store's topics to a node.
+pub(crate) fn send_question(socket: &UdpSocket, question: &Question, to: SocketAddr) {
+    match serde_json::to_vec(question) {
+        Ok(content) => send_content(socket, QUESTION, &content, to),
+        Err(err) => log::error!("a question does not encode: {err}"),
     }
 }
 
+fn send_content(socket: &UdpSocket, kind: u8, content: &[u8], to: SocketAddr) {
+    let mut bytes = vec![kind];
+    bytes.extend_from_slice(content);
+    send(socket, &bytes, to);
+}
+
 fn send(socket: &UdpSocket, bytes: &[u8], to: SocketAddr) {
     // A lost datagram is what the failure detector is made for, and notices are repeated.
     if let Err(err) = socket.try_send_to(bytes, to) {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -32,6 +32,8 @@
     pub store_calls: Counter,
     /// Calls to the store without a usable answer.
     pub store_failures: Counter,
+    /// Readings of the store that another node passed on, by subject.
+    pub relayed: Family<Label, Counter>,
     /// Connections of callers.
     pub connections: Gauge,
     /// Seconds to the first byte of an answer.
@@ -51,6 +53,7 @@
             broken: Counter::default(),
             store_calls: Counter::default(),
             store_failures: Counter::default(),
+            relayed: Family::default(),
             connections: Gauge::default(),
             first_byte: Histogram::new(exponential_buckets(0.002, 2.0, 14)),
         };
@@ -102,6 +105,11 @@
             "Failed calls to the store",
             self.store_failures.clone(),
         );
+        registry.register(
+            "relayed",
+            "Readings of the store from other nodes",
+            self.relayed.clone(),
+        );
         registry.register("connections", "Connections of callers", self.connections.clone());
         registry.register(
             "first_byte_seconds",
--- a/crates/entry/src/releases.rs
+++ b/crates/entry/src/releases.rs
@@ -8,8 +8,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use forward::release::{Counters, Decision, Release, Status, Tally};
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD_NO_PAD;
+use forward::Moment;
+use forward::release::{Counters, Decision, Place, Release, Status, Tally};
 use model::{Incarnation, Name, hash};
+use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
@@ -22,16 +26,29 @@
 /// Interval of the exchange and of the driver's decisions while a release is under way.
 const PACE: Duration = Duration::from_millis(500);
 
-/// Rounds after which a node that does not drive reads the recorded state, in case it missed the driver's notice.
-const READ_ROUNDS: u32 = 6;
+/// Rounds without a judge's notice after which a node reads the recorded state itself.
+const SILENT_ROUNDS: u32 = 6;
 
-/// Age up to which a held session is told; a receiver keeps what it heard, and requests of a session renew it.
-const NEWS: Duration = Duration::from_millis(1200);
+/// Rounds for which a decision must be due before the next judge takes it: the first one may be cut off from the store
+/// while other nodes still hear it.
+const TAKE_OVER_ROUNDS: u32 = 4;
 
-/// Sessions in one notice; a datagram of a few kilobytes still arrives.
-const MAX_HELD: usize = 100;
+/// Age up to which a held session is told, so that some rounds may be lost; a receiver keeps what it heard, and
+/// requests of a session renew it.
+const NEWS: Duration = Duration::from_millis(2500);
 
-/// Nodes that collect evidence; the first of them drives.
+/// Sessions in one notice, so that it fits into one packet.
+const MAX_HELD: usize = 150;
+
+/// Unit of the age of a held session.
+const AGE_UNIT: Duration = Duration::from_millis(20);
+
+/// Notices that a judge sends at once, and the pause after them. The slowest links take 10 Mbit/s and queue little;
+/// a burst to the whole fleet would always lose its end.
+const BURST: usize = 8;
+const BURST_PAUSE: Duration = Duration::from_millis(20);
+
+/// Nodes that collect evidence; the first of them drives, and the next one if it does not.
 const JUDGES: usize = 2;
 
 /// What nodes tell each other about a release.
@@ -40,11 +57,14 @@
     service: String,
     order: u64,
     sender: String,
+    /// Whether the sender is a judge, which tells everyone.
+    judge: bool,
     /// Answers by route: old, bad old, new, bad new.
     counters: BTreeMap<String, [u64; 4]>,
     halted: bool,
-    /// Sessions that stay on the old version, with the milliseconds since their last request.
-    held: Vec<(u64, u64)>,
+    /// Sessions that stay on the old version: for each the place in four bytes, and the time since its last request in
+    /// units of [`AGE_UNIT`]; in base64.
+    held: String,
     /// The recorded state, as the sender knows it.
     status: Option<Recorded>,
 }
@@ -57,9 +77,18 @@
     effective_ms: u64,
 }
 
+/// What a node remembers between the rounds of one release.
+#[derive(Debug, Default)]
+struct Watch {
+    /// Rounds for which a decision has been due.
+    due: u32,
+    /// Rounds since a judge was heard or the recorded state was read.
+    silent: u32,
+}
+
 /// Exchanges evidence and drives releases until the process ends.
 pub(crate) async fn run(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
-    let mut round = 0_u32;
+    let mut watches: BTreeMap<Name, Watch> = BTreeMap::new();
     loop {
         sleep(PACE).await;
         let under_way: Vec<_> = {
@@ -67,30 +96,46 @@
             let open = releases.values().filter(|it| !it.has_ended());
             open.cloned().collect()
         };
-        round = round.wrapping_add(1);
+        let is_open = |service: &Name| under_way.iter().any(|it| it.order().service == *service);
+        watches.retain(|service, _| is_open(service));
         for release in under_way {
-            advance(&shared, &socket, &release, round).await;
+            let watch = watches.entry(release.order().service.clone()).or_default();
+            advance(&shared, &socket, &release, watch).await;
         }
     }
 }
 
-async fn advance(shared: &Shared, socket: &UdpSocket, release: &Release, round: u32) {
+async fn advance(shared: &Shared, socket: &Arc<UdpSocket>, release: &Release, watch: &mut Watch) {
     let judges = judges(shared, &release.order().service);
     let rank = judges.iter().position(Option::is_none);
-    let notice = notice(shared, release);
+    let notices = notices(shared, release, rank.is_some());
     match rank {
-        Some(_) => members::notify(socket, &notice, others(shared)),
-        None => members::notify(socket, &notice, judges.into_iter().flatten()),
+        Some(_) => _ = tokio::spawn(tell(socket.clone(), notices, others(shared))),
+        None => tell(socket.clone(), notices, judges.into_iter().flatten().collect()).await,
     }
-    if rank == Some(0) {
-        if let Decision::Record(stage) = release.decide(clock::now()) {
-            let result = record(shared, release, stage).await;
-            log_record(release, &result);
-        }
-    } else if round.is_multiple_of(READ_ROUNDS)
-        && let Err(err) = read_statuses(shared).await
+    let decision = release.decide(clock::now());
+    watch.due = if decision == Decision::Hold {
+        0
+    } else {
+        watch.due + 1
+    };
+    let is_turn = rank.is_some_and(|it| watch.due > it as u32 * TAKE_OVER_ROUNDS);
+    if let Decision::Record(stage) = decision
+        && is_turn
     {
-        log::warn!(error:% = err; "states of releases not read");
+        let result = record(shared, release, stage).await;
+        return log_record(release, &result);
+    }
+    watch.silent = if release.has_news(clock::now(), PACE * 2) {
+        0
+    } else {
+        watch.silent + 1
+    };
+    if watch.silent >= SILENT_ROUNDS && rank != Some(0) {
+        watch.silent = 0;
+        if let Err(err) = read_statuses(shared).await {
+            log::warn!(error:% = err; "states of releases not read");
+        }
     }
 }
 
@@ -117,7 +162,7 @@
     let status = release.status(stage, clock::now());
     let result = store::record_status(shared, service, &status, end).await?;
     if result == Append::Done {
-        follow::apply_status(shared, service, &status);
+        follow::operators::apply_status(shared, service, &status);
     }
     Ok(result)
 }
@@ -125,7 +170,7 @@
 /// Reads and applies all recorded states; returns the end of their topic.
 async fn read_statuses(shared: &Shared) -> Result<u64, Error> {
     let page = store::newest(shared, Topic::Status, None).await?;
-    follow::apply_statuses(shared, page.facts);
+    follow::operators::apply_statuses(shared, page.facts);
     Ok(page.end)
 }
 
@@ -147,17 +192,61 @@
         .collect()
 }
 
-fn others(shared: &Shared) -> impl Iterator<Item = SocketAddr> + use<> {
+fn others(shared: &Shared) -> Vec<SocketAddr> {
     let table = lock(&shared.members);
-    let live: Vec<_> = table
-        .members()
-        .filter(|it| it.is_live())
-        .map(|it| it.addresses.gossip)
+    let live = table.members().filter(|it| it.is_live());
+    live.map(|it| it.addresses.gossip).collect()
+}
+
+/// Sends notices to nodes, in another order each time and not all at once.
+async fn tell(socket: Arc<UdpSocket>, notices: Vec<Notice>, mut to: Vec<SocketAddr>) {
+    to.shuffle(&mut rand::rng());
+    for notice in &notices {
+        for (index, part) in to.chunks(BURST).enumerate() {
+            if index > 0 {
+                sleep(BURST_PAUSE).await;
+            }
+            members::notify(&socket, notice, part.iter().copied());
+        }
+    }
+}
+
+/// Held sessions in the form of [`Notice::held`], in parts.
+fn held(release: &Release, now: Moment) -> Vec<String> {
+    let recent = release.held(now).filter(|(_, age)| *age <= NEWS);
+    let records: Vec<_> = recent
+        .map(|(place, age)| (place, (age.as_millis() / AGE_UNIT.as_millis()) as u8))
         .collect();
-    live.into_iter()
+    let encode = |part: &[(Place, u8)]| {
+        let record =
+            |(place, age): &(Place, u8)| place.to_be_bytes().into_iter().chain([*age]).collect::<Vec<_>>();
+        STANDARD_NO_PAD.encode(part.iter().flat_map(record).collect::<Vec<_>>())
+    };
+    records.chunks(MAX_HELD).map(encode).collect()
+}
+
+/// Reads [`Notice::held`].
+fn read_held(text: &str) -> Vec<(Place, Duration)> {
+    let Ok(bytes) = STANDARD_NO_PAD.decode(text) else {
+        log::warn!("the sessions of a notice do not decode");
+        return vec![];
+    };
+    let record = |it: &[u8; 5]| {
+        let [place @ .., age] = it;
+        (Place::from_be_bytes(*place), AGE_UNIT * u32::from(*age))
+    };
+    bytes.as_chunks::<5>().0.iter().map(record).collect()
 }
 
-fn notice(shared: &Shared, release: &Release) -> Notice {
+/// What this node has to tell; more than one notice only where many sessions are held.
+fn notices(shared: &Shared, release: &Release, judge: bool) -> Vec<Notice> {
+    let mut held = held(release, clock::now()).into_iter();
+    let mut notices = vec![notice(shared, release, judge, held.next().unwrap_or_default())];
+    notices.extend(held.map(|it| notice(shared, release, judge, it)));
+    notices
+}
+
+fn notice(shared: &Shared, release: &Release, judge: bool, held: String) -> Notice {
     let now = clock::now();
     let counters = release.counters(shared.incarnation).into_iter().flatten();
     let row = |(route, it): (&Name, &Tally)| (route.to_string(), [it.old, it.old_bad, it.new, it.new_bad]);
@@ -165,14 +254,10 @@
         service: release.order().service.to_string(),
         order: release.order().offset,
         sender: shared.incarnation.to_string(),
+        judge,
         counters: counters.map(row).collect(),
         halted: release.is_halted(),
-        held: release
-            .held(now)
-            .filter(|(_, age)| *age <= NEWS)
-            .map(|(session, age)| (session, age.as_millis() as u64))
-            .take(MAX_HELD)
-            .collect(),
+        held,
         status: release.newest_status(now).map(|it| Recorded {
             stage: it.stage.code(),
             elapsed_ms: it.elapsed.as_millis() as u64,
@@ -198,8 +283,11 @@
         release.merge(sender, counters(notice.counters));
     }
     let now = clock::now();
-    for (session, age_ms) in notice.held {
-        release.hold(session, Duration::from_millis(age_ms), now);
+    if notice.judge {
+        release.note_judge(now);
+    }
+    for (place, age) in read_held(&notice.held) {
+        release.hold(place, age, now);
     }
     if let Some(recorded) = notice.status {
         let status = Status {
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -12,6 +12,7 @@
 use forward::flow::{Answer, Failure, Flow, Next};
 use forward::lane::Work;
 use forward::quality::{self, Situation, Verdict};
+use forward::release::Arm;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderMap};
@@ -48,11 +49,21 @@
     pub tried: Vec<Arc<Engine>>,
     /// Model that the system chose.
     pub model: Option<Name>,
+    /// Version of the engine that was tried last, by its part in a release.
+    pub arm: Option<Arm>,
     /// Whether the retry allowance for the next attempt is taken already.
     reserved: bool,
     _active: Active,
 }
 
+impl Drop for Job {
+    fn drop(&mut self) {
+        if self.arm == Some(Arm::Old) {
+            self.shared.note_end(&self.service, self.session());
+        }
+    }
+}
+
 /// Counts a request while it is under way.
 #[derive(Debug)]
 struct Active(Arc<Shared>);
@@ -135,6 +146,7 @@
         flow,
         tried: Vec::new(),
         model,
+        arm: None,
         reserved: false,
         _active: active,
     })
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -22,6 +22,7 @@
 use crate::clock;
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
+use crate::relay::Relay;
 
 /// Smoothed times to the first byte for each token of the prompt, by route and model.
 type Usual = HashMap<(Name, Option<Name>), Duration>;
@@ -40,6 +41,7 @@
     allowances: Mutex<HashMap<Name, Allowance>>,
     usual: Mutex<Usual>,
     lanes: Mutex<HashMap<Name, Lanes>>,
+    pub relay: Relay,
     pub metrics: Metrics,
     /// Whether the list of engines was read since the start.
     pub engines_known: AtomicBool,
@@ -83,6 +85,7 @@
             allowances: Mutex::default(),
             usual: Mutex::default(),
             lanes: Mutex::default(),
+            relay: Relay::default(),
             metrics: Metrics::new(),
             engines_known: AtomicBool::new(false),
             active: AtomicUsize::new(0),
@@ -177,6 +180,13 @@
         }
     }
 
+    /// Notes the end of a request that ran on the old version of a release.
+    pub(crate) fn note_end(&self, service: &Name, session: &[u8]) {
+        if let Some(release) = lock(&self.releases).get_mut(service) {
+            release.ended(session, clock::now());
+        }
+    }
+
     /// Size of a request among those of its service; a new one is counted.
     pub(crate) fn size(&self, service: &Name, work: Option<Work>, is_new: bool) -> Option<Size> {
         let work = work?;
--- a/crates/forward/src/directory.rs
+++ b/crates/forward/src/directory.rs
@@ -53,6 +53,8 @@
     last_read: Option<Moment>,
     /// Until when entries that lapsed during an interruption may return.
     settling: Option<Moment>,
+    /// When an engine was last taken for gone before the registry said so.
+    forgotten: Option<Moment>,
 }
 
 impl Directory {
@@ -64,6 +66,7 @@
             outage,
             last_read: None,
             settling: None,
+            forgotten: None,
         }
     }
 
@@ -93,7 +96,8 @@
     /// Notes that the registry was read, before the changes of that reading are applied.
     pub fn resume(&mut self, now: Moment) {
         let gap = self.last_read.map(|it| now.saturating_sub(it));
-        self.last_read = Some(now);
+        // A reading that another node passes on may be older than the own one before it.
+        self.last_read = self.last_read.max(Some(now));
         if gap.is_some_and(|it| it > self.outage) {
             self.settling = Some(now + SETTLE);
         }
@@ -124,12 +128,18 @@
     }
 
     /// Ends the use of one run of an engine, which proved to be gone.
-    pub fn forget(&mut self, id: &str, born: u64) {
+    pub fn forget(&mut self, id: &str, born: u64, now: Moment) {
         if self.listed.get(id).is_some_and(|it| it.engine.born == born) {
             self.listed.remove(id);
+            self.forgotten = Some(now);
         }
     }
 
+    /// Whether an engine was taken for gone less than `time` ago.
+    pub fn has_forgotten(&self, now: Moment, time: Duration) -> bool {
+        self.forgotten.is_some_and(|it| now.saturating_sub(it) < time)
+    }
+
     fn insert(&mut self, id: &Upstream, engine: Engine) -> bool {
         let before = self.listed.get(id);
         // A late record of an earlier run must not replace the present one, nor take back that it drains.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`lane`], [`load`], [`placement`], [`quality`]: which engine and which model serve a request
 //! - [`event`]: event streams cut at event boundaries, continued without gaps or repetitions
 //! - [`allowance`]: the share of the fleet's retry budget that a node may use
+//! - [`relay`]: readings of the store that nodes pass on to each other
 //! - [`release`]: how much traffic a new version of a service gets
 
 use std::time::Duration;
@@ -22,6 +23,7 @@
 pub mod load;
 pub mod placement;
 pub mod quality;
+pub mod relay;
 pub mod release;
 
 /// Time since an arbitrary start on a clock that counts suspension.
--- /dev/null
+++ b/crates/forward/src/relay.rs
@@ -0,0 +1,101 @@
+//! Readings of the platform's store that nodes pass on to each other.
+//!
+//! Each topic is read from the store by a few nodes only. The others ask one of these readers, which answers from its
+//! [`Journal`]. So the calls to the store do not grow with the number of nodes. Any node may be asked: whether its
+//! answer is of use is decided by its age, and the node that asks reads the store itself if it is not.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::Moment;
+
+/// Nodes that read each topic from the store; the second one is there for the moment at which the first is lost.
+pub const READERS: usize = 2;
+
+/// Changes that a journal keeps; a few restarts of the engines of a large service. Beyond them the store is read.
+const CAPACITY: usize = 512;
+
+/// Changes of one reading.
+#[derive(Debug, Clone)]
+struct Batch<C> {
+    /// Offset behind the reading.
+    next: u64,
+    changes: Vec<C>,
+}
+
+/// What a node can pass on about one topic.
+#[derive(Debug, Clone)]
+pub struct Journal<C> {
+    batches: VecDeque<Batch<C>>,
+    /// Offset from which no change is missing.
+    floor: u64,
+    /// Offset behind the newest reading, and the moment at which nothing lay behind it.
+    newest: Option<(u64, Moment)>,
+}
+
+/// Answer to a node that knows a topic up to some offset.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reading<C> {
+    /// Offset that the topic is known to after the changes.
+    pub next: u64,
+    /// Time since the topic was known to end there.
+    pub age: Duration,
+    /// Changes in their order.
+    pub changes: Vec<C>,
+}
+
+impl<C: Clone> Journal<C> {
+    /// A journal without a reading.
+    pub fn new() -> Self {
+        Self {
+            batches: VecDeque::new(),
+            floor: 0,
+            newest: None,
+        }
+    }
+
+    /// Notes that the topic was known to end at `next` at the time `at`, and that earlier changes are not kept.
+    pub fn restart(&mut self, next: u64, at: Moment) {
+        self.batches.clear();
+        self.floor = next;
+        self.newest = Some((next, at));
+    }
+
+    /// Notes a reading that began where the one before ended.
+    pub fn extend(&mut self, next: u64, changes: Vec<C>, at: Moment) {
+        // A moment that lies before the known one would say that less is known than is.
+        let at = self.newest.map_or(at, |(_, known)| known.max(at));
+        self.newest = Some((next, at));
+        if !changes.is_empty() {
+            self.batches.push_back(Batch { next, changes });
+        }
+        while self.batches.iter().map(|it| it.changes.len()).sum::<usize>() > CAPACITY {
+            if let Some(dropped) = self.batches.pop_front() {
+                self.floor = dropped.next;
+            }
+        }
+    }
+
+    /// What lies behind `from`; `None` if that is not known in full.
+    ///
+    /// Changes of a reading that began before `from` are passed on as a whole: applied in their order, they end in
+    /// the same state.
+    pub fn since(&self, from: u64, now: Moment) -> Option<Reading<C>> {
+        let (next, at) = self.newest?;
+        if from < self.floor || from > next {
+            return None;
+        }
+        let batches = self.batches.iter().filter(|it| it.next > from);
+        Some(Reading {
+            next,
+            age: now.saturating_sub(at),
+            changes: batches.flat_map(|it| it.changes.iter().cloned()).collect(),
+        })
+    }
+}
+
+impl<C: Clone> Default for Journal<C> {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/crates/forward/src/release.rs
+++ b/crates/forward/src/release.rs
@@ -148,6 +148,15 @@
     Record(Stage),
 }
 
+/// Place of a session among all places. It is drawn anew for each order, so that not the same sessions meet every new
+/// version first.
+pub type Place = u32;
+
+/// Whether a session's place lies in a share of all places.
+fn is_within(place: Place, share: f64) -> bool {
+    f64::from(place) / f64::from(Place::MAX) < share
+}
+
 /// One release as a node knows it.
 #[derive(Debug, Clone)]
 pub struct Release {
@@ -163,7 +172,9 @@
     /// Time within which requests of a session follow each other.
     session: Duration,
     /// Sessions that the first stage would move and that were seen on the old version, with the last time.
-    held: HashMap<u64, Moment>,
+    held: HashMap<Place, Moment>,
+    /// When a node that collects evidence was last heard.
+    judge_heard: Option<Moment>,
 }
 
 impl Release {
@@ -180,6 +191,7 @@
             counters: HashMap::new(),
             session,
             held: HashMap::new(),
+            judge_heard: None,
         }
     }
 
@@ -265,11 +277,8 @@
             Stage::Trial(_) if self.halted => return Arm::Old,
             Stage::Trial(stage) => STAGES[usize::from(stage).min(STAGES.len() - 1)].1,
         };
-        // The place is drawn anew for each order, so that not the same sessions meet every new version first.
-        let mut seeded = self.order.offset.to_be_bytes().to_vec();
-        seeded.extend_from_slice(session);
-        let place = hash::stable(&seeded);
-        if place as f64 / u64::MAX as f64 >= share {
+        let place = self.place(session);
+        if !is_within(place, share) {
             return Arm::Old;
         }
         let first = stage == Stage::Trial(0);
@@ -280,24 +289,49 @@
         Arm::New
     }
 
+    /// Notes that the old version has finished a request; the session's next one may follow within the session's time
+    /// from now on, however long this one took.
+    pub fn ended(&mut self, session: &[u8], now: Moment) {
+        let place = self.place(session);
+        if self.active_stage(now) == Stage::Trial(0) && is_within(place, STAGES[0].1) {
+            self.held.insert(place, now);
+        }
+    }
+
+    fn place(&self, session: &[u8]) -> Place {
+        let mut seeded = self.order.offset.to_be_bytes().to_vec();
+        seeded.extend_from_slice(session);
+        (hash::stable(&seeded) >> 32) as Place
+    }
+
     /// Sessions that stay on the old version, with the time since their last request.
-    pub fn held(&self, now: Moment) -> impl Iterator<Item = (u64, Duration)> {
-        let age = move |(session, last): (&u64, &Moment)| (*session, now.saturating_sub(*last));
+    pub fn held(&self, now: Moment) -> impl Iterator<Item = (Place, Duration)> {
+        let age = move |(session, last): (&Place, &Moment)| (*session, now.saturating_sub(*last));
         self.held.iter().map(age).filter(|it| it.1 <= self.session)
     }
 
     /// Takes over a session that another node holds on the old version.
-    pub fn hold(&mut self, session: u64, age: Duration, now: Moment) {
+    pub fn hold(&mut self, session: Place, age: Duration, now: Moment) {
         let last = now.saturating_sub(age);
         let known = self.held.entry(session).or_insert(last);
         *known = last.max(*known);
     }
 
-    fn is_held(&self, session: u64, now: Moment) -> bool {
+    fn is_held(&self, session: Place, now: Moment) -> bool {
         let last = self.held.get(&session);
         last.is_some_and(|it| now.saturating_sub(*it) <= self.session + EXCHANGE)
     }
 
+    /// Notes that a node that collects evidence told of the release.
+    pub fn note_judge(&mut self, now: Moment) {
+        self.judge_heard = Some(now);
+    }
+
+    /// Whether such a node was heard less than `time` ago.
+    pub fn has_news(&self, now: Moment, time: Duration) -> bool {
+        self.judge_heard.is_some_and(|it| now.saturating_sub(it) < time)
+    }
+
     /// Counts an answer of this process.
     pub fn answered(&mut self, own: Incarnation, route: &Name, arm: Arm, bad: bool) {
         let counters = self.counters.entry(own).or_default();
--- a/crates/forward/tests/release.rs
+++ b/crates/forward/tests/release.rs
@@ -214,3 +214,27 @@
     release.recorded(&status, SECOND * 100);
     assert_eq!(release.elapsed(SECOND * 101), SECOND * 16);
 }
+
+/// Guards against sessions that change version because an answer took longer than the time between their requests.
+#[test]
+fn session_stays_on_its_version_after_a_long_answer() {
+    let mut release = release();
+    let now = SECOND * 6;
+    let long: Vec<String> = (0..400).map(|it| format!("s{it}")).collect();
+    long.iter()
+        .for_each(|it| assert_eq!(release.arm(it.as_bytes(), now), Arm::Old));
+    let end = SECOND * 9;
+    long.iter().for_each(|it| release.ended(it.as_bytes(), end));
+    let next = SECOND * 13;
+    assert!(long.iter().all(|it| release.arm(it.as_bytes(), next) == Arm::Old));
+}
+
+/// Guards against sessions that are taken for new because their request began before the order was known.
+#[test]
+fn session_whose_request_began_before_the_order_stays() {
+    let mut release = release();
+    let sessions = || (0..400).map(|it| format!("s{it}"));
+    sessions().for_each(|it| release.ended(it.as_bytes(), SECOND * 6));
+    assert!(sessions().all(|it| release.arm(it.as_bytes(), SECOND * 10) == Arm::Old));
+    assert!(share(&mut release, SECOND * 10) > 0.0);
+}
