forward: a sequential test decides whether a new version is bad; late streams of a planned stop go elsewhere

The opposite fault was there as well: after 2,000 good answers, a version that began to fail half its requests was noticed only after 480 failures.

Change: Page's cumulative sum by route, for failures and for slowness apart, on the fleet's totals as far as a node knows them. Tests: five kinds of bad versions are halted before the 50th bad answer, and none of 300 nodes halts a good one; two of the new tests failed before. failures_that_the_old_version_has_too_do_not_count now mixes failures among good answers (ten times as many): 30 in a row after 70 good ones are a version that turned bad.

Pauses after refused calls to the store double up to 0.7 s: such calls are priced too.

--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -75,6 +75,8 @@
     BodyTooLong,
     /// The body did not arrive.
     BodyBroken,
+    /// The process is about to end.
+    Leaving,
     /// No engine can take the request now.
     NoEngine,
     /// The request was refused by engines or reached none.
@@ -93,7 +95,7 @@
             Self::BadKey => StatusCode::UNAUTHORIZED,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyBroken => StatusCode::BAD_REQUEST,
-            Self::NotConfigured | Self::Stale | Self::NoEngine | Self::NotRun => {
+            Self::NotConfigured | Self::Stale | Self::Leaving | Self::NoEngine | Self::NotRun => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::Unknown => StatusCode::BAD_GATEWAY,
@@ -110,6 +112,7 @@
             Self::Stale => "stale_configuration",
             Self::BodyTooLong => "body_too_long",
             Self::BodyBroken => "body_broken",
+            Self::Leaving => "leaving",
             Self::NoEngine => "no_engine",
             Self::NotRun => "not_run",
             Self::Unknown => "outcome_unknown",
@@ -121,7 +124,7 @@
     fn retry_after(self) -> Option<Duration> {
         match self {
             // Another node may have what this one lacks.
-            Self::NotConfigured | Self::Stale => Some(Duration::from_millis(50)),
+            Self::NotConfigured | Self::Stale | Self::Leaving => Some(Duration::from_millis(50)),
             // About the time in which an engine's queue moves.
             Self::NoEngine | Self::NotRun => Some(Duration::from_millis(150)),
             _ => None,
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -10,7 +10,7 @@
 use forward::flow::Failure;
 use forward::lane::Work;
 use forward::placement::{self, Demand};
-use forward::release::{Arm, SLOW};
+use forward::release::{Arm, Grade, SLOW};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::HOST;
@@ -301,7 +301,7 @@
     }
     let (shared, route) = (&job.shared, &job.route.name);
     if status.is_server_error() {
-        shared.note_answer(&job.service, route, arm, true);
+        shared.note_answer(&job.service, route, arm, Grade::Bad);
         let promises = status == StatusCode::SERVICE_UNAVAILABLE;
         let answer = sent.collect(job.remaining()).await.ok();
         return Outcome::Failed {
@@ -319,7 +319,8 @@
     if arm == Arm::Old {
         shared.note_first_byte(route, job.model.as_ref(), job.prompt_tokens(), elapsed);
     }
-    shared.note_answer(&job.service, route, arm, ratio > SLOW);
+    let grade = if ratio > SLOW { Grade::Slow } else { Grade::Good };
+    shared.note_answer(&job.service, route, arm, grade);
     Outcome::Answered(sent)
 }
 
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -12,22 +12,42 @@
 pub(crate) mod engines;
 pub(crate) mod operators;
 
-/// Pause after a failed call, at random up to this time more, so that nodes do not return together.
-const FAILURE_PAUSE: Duration = Duration::from_millis(250);
-
-/// Logs the loss and the return of a part of the store.
-fn note_connection(connected: &mut bool, what: &'static str, err: Option<&Error>) {
-    match err {
-        Some(err) if *connected => log::warn!(what, error:% = err; "store lost"),
-        None if !*connected => log::info!(what; "store regained"),
-        _ => {}
-    }
-    *connected = err.is_none();
+/// Shortest pause after a failed call, which doubles up to the longest one; at random up to as much more, so that nodes
+/// do not return together. Calls that the store refuses are priced as well; after its return, the longest pause
+/// leaves half of the time in which entries that lapsed come back.
+const MIN_PAUSE: Duration = Duration::from_millis(250);
+const MAX_PAUSE: Duration = Duration::from_millis(700);
+
+/// Whether a part of the store can be read, for the log and the pace of further calls.
+#[derive(Debug)]
+struct Access {
+    what: &'static str,
+    failures: u32,
 }
 
-async fn pause() {
-    let more = rand::rng().random_range(0.0..1.0);
-    sleep(FAILURE_PAUSE + FAILURE_PAUSE.mul_f64(more)).await;
+impl Access {
+    fn new(what: &'static str) -> Self {
+        Self { what, failures: 0 }
+    }
+
+    /// Logs the loss and the return; pauses after a failure.
+    async fn note(&mut self, err: Option<&Error>) {
+        let what = self.what;
+        let Some(err) = err else {
+            if self.failures > 0 {
+                log::info!(what, failures = self.failures; "store regained");
+            }
+            self.failures = 0;
+            return;
+        };
+        if self.failures == 0 {
+            log::warn!(what, error:% = err; "store lost");
+        }
+        let pause = MIN_PAUSE.saturating_mul(1 << self.failures.min(4)).min(MAX_PAUSE);
+        self.failures = self.failures.saturating_add(1);
+        let more = rand::rng().random_range(0.0..1.0);
+        sleep(pause + pause.mul_f64(more)).await;
+    }
 }
 
 /// Reads all pages of a topic; records that change meanwhile are read again behind the end of the first page.
--- a/crates/entry/src/follow/engines.rs
+++ b/crates/entry/src/follow/engines.rs
@@ -11,7 +11,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
-use super::{note_connection, pause, read_all};
+use super::{Access, read_all};
 use crate::clock;
 use crate::dialect::{Fact, Tail, Topic};
 use crate::relay::{self, Change, Subject};
@@ -27,17 +27,14 @@
 /// Follows the list of engines: reads everything, then changes at a steady pace.
 pub(crate) async fn run(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut next = None;
-    let mut connected = true;
+    let mut access = Access::new("list of engines");
     loop {
         let result = match next {
             None => read_engines(&shared).await.map(Some),
             Some(from) => follow(&shared, &socket, from).await,
         };
-        note_connection(&mut connected, "list of engines", result.as_ref().err());
-        match result {
-            Ok(it) => next = it,
-            Err(_) => pause().await,
-        }
+        access.note(result.as_ref().err()).await;
+        next = result.unwrap_or(next);
     }
 }
 
--- a/crates/entry/src/follow/operators.rs
+++ b/crates/entry/src/follow/operators.rs
@@ -9,7 +9,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
-use super::{note_connection, pause, read_all};
+use super::{Access, read_all};
 use crate::clock;
 use crate::dialect::{Fact, Tail, Topic};
 use crate::relay::{self, Subject};
@@ -19,17 +19,14 @@
 /// Follows what operators write: reads everything, then waits for changes.
 pub(crate) async fn run(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut next = None;
-    let mut connected = true;
+    let mut access = Access::new("operators' records");
     loop {
         let result = match next {
             None => read_operators(&shared).await.map(Some),
             Some(from) => follow(&shared, &socket, from).await,
         };
-        note_connection(&mut connected, "operators' records", result.as_ref().err());
-        match result {
-            Ok(it) => next = it,
-            Err(_) => pause().await,
-        }
+        access.note(result.as_ref().err()).await;
+        next = result.unwrap_or(next);
     }
 }
 
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -87,7 +87,7 @@
         .header_read_timeout(idle)
         .max_buf_size(head)
         // A connection that is made while the node leaves serves one request.
-        .keep_alive(!*leaving.borrow_and_update())
+        .keep_alive(leaving.borrow_and_update().is_none())
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let result = tokio::select! {
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -152,9 +152,9 @@
 async fn leave(shared: &Shared) -> usize {
     let bounds = shared.settings().bounds.clone();
     let begin = clock::now();
-    shared.leaving.send_replace(true);
-    // Callers use an entry answer for up to three times its lifetime, and one may have been given just now.
-    let serve = bounds.entry_lifetime * 3 + Duration::from_millis(500);
+    shared.leaving.send_replace(Some(begin));
+    // An entry answer may have been given just now.
+    let serve = bounds.entry_lifetime * Shared::LIFETIMES + Duration::from_millis(500);
     let most = bounds.grace.saturating_sub(GRACE_MARGIN);
     loop {
         let elapsed = clock::now().saturating_sub(begin);
--- a/crates/entry/src/releases.rs
+++ b/crates/entry/src/releases.rs
@@ -59,8 +59,8 @@
     sender: String,
     /// Whether the sender is a judge, which tells everyone.
     judge: bool,
-    /// Answers by route: old, bad old, new, bad new.
-    counters: BTreeMap<String, [u64; 4]>,
+    /// Answers by route: of the old version all, the failures and the slow ones, then those of the new one.
+    counters: BTreeMap<String, [u64; 6]>,
     halted: bool,
     /// Sessions that stay on the old version: for each the place in four bytes, and the time since its last request in
     /// units of [`AGE_UNIT`]; in base64.
@@ -249,13 +249,13 @@
 fn notice(shared: &Shared, release: &Release, judge: bool, held: String) -> Notice {
     let now = clock::now();
     let counters = release.counters(shared.incarnation).into_iter().flatten();
-    let row = |(route, it): (&Name, &Tally)| (route.to_string(), [it.old, it.old_bad, it.new, it.new_bad]);
+    let named = |(route, it): (&Name, &Tally)| (route.to_string(), row(it));
     Notice {
         service: release.order().service.to_string(),
         order: release.order().offset,
         sender: shared.incarnation.to_string(),
         judge,
-        counters: counters.map(row).collect(),
+        counters: counters.map(named).collect(),
         halted: release.is_halted(),
         held,
         status: release.newest_status(now).map(|it| Recorded {
@@ -305,12 +305,18 @@
     }
 }
 
-fn counters(rows: BTreeMap<String, [u64; 4]>) -> Counters {
-    let tally = |[old, old_bad, new, new_bad]: [u64; 4]| Tally {
+fn row(it: &Tally) -> [u64; 6] {
+    [it.old, it.old_bad, it.old_slow, it.new, it.new_bad, it.new_slow]
+}
+
+fn counters(rows: BTreeMap<String, [u64; 6]>) -> Counters {
+    let tally = |[old, old_bad, old_slow, new, new_bad, new_slow]: [u64; 6]| Tally {
         old,
         old_bad,
+        old_slow,
         new,
         new_bad,
+        new_slow,
     };
     rows.into_iter()
         .map(|(route, it)| (route.into(), tally(it)))
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -121,6 +121,10 @@
     let body = read_body(body, limits).await?;
     let now = clock::now();
     let (route, organisation) = authorise(shared, &head, &demand, now)?;
+    // A stream that begins now could be cut off by the end of the process; a call is over before.
+    if matches!(route.kind, Kind::Stream { .. }) && shared.has_left(now) {
+        return Err(Refusal::Leaving);
+    }
     let service = route
         .service(&mut rand::rng())
         .cloned()
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -14,7 +14,7 @@
 use forward::lane::{Lanes, Work};
 use forward::load::Loads;
 use forward::placement::Size;
-use forward::release::{Arm, Release, Stage};
+use forward::release::{Arm, Grade, Release, Stage};
 use membership::Table;
 use model::{Incarnation, Name};
 use tokio::sync::watch;
@@ -47,7 +47,8 @@
     pub engines_known: AtomicBool,
     /// Requests of callers that were read and have no final answer.
     pub active: AtomicUsize,
-    pub leaving: watch::Sender<bool>,
+    /// When a planned stop began.
+    pub leaving: watch::Sender<Option<Moment>>,
 }
 
 /// Locks a part of the state; a panic of another task does not make it unusable.
@@ -60,6 +61,9 @@
     /// lapses after three, and its last renewal may be one old when the outage begins.
     const OUTAGE_HEARTBEATS: u32 = 2;
 
+    /// Lifetimes for which some callers keep an answer with entry addresses; stated by the platform.
+    pub(crate) const LIFETIMES: u32 = 3;
+
     /// Prompt tokens that take about as long to read as a request usually waits in an engine's queue.
     const QUEUE_TOKENS: f64 = 2000.0;
 
@@ -89,7 +93,7 @@
             metrics: Metrics::new(),
             engines_known: AtomicBool::new(false),
             active: AtomicUsize::new(0),
-            leaving: watch::Sender::new(false),
+            leaving: watch::Sender::new(None),
         }
     }
 
@@ -107,7 +111,14 @@
 
     /// Whether the node is about to stop.
     pub(crate) fn is_leaving(&self) -> bool {
-        *self.leaving.borrow()
+        self.leaving.borrow().is_some()
+    }
+
+    /// Whether no caller that asked for entry addresses before the planned stop still uses this node's.
+    pub(crate) fn has_left(&self, now: Moment) -> bool {
+        let lifetime = self.settings().bounds.entry_lifetime * Self::LIFETIMES;
+        let begin = *self.leaving.borrow();
+        begin.is_some_and(|it| now.saturating_sub(it) >= lifetime)
     }
 
     /// Whether callers may be sent to this node.
@@ -222,10 +233,10 @@
     }
 
     /// Counts an answer for the release under way on a service, if there is one.
-    pub(crate) fn note_answer(&self, service: &Name, route: &Name, arm: Arm, bad: bool) {
+    pub(crate) fn note_answer(&self, service: &Name, route: &Name, arm: Arm, grade: Grade) {
         if let Some(release) = lock(&self.releases).get_mut(service) {
             let halted = release.is_halted();
-            release.answered(self.incarnation, route, arm, bad);
+            release.answered(self.incarnation, route, arm, grade);
             if release.is_halted() && !halted {
                 let target = &release.order().target;
                 log::warn!(service = **service, target = **target, route = **route; "release halted: bad answers");
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -9,7 +9,7 @@
 //! - [`event`]: event streams cut at event boundaries, continued without gaps or repetitions
 //! - [`allowance`]: the share of the fleet's retry budget that a node may use
 //! - [`relay`]: readings of the store that nodes pass on to each other
-//! - [`release`]: how much traffic a new version of a service gets
+//! - [`evidence`], [`release`]: how much traffic a new version of a service gets
 
 use std::time::Duration;
 
@@ -18,6 +18,7 @@
 pub mod catalog;
 pub mod directory;
 pub mod event;
+pub mod evidence;
 pub mod flow;
 pub mod lane;
 pub mod load;
--- a/crates/forward/src/release.rs
+++ b/crates/forward/src/release.rs
@@ -4,12 +4,14 @@
 //! may drive it. Nodes exchange counters of answers for each route and version. A version that fails or is slow on
 //! one route gets no more traffic on any node that knows so, and the driver records that it was reverted.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::time::Duration;
 
 use model::{Incarnation, Name, hash};
 
 use crate::Moment;
+use crate::evidence::Evidence;
+pub use crate::evidence::{Counters, Grade, Tally};
 
 /// An operators' order.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -82,43 +84,6 @@
     New,
 }
 
-/// Answers on one route.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Tally {
-    /// Answers of the old version.
-    pub old: u64,
-    /// Those that were failures.
-    pub old_bad: u64,
-    /// Answers of the new version.
-    pub new: u64,
-    /// Those that were failures or far slower than the old version's.
-    pub new_bad: u64,
-}
-
-impl Tally {
-    fn add(&mut self, other: &Self) {
-        self.old += other.old;
-        self.old_bad += other.old_bad;
-        self.new += other.new;
-        self.new_bad += other.new_bad;
-    }
-
-    fn is_bad(&self) -> bool {
-        let old = self.old_bad as f64 / self.old.max(1) as f64;
-        let new = self.new_bad as f64 / self.new.max(1) as f64;
-        self.new_bad >= MIN_BAD && new > BAD_SHARE + 2.0 * old
-    }
-}
-
-/// The counters of one process, by route.
-pub type Counters = BTreeMap<Name, Tally>;
-
-/// Bad answers before a version can be judged; fewer may come from an engine that crashes.
-const MIN_BAD: u64 = 4;
-
-/// Share of bad answers on one route above which a version is bad, besides twice the old version's share.
-const BAD_SHARE: f64 = 0.15;
-
 /// Answers of the new version before it may get more traffic.
 const MIN_ANSWERS: u64 = 24;
 
@@ -168,7 +133,7 @@
     effective: Duration,
     recorded: bool,
     halted: bool,
-    counters: HashMap<Incarnation, Counters>,
+    evidence: Evidence,
     /// Time within which requests of a session follow each other.
     session: Duration,
     /// Sessions that the first stage would move and that were seen on the old version, with the last time.
@@ -188,7 +153,7 @@
             effective: Duration::ZERO,
             recorded: false,
             halted: false,
-            counters: HashMap::new(),
+            evidence: Evidence::default(),
             session,
             held: HashMap::new(),
             judge_heard: None,
@@ -333,32 +298,20 @@
     }
 
     /// Counts an answer of this process.
-    pub fn answered(&mut self, own: Incarnation, route: &Name, arm: Arm, bad: bool) {
-        let counters = self.counters.entry(own).or_default();
-        let tally = counters.entry(route.clone()).or_default();
-        let bad = u64::from(bad);
-        match arm {
-            Arm::Old => (tally.old, tally.old_bad) = (tally.old + 1, tally.old_bad + bad),
-            Arm::New => (tally.new, tally.new_bad) = (tally.new + 1, tally.new_bad + bad),
-        }
-        self.judge();
+    pub fn answered(&mut self, own: Incarnation, route: &Name, arm: Arm, grade: Grade) {
+        self.evidence.count(own, route, arm, grade);
+        self.halted |= self.evidence.is_against();
     }
 
     /// The counters of one process.
     pub fn counters(&self, of: Incarnation) -> Option<&Counters> {
-        self.counters.get(&of)
+        self.evidence.counters(of)
     }
 
-    /// Takes over another process's counters; they only grow, so the larger ones are the newer ones.
+    /// Takes over another process's counters.
     pub fn merge(&mut self, of: Incarnation, counters: Counters) {
-        let known = self.counters.entry(of).or_default();
-        for (route, tally) in counters {
-            let known = known.entry(route).or_default();
-            if tally.old + tally.new >= known.old + known.new {
-                *known = tally;
-            }
-        }
-        self.judge();
+        self.evidence.merge(of, counters);
+        self.halted |= self.evidence.is_against();
     }
 
     /// What the driver should record now.
@@ -376,7 +329,7 @@
             return Decision::Record(Stage::Trial(0));
         }
         let part = self.elapsed(now).as_secs_f64() / self.order.duration.as_secs_f64().max(0.001);
-        if self.answers() < MIN_ANSWERS {
+        if self.evidence.answers() < MIN_ANSWERS {
             return Decision::Hold;
         }
         match STAGES.get(usize::from(stage) + 1) {
@@ -385,22 +338,4 @@
             _ => Decision::Hold,
         }
     }
-
-    fn answers(&self) -> u64 {
-        self.totals().values().map(|it| it.new).sum()
-    }
-
-    fn totals(&self) -> Counters {
-        let mut totals = Counters::new();
-        for (route, tally) in self.counters.values().flatten() {
-            totals.entry(route.clone()).or_default().add(tally);
-        }
-        totals
-    }
-
-    fn judge(&mut self) {
-        if !self.halted {
-            self.halted = self.totals().values().any(Tally::is_bad);
-        }
-    }
 }
