--- a/crates/entry/src/follow/engines.rs
+++ b/crates/entry/src/follow/engines.rs
@@ -6,7 +6,7 @@
 
 use forward::Moment;
 use forward::directory::Engine;
-use forward::relay::Reading;
+use forward::relay::Taken;
 use model::Upstream;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
@@ -41,11 +41,11 @@
 /// Learns changes from another node or reads them from the store, and waits until the next ones are due.
 async fn follow(shared: &Shared, socket: &UdpSocket, from: u64) -> Result<Option<u64>, Error> {
     let poll = shared.settings().store.engine_poll;
-    if let Some((reading, asked)) = ask(shared, socket, from, poll).await {
-        let changes = reading.changes.into_iter().map(Change::into_entry);
-        apply(shared, changes, reading.next, asked.saturating_sub(reading.age));
+    if let Some(taken) = ask(shared, socket, from, poll).await {
+        let changes = taken.changes.into_iter().map(Change::into_entry);
+        apply(shared, changes, taken.next, taken.at);
         sleep(poll.div_f64(relay::ASKS)).await;
-        return Ok(Some(reading.next));
+        return Ok(Some(taken.next));
     }
     let next = read_changes(shared, from).await?;
     if next.is_some() {
@@ -54,12 +54,7 @@
     Ok(next)
 }
 
-async fn ask(
-    shared: &Shared,
-    socket: &UdpSocket,
-    from: u64,
-    poll: Duration,
-) -> Option<(Reading<Change>, Moment)> {
+async fn ask(shared: &Shared, socket: &UdpSocket, from: u64, poll: Duration) -> Option<Taken<Change>> {
     let doubt = shared.settings().store.heartbeat * DOUBT_HEARTBEATS;
     // An engine that was taken for gone and lives shows it by its next heartbeat, which other nodes do not pass on.
     if lock(&shared.directory).has_forgotten(clock::now(), doubt) {
--- a/crates/entry/src/follow/operators.rs
+++ b/crates/entry/src/follow/operators.rs
@@ -34,8 +34,8 @@
 async fn follow(shared: &Shared, socket: &UdpSocket, from: u64) -> Result<Option<u64>, Error> {
     let wait = shared.settings().store.config_wait;
     match relay::ask(shared, socket, Subject::Operators, from, wait).await {
-        Some((reading, asked)) if reading.next == from => {
-            confirm(shared, from, asked.saturating_sub(reading.age));
+        Some(taken) if taken.next == from => {
+            confirm(shared, from, taken.at);
             sleep(wait.div_f64(relay::ASKS)).await;
             Ok(Some(from))
         }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -8,9 +8,8 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use forward::Moment;
 use forward::directory::Engine;
-use forward::relay::{Journal, READERS, Reading};
+use forward::relay::{Asked, Journal, READERS, Reading, Taken};
 use model::{Host, Upstream, hash};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
@@ -136,7 +135,7 @@
     }
 }
 
-/// Asks the readers of a subject for what lies behind `from`, with the moment from which its age counts.
+/// Asks the readers of a subject for what lies behind `from`.
 ///
 /// `pace` is the time between two readings of the store. `None` if this node has to read the store itself, because
 /// it is one of the readers, or because none of them has a recent reading.
@@ -146,43 +145,25 @@
     subject: Subject,
     from: u64,
     pace: Duration,
-) -> Option<(Reading<Change>, Moment)> {
+) -> Option<Taken<Change>> {
     for reader in readers(shared, subject)? {
         let sent = clock::now();
+        let own = lock(subject.journal(&shared.relay)).newest(sent);
+        let age = own.map_or(Duration::MAX, |(_, age)| age);
         let Some(reading) = ask_one(shared, socket, reader, subject, from).await else {
             continue;
         };
-        let reading = newer(shared, subject, from, reading, sent);
-        // Counted from the question on, an answer that took long is as old as it may be.
-        let age = clock::now().saturating_sub(sent.saturating_sub(reading.age));
-        if age <= pace.mul_f64(USABLE) {
+        let asked = Asked { from, age, sent };
+        let taken = asked.take(reading, clock::now(), pace.mul_f64(USABLE));
+        if taken.is_some() {
             let label = [("subject", subject.name())];
             shared.metrics.relayed.get_or_create(&label).inc();
-            return Some((reading, sent));
+            return taken;
         }
     }
     None
 }
 
-/// The reading that was received, or the own one if that goes further; a topic never moves back.
-fn newer(
-    shared: &Shared,
-    subject: Subject,
-    from: u64,
-    received: Reading<Change>,
-    now: Moment,
-) -> Reading<Change> {
-    if received.next >= from {
-        return received;
-    }
-    let own = lock(subject.journal(&shared.relay)).newest(now);
-    Reading {
-        next: from,
-        age: own.map_or(Duration::MAX, |(_, age)| age),
-        changes: vec![],
-    }
-}
-
 /// The nodes to ask, those of the own failure domain first; `None` if this node is itself a reader.
 fn readers(shared: &Shared, subject: Subject) -> Option<Vec<SocketAddr>> {
     let table = lock(&shared.members);
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -44,6 +44,52 @@
     pub changes: Vec<C>,
 }
 
+/// What the node that asked takes over.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Taken<C> {
+    /// Offset that the topic is known to after the changes.
+    pub next: u64,
+    /// Moment at which it was known to end there, on the clock of the node that asked.
+    pub at: Moment,
+    /// Changes in their order.
+    pub changes: Vec<C>,
+}
+
+/// A question to another node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Asked {
+    /// Offset that the topic is known to.
+    pub from: u64,
+    /// Age of that knowledge when the question was sent.
+    pub age: Duration,
+    /// When the question was sent.
+    pub sent: Moment,
+}
+
+impl Asked {
+    /// What an answer that arrived by `now` is good for; `None` if it is older than `limit`.
+    ///
+    /// The age counts from the question on: the answer was given later, so neither a slow datagram nor a suspended
+    /// host makes it look younger than it is. A topic never moves back, so an answer from behind only shows that
+    /// there was nothing newer to ask for.
+    pub fn take<C>(self, answer: Reading<C>, now: Moment, limit: Duration) -> Option<Taken<C>> {
+        let taken = if answer.next >= self.from {
+            Taken {
+                next: answer.next,
+                at: self.sent.saturating_sub(answer.age),
+                changes: answer.changes,
+            }
+        } else {
+            Taken {
+                next: self.from,
+                at: self.sent.saturating_sub(self.age),
+                changes: vec![],
+            }
+        };
+        (now.saturating_sub(taken.at) <= limit).then_some(taken)
+    }
+}
+
 impl<C: Clone> Journal<C> {
     /// A journal without a reading.
     pub fn new() -> Self {
