--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -33,6 +33,7 @@
     Diff(Diff),
     Show(Show),
     Status(Status),
+    State(State),
     Watch(Watch),
     Withdraw(Withdraw),
     Rollout(Rollout),
@@ -94,6 +95,15 @@
     pub key_file: Option<PathBuf>,
 }
 
+/// Prints what entry nodes of a platform believe, and how old that is.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "state")]
+pub struct State {
+    /// control address of a node; may be repeated
+    #[argh(option)]
+    pub node: Vec<SocketAddr>,
+}
+
 /// Prints each new record of the configuration log with its verdict.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "watch")]
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -43,6 +43,7 @@
         Command::Diff(it) => change::diff(it, args, format),
         Command::Show(it) => show::run(it, args, format),
         Command::Status(it) => nodes::status(it, format),
+        Command::State(it) => nodes::state(it, format),
         Command::Watch(it) => watch::run(it, args, format),
         Command::Withdraw(it) => change::withdraw(it, args, format),
         Command::Rollout(it) => change::rollout(it, args, format),
--- a/crates/ctl/src/nodes.rs
+++ b/crates/ctl/src/nodes.rs
@@ -8,23 +8,45 @@
 use attohttpc::RequestBuilder;
 use serde_json::{Value, json};
 
-use crate::args::{Drain, Status};
+use crate::args::{Drain, State, Status};
 use crate::failure::Failure;
 use crate::output::{self, Format};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// The command `status`: all nodes that answer are printed, then the first failure is returned.
+/// The command `status`.
 pub fn status(cmd: &Status, format: Format) -> Result<(), Failure> {
-    if cmd.node.is_empty() {
+    each(&cmd.node, format, |node| {
+        let request = attohttpc::get(url(node, "/admin/status"));
+        let status = call(request, node, cmd.key_file.as_deref())?;
+        output::print(&json!({"node": node, "status": status}), format, lines);
+        Ok(())
+    })
+}
+
+/// The command `state`.
+pub fn state(cmd: &State, format: Format) -> Result<(), Failure> {
+    each(&cmd.node, format, |node| {
+        let state = call(attohttpc::get(url(node, "/state")), node, None)?;
+        output::print(&json!({"node": node, "state": state}), format, state_lines);
+        Ok(())
+    })
+}
+
+/// Does something with all nodes, also when some fail; then the first failure is returned.
+fn each(
+    nodes: &[SocketAddr],
+    format: Format,
+    mut run: impl FnMut(SocketAddr) -> Result<(), Failure>,
+) -> Result<(), Failure> {
+    if nodes.is_empty() {
         return Err(Failure::NoNode);
     }
     let mut first_failure = None;
-    for node in &cmd.node {
-        let request = attohttpc::get(url(*node, "/admin/status"));
-        match call(request, *node, cmd.key_file.as_deref()) {
-            Ok(status) => output::print(&json!({"node": node, "status": status}), format, lines),
+    for node in nodes {
+        match run(*node) {
+            Ok(()) => {}
             Err(failure) => {
                 output::failure(&failure, format);
                 first_failure.get_or_insert(failure);
@@ -62,6 +84,35 @@
     Ok(serde_json::from_str(&text).unwrap_or(Value::String(text)))
 }
 
+/// One line for each part of a node's state, and for each engine, member and release in it.
+fn state_lines(value: &Value) -> Vec<String> {
+    let node = value["node"].as_str().unwrap_or_default();
+    let Value::Object(parts) = &value["state"] else {
+        return vec![format!("{node}  {}", value["state"])];
+    };
+    let line = |part: &str, value: &Value| format!("{node}  {part}  {}", fields(value));
+    let part_lines = |(part, value): (&String, &Value)| match value {
+        Value::Array(items) => items.iter().map(|it| line(part, it)).collect(),
+        value => vec![line(part, value)],
+    };
+    parts.iter().flat_map(part_lines).collect()
+}
+
+/// Fields of an object as `key=value`; strings without their quotes.
+fn fields(value: &Value) -> String {
+    let plain = |value: &Value| value.as_str().map_or_else(|| value.to_string(), str::to_owned);
+    match value {
+        Value::Object(fields) => {
+            let fields: Vec<_> = fields
+                .iter()
+                .map(|(key, it)| format!("{key}={}", plain(it)))
+                .collect();
+            fields.join(" ")
+        }
+        value => plain(value),
+    }
+}
+
 fn lines(value: &Value) -> Vec<String> {
     let node = value["node"].as_str().unwrap_or_default();
     match &value["status"] {
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -2,6 +2,8 @@
 
 #![expect(clippy::unwrap_used, reason = "helpers of tests may panic")]
 
+use std::io::{BufRead as _, BufReader, Write as _};
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Command, Output};
 
@@ -170,11 +172,61 @@
         &["check"],
         &["check", "/absent.json"],
         &["status"],
+        &["state"],
     ] {
         assert_eq!(bench.run(args).status.code(), Some(USAGE), "{args:?}");
     }
 }
 
+/// Answers each connection with a node's state.
+fn node_with_state() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let state = json!({
+        "ready": true,
+        "configuration": { "version": 7, "age_ms": 120 },
+        "engines": [{ "id": "e1", "draining": false }, { "id": "e2", "draining": true }],
+    })
+    .to_string();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let mut request = BufReader::new(stream.try_clone().unwrap()).lines();
+            assert!(request.next().unwrap().unwrap().starts_with("GET /state "));
+            request.find(|it| it.as_ref().is_ok_and(String::is_empty));
+            let length = state.len();
+            write!(
+                stream,
+                "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n{state}"
+            )
+            .unwrap();
+        }
+    });
+    address
+}
+
+/// Guards against a state that operators cannot read at a glance, or that a missing node hides.
+#[test]
+fn state_of_the_nodes_that_answer_is_printed() {
+    let bench = Bench::new("state");
+    let (node, gone) = (node_with_state().to_string(), "127.0.0.1:1");
+    let output = bench.run(&["state", "--node", gone, "--node", &node]);
+    assert_eq!(output.status.code(), Some(UNREACHABLE));
+    let printed: Value = serde_json::from_slice(&output.stdout).unwrap();
+    assert_eq!(printed["state"]["configuration"]["version"], 7);
+    let text = Command::new(env!("CARGO_BIN_EXE_bronzevalectl"))
+        .args(["state", "--node", &node])
+        .output()
+        .unwrap();
+    let text = String::from_utf8(text.stdout).unwrap();
+    let lines: Vec<_> = text
+        .lines()
+        .map(|it| it.trim_start_matches(&*node).trim())
+        .collect();
+    assert!(lines.contains(&"configuration  age_ms=120 version=7"), "{text}");
+    assert!(lines.contains(&"engines  draining=true id=e2"), "{text}");
+}
+
 /// Guards against a request that is billed twice when its batch, or its idempotency key, is in the log twice.
 #[test]
 fn bills_count_each_request_once() {
--- a/crates/daemon/tests/platform_node.rs
+++ b/crates/daemon/tests/platform_node.rs
@@ -154,6 +154,10 @@
     let daemon = Daemon::spawn("state");
     assert!(daemon.get("/metrics").contains("bronzevale_store_calls_total"));
     let state: serde_json::Value = serde_json::from_str(&daemon.get("/state")).unwrap();
+    assert_eq!(
+        state["readings"][0]["reads_store"], true,
+        "a single node reads the store itself"
+    );
     assert_eq!(state["configuration"]["version"], 1);
     assert!(
         state["configuration"]["age_ms"]
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use forward::Moment;
+use forward::directory::Engine;
 use hyper::http::request::Parts;
 use hyper::{Response, StatusCode};
 use model::Domain;
@@ -10,7 +12,7 @@
 
 use crate::answer::{Payload, whole};
 use crate::shared::{Shared, lock};
-use crate::{clock, follow};
+use crate::{clock, follow, relay};
 
 /// Members in the caller's failure domain from which no others are named. Bytes between domains are priced; with a
 /// single member, a caller would have nowhere to go when it fails.
@@ -78,6 +80,20 @@
     answer.entries.iter().map(|it| it.address).collect()
 }
 
+/// An engine as the node sees it; `requests` counts those that it is believed to work on or to hold in its queue.
+fn engine(shared: &Shared, engine: &Engine, now: Moment) -> serde_json::Value {
+    let loads = lock(&shared.loads);
+    let load = loads.get(engine);
+    json!({
+        "id": *engine.id,
+        "service": *engine.service,
+        "version": *engine.version,
+        "draining": engine.draining,
+        "requests": load.map_or(0.0, |it| it.requests(now)),
+        "avoided": load.is_some_and(|it| it.is_avoided(now)),
+    })
+}
+
 /// What the node believes, and how old that is.
 fn state(shared: &Shared) -> serde_json::Value {
     let now = clock::now();
@@ -90,7 +106,7 @@
     drop(catalog);
     let engines: Vec<_> = follow::engines::listed(shared)
         .iter()
-        .map(|it| json!({ "id": *it.id, "service": *it.service, "version": *it.version, "draining": it.draining }))
+        .map(|it| engine(shared, it, now))
         .collect();
     let members: Vec<_> = lock(&shared.members)
         .live(now)
@@ -108,6 +124,7 @@
     json!({
         "ready": shared.is_ready(),
         "configuration": configuration,
+        "readings": relay::state(shared, now),
         "engines": engines,
         "members": members,
         "releases": releases,
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -8,11 +8,13 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use forward::Moment;
 use forward::directory::Engine;
 use forward::relay::{Asked, Journal, READERS, Reading, Taken};
 use model::{Host, Upstream, hash};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
+use serde_json::json;
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -179,6 +181,20 @@
     Some(readers.into_iter().map(|it| it.addresses.gossip).collect())
 }
 
+/// What is known of each topic, for operators: its offset, how old that is, and whether this node reads the store.
+pub(crate) fn state(shared: &Shared, now: Moment) -> Vec<serde_json::Value> {
+    let subject = |subject: Subject| {
+        let newest = lock(subject.journal(&shared.relay)).newest(now);
+        json!({
+            "subject": subject.name(),
+            "offset": newest.map(|it| it.0),
+            "age_ms": newest.map(|it| it.1.as_millis() as u64),
+            "reads_store": readers(shared, subject).is_none(),
+        })
+    };
+    [Subject::Operators, Subject::Engines].map(subject).into()
+}
+
 async fn ask_one(
     shared: &Shared,
     socket: &UdpSocket,
