--- a/crates/demo/tests/quality.rs
+++ b/crates/demo/tests/quality.rs
@@ -116,16 +116,23 @@
     let cluster = start();
     cluster.rating.update(|it| it.delay_ms = 900);
     let address = cluster.addresses()[0];
+    let mut times = vec![];
     for _ in 0..20 {
         let start = Instant::now();
         let chat = chat(address, KEY, "any", &[("X-Task-Class", "interactive")]);
         assert!(chat.complete, "{chat:?}");
-        assert!(
-            start.elapsed() < Duration::from_millis(600),
-            "{:?}",
-            start.elapsed()
-        );
+        times.push(start.elapsed());
     }
+    // A single slow answer may be the machine's; the node counts each one that it holds back.
+    assert_eq!(metric(address, "rating_waits_total"), 0.0);
+    times.sort_unstable();
+    assert!(times[times.len() / 2] < Duration::from_millis(600), "{times:?}");
+    // The counter shows the answers of a cascade, which do wait.
+    chat(address, KEY, "any", &[]);
+    wait("a held answer", Duration::from_secs(10), || {
+        chat(address, KEY, "any", &[]);
+        metric(address, "rating_waits_total") > 0.0
+    });
 }
 
 /// Guards against requests that fail, or wait for more than one time-out of a rating for each step, while the rating
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -109,6 +109,8 @@
     pub ratings_late: Counter,
     /// Ratings that did not arrive in time.
     pub ratings_missing: Counter,
+    /// Answers that were held back for their rating.
+    pub rating_waits: Counter,
     /// Billing records that are not in the log yet.
     pub billing_unsettled: Gauge,
     /// Answers released before their billing record was replicated.
@@ -153,6 +155,7 @@
             ratings: Counter::default(),
             ratings_late: Counter::default(),
             ratings_missing: Counter::default(),
+            rating_waits: Counter::default(),
             billing_unsettled: Gauge::default(),
             billing_underreplicated: Counter::default(),
             billing_append_failures: Counter::default(),
@@ -288,6 +291,11 @@
             ("ratings", "Ratings in time", &self.ratings),
             ("ratings_late", "Ratings after their time-out", &self.ratings_late),
             ("ratings_missing", "Ratings not in time", &self.ratings_missing),
+            (
+                "rating_waits",
+                "Answers held back for a rating",
+                &self.rating_waits,
+            ),
         ];
         for (name, help, counter) in ratings {
             registry.register(name, help, counter.clone());
--- a/crates/node/src/ratings.rs
+++ b/crates/node/src/ratings.rs
@@ -71,6 +71,7 @@
 
 /// Asks for the rating of an answer that is held back. The receiver is disconnected if no rating will arrive.
 pub(crate) fn gate(shared: &Shared, task: Task) -> Receiver<Verdict> {
+    shared.metrics.rating_waits.inc();
     let (reply, verdict) = bounded(1);
     queue(shared, &shared.ratings.gates.0, task, Some(reply));
     verdict
