--- a/crates/config/tests/schedules.rs
+++ b/crates/config/tests/schedules.rs
@@ -3,30 +3,15 @@
 
 mod world;
 
-use proptest::prelude::*;
-use proptest::test_runner::{RngSeed, TestError, TestRunner};
 use world::schedule::{Fault, Kind, Publication, Schedule, schedules};
 use world::{Mutant, Violation};
 
-fn config(cases: u32) -> ProptestConfig {
-    let default = ProptestConfig::default();
-    ProptestConfig {
-        cases: default.cases.max(cases),
-        rng_seed: RngSeed::Fixed(1),
-        failure_persistence: None,
-        max_shrink_iters: 3000,
-        ..default
-    }
-}
-
-proptest! {
-    #![proptest_config(config(1000))]
+/// Schedules of each test.
+const CASES: u32 = 1000;
 
-    #[test]
-    fn rules_hold(schedule in schedules()) {
-        let broken = world::run(schedule, Mutant::None).err();
-        prop_assert_eq!(broken, None);
-    }
+#[test]
+fn rules_hold() {
+    schedule::holds(CASES, &schedules(), |it| world::run(it, Mutant::None).map(drop));
 }
 
 macro_rules! regressions {
@@ -55,27 +40,11 @@
         (500, 0, 0, 0), (500, 0, 0, 0), (500, 0, 0, 0)];
 }
 
-/// Runs schedules until the deliberate fault breaks the expected rule.
-fn caught(mutant: Mutant, expected: Violation) {
-    let mut runner = TestRunner::new(ProptestConfig {
-        max_shrink_iters: 0,
-        ..config(1000)
-    });
-    let result = runner.run(&schedules(), |schedule| match world::run(schedule, mutant) {
-        Err(broken) if broken == expected => Err(TestCaseError::fail("caught")),
-        Ok(_) | Err(_) => Ok(()),
-    });
-    assert!(
-        matches!(result, Err(TestError::Fail(..))),
-        "{expected:?} does not notice {mutant:?}"
-    );
-}
-
 macro_rules! mutants {
     ($($name:ident: $mutant:ident => $violation:ident;)*) => {
         $(#[test]
         fn $name() {
-            caught(Mutant::$mutant, Violation::$violation);
+            schedule::notices(CASES, &schedules(), &Violation::$violation, |it| world::run(it, Mutant::$mutant).map(drop));
         })*
     };
 }
--- a/crates/forward/tests/relay_schedules.rs
+++ b/crates/forward/tests/relay_schedules.rs
@@ -11,12 +11,14 @@
 use forward::Moment;
 use forward::relay::{Asked, Journal, Reading, Taken};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
 type Change = (u8, Option<u8>);
 
 const NODES: usize = 4;
 
+/// Schedules of each test.
+const CASES: u32 = 3000;
+
 /// Age of the oldest usable answer.
 const LIMIT: Duration = Duration::from_millis(500);
 
@@ -32,6 +34,14 @@
     ReadingFromArrival,
 }
 
+#[derive(Debug, PartialEq, Eq)]
+enum Violation {
+    /// A node's state is not that of the log up to its offset.
+    State,
+    /// A node lacks a record from before the moment at which it counts its knowledge as current.
+    Currency,
+}
+
 #[derive(Debug, Clone)]
 enum Step {
     Write(Change),
@@ -227,19 +237,18 @@
         }
     }
 
-    fn check(&self) -> Result<(), TestCaseError> {
+    fn check(&self) -> Result<(), Violation> {
         for node in &self.nodes {
             let known = usize::try_from(node.next.unwrap_or(0)).unwrap();
             let mut expected = Node::default();
             let records: Vec<_> = self.log[..known].iter().map(|it| it.0).collect();
             expected.apply(&records, 0, node.current);
-            prop_assert_eq!(&node.state, &expected.state);
-            let written = self.log.iter().filter(|it| it.1 < node.current).count();
-            prop_assert!(
-                written <= known,
-                "{written} records before {:?}, {known} known",
-                node.current
-            );
+            if node.state != expected.state {
+                return Err(Violation::State);
+            }
+            if self.log.iter().filter(|it| it.1 < node.current).count() > known {
+                return Err(Violation::Currency);
+            }
         }
         Ok(())
     }
@@ -258,45 +267,32 @@
     prop::collection::vec(step, 1..120)
 }
 
-fn run(fault: Option<Fault>, cases: u32) -> bool {
-    let config = Config {
-        cases,
-        failure_persistence: None,
-        ..Config::default()
-    };
-    // The same schedules in each run, so that the verdict is the same.
-    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
-    let result = TestRunner::new_with_rng(config, rng).run(&steps(), |steps| {
-        let mut world = World::new(fault);
-        for step in &steps {
-            world.step(step);
-            world.check()?;
-        }
-        Ok(())
-    });
-    if let Err(err) = &result {
-        println!("{fault:?}: {err}");
+fn run(steps: &[Step], fault: Option<Fault>) -> Result<(), Violation> {
+    let mut world = World::new(fault);
+    for step in steps {
+        world.step(step);
+        world.check()?;
     }
-    result.is_ok()
+    Ok(())
 }
 
 #[test]
-fn knowledge_is_never_younger_than_it_seems() {
-    assert!(run(None, 3000));
+fn rules_hold() {
+    schedule::holds(CASES, &steps(), |it| run(&it, None));
 }
 
 macro_rules! faults {
-    ($($name:ident: $fault:ident;)*) => {
+    ($($name:ident: $fault:ident => $violation:ident;)*) => {
         $(#[test]
         fn $name() {
-            assert!(!run(Some(Fault::$fault), 3000), "the checks miss the fault");
+            schedule::notices(CASES, &steps(), &Violation::$violation, |it| run(&it, Some(Fault::$fault)));
         })*
     };
 }
 
 faults! {
-    age_that_counts_from_the_arrival_is_caught: AgeFromArrival;
-    topic_that_moves_back_is_caught: MoveBack;
-    journal_that_passes_over_changes_is_caught: NoFloor;
-    reading_that_counts_from_its_arrival_is_caught: ReadingFromArrival;
+    age_from_the_arrival_is_noticed: AgeFromArrival => Currency;
+    topic_that_moves_back_is_noticed: MoveBack => State;
+    journal_that_passes_over_changes_is_noticed: NoFloor => State;
+    reading_from_its_arrival_is_noticed: ReadingFromArrival => Currency;
 }
--- a/crates/forward/tests/release_schedules.rs
+++ b/crates/forward/tests/release_schedules.rs
@@ -9,10 +9,12 @@
 use forward::release::{Arm, Decision, Grade, Order, Release, Stage, Status};
 use model::{Incarnation, Name};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
 const NODES: usize = 3;
 
+/// Schedules of each test.
+const CASES: u32 = 3000;
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Fault {
     /// A record stands whatever was recorded meanwhile.
@@ -21,6 +23,16 @@
     NoReading,
 }
 
+#[derive(Debug, PartialEq, Eq)]
+enum Violation {
+    /// More than one end is recorded.
+    Ends,
+    /// A record goes back to an earlier stage.
+    Order,
+    /// A node goes back to an earlier stage.
+    Return,
+}
+
 #[derive(Debug, Clone)]
 enum Step {
     Wait(u16),
@@ -157,18 +169,24 @@
         }
     }
 
-    fn check(&mut self) -> Result<(), TestCaseError> {
-        let ends = self
+    fn check(&mut self) -> Result<(), Violation> {
+        if self
             .records
             .iter()
             .filter(|it| it.stage >= Stage::Complete)
-            .count();
-        prop_assert!(ends <= 1, "{ends} ends");
-        let stages: Vec<_> = self.records.iter().map(|it| it.stage).collect();
-        prop_assert!(stages.is_sorted(), "{stages:?}");
+            .count()
+            > 1
+        {
+            return Err(Violation::Ends);
+        }
+        if !self.records.is_sorted_by_key(|it| it.stage) {
+            return Err(Violation::Order);
+        }
         for node in &mut self.nodes {
             let stage = node.release.stage();
-            prop_assert!(stage >= node.highest, "{stage:?} after {:?}", node.highest);
+            if stage < node.highest {
+                return Err(Violation::Return);
+            }
             node.highest = stage;
         }
         Ok(())
@@ -189,43 +207,30 @@
     prop::collection::vec(step, 1..150)
 }
 
-fn run(fault: Option<Fault>, cases: u32) -> bool {
-    let config = Config {
-        cases,
-        failure_persistence: None,
-        ..Config::default()
-    };
-    // The same schedules in each run, so that the verdict is the same.
-    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
-    let result = TestRunner::new_with_rng(config, rng).run(&steps(), |steps| {
-        let mut world = World::new(fault);
-        for step in &steps {
-            world.step(step);
-            world.check()?;
-        }
-        Ok(())
-    });
-    if let Err(err) = &result {
-        println!("{fault:?}: {err}");
+fn run(steps: &[Step], fault: Option<Fault>) -> Result<(), Violation> {
+    let mut world = World::new(fault);
+    for step in steps {
+        world.step(step);
+        world.check()?;
     }
-    result.is_ok()
+    Ok(())
 }
 
 #[test]
-fn release_has_one_end_and_never_goes_back() {
-    assert!(run(None, 3000));
+fn rules_hold() {
+    schedule::holds(CASES, &steps(), |it| run(&it, None));
 }
 
 macro_rules! faults {
-    ($($name:ident: $fault:ident;)*) => {
+    ($($name:ident: $fault:ident => $violation:ident;)*) => {
         $(#[test]
         fn $name() {
-            assert!(!run(Some(Fault::$fault), 3000), "the checks miss the fault");
+            schedule::notices(CASES, &steps(), &Violation::$violation, |it| run(&it, Some(Fault::$fault)));
         })*
     };
 }
 
 faults! {
-    record_without_a_condition_is_caught: NoCondition;
-    decision_on_old_records_is_caught: NoReading;
+    record_without_a_condition_is_noticed: NoCondition => Ends;
+    decision_on_old_records_is_noticed: NoReading => Order;
 }
--- a/crates/membership/tests/schedules.rs
+++ b/crates/membership/tests/schedules.rs
@@ -9,12 +9,14 @@
 use fleet::Fleet;
 use membership::{Event, Readiness, Settings, State};
 use proptest::prelude::*;
-use proptest::test_runner::{RngSeed, TestError, TestRunner};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
 const SECOND: Duration = Duration::from_secs(1);
 
+/// Schedules of each test.
+const CASES: u32 = 1000;
+
 /// Time of the faults; a quiet time follows, after which all nodes must agree.
 const ACTIVE: Duration = Duration::from_secs(60);
 const QUIET: Duration = Duration::from_secs(45);
@@ -291,47 +293,16 @@
     faults.any(|it| (it.start..it.start + it.length).contains(&now))
 }
 
-fn config(cases: u32) -> ProptestConfig {
-    let default = ProptestConfig::default();
-    ProptestConfig {
-        cases: default.cases.max(cases),
-        rng_seed: RngSeed::Fixed(1),
-        failure_persistence: None,
-        max_shrink_iters: 2000,
-        ..default
-    }
-}
-
-proptest! {
-    #![proptest_config(config(1000))]
-
-    #[test]
-    fn rules_hold(schedule in schedules()) {
-        prop_assert_eq!(run(schedule, Mutant::None).err(), None);
-    }
-}
-
-/// Runs schedules until the deliberate fault breaks the expected rule.
-fn caught(mutant: Mutant, expected: Violation) {
-    let mut runner = TestRunner::new(ProptestConfig {
-        max_shrink_iters: 0,
-        ..config(1000)
-    });
-    let result = runner.run(&schedules(), |schedule| match run(schedule, mutant) {
-        Err(broken) if broken == expected => Err(TestCaseError::fail("caught")),
-        Ok(()) | Err(_) => Ok(()),
-    });
-    assert!(
-        matches!(result, Err(TestError::Fail(..))),
-        "{expected:?} does not notice {mutant:?}"
-    );
+#[test]
+fn rules_hold() {
+    schedule::holds(CASES, &schedules(), |it| run(it, Mutant::None));
 }
 
 macro_rules! mutants {
     ($($name:ident: $mutant:ident => $violation:ident;)*) => {
         $(#[test]
         fn $name() {
-            caught(Mutant::$mutant, Violation::$violation);
+            schedule::notices(CASES, &schedules(), &Violation::$violation, |it| run(it, Mutant::$mutant));
         })*
     };
 }
