forward: engines that fail at once do not attract requests

Failures of engines were not held against them, because plain services fail some requests wherever they run; an engine that fails at once always looks idle, so it was chosen first, for all three attempts.

Change, for streams: failures count as load (smoothed share, half of it over after 15 s), and a request that has failed elsewhere prefers engines that answered this node well within 10 s.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -302,6 +302,10 @@
     let (shared, route) = (&job.shared, &job.route.name);
     if status.is_server_error() {
         shared.note_answer(&job.service, route, arm, Grade::Bad);
+        // Plain services fail some requests wherever they run, which says nothing about the engine.
+        if matches!(job.route.kind, Kind::Stream { .. }) {
+            note_failure(job, engine, Failure::Failed);
+        }
         let promises = status == StatusCode::SERVICE_UNAVAILABLE;
         let answer = sent.collect(job.remaining()).await.ok();
         return Outcome::Failed {
@@ -315,7 +319,7 @@
         .usual(route, job.model.as_ref(), job.prompt_tokens())
         .unwrap_or(elapsed);
     let ratio = elapsed.as_secs_f64() / usual.as_secs_f64().max(0.001);
-    lock(&shared.loads).answered(engine, ratio);
+    lock(&shared.loads).answered(engine, ratio, clock::now());
     if arm == Arm::Old {
         shared.note_first_byte(route, job.model.as_ref(), job.prompt_tokens(), elapsed);
     }
--- a/crates/forward/src/load.rs
+++ b/crates/forward/src/load.rs
@@ -35,6 +35,10 @@
     reported: Option<Moment>,
     failures: u32,
     avoided: Option<Moment>,
+    /// Smoothed share of failures among its answers.
+    errors: f64,
+    failed: Option<Moment>,
+    succeeded: Option<Moment>,
     /// Smoothed time to the first byte relative to that of the whole service.
     slowness: f64,
     samples: u32,
@@ -47,6 +51,15 @@
     /// Smoothing factor of the slowness.
     const GAIN: f64 = 0.15;
 
+    /// Smoothing factor of the errors: one failure among good answers costs little, two in a row much.
+    const ERROR_GAIN: f64 = 0.4;
+
+    /// Time after which half of the errors are taken to be over; an engine that gets no requests cannot show it.
+    const ERROR_HALF_LIFE: Duration = Duration::from_secs(15);
+
+    /// Age up to which an answer proves that an engine works.
+    const PROOF: Duration = Duration::from_secs(10);
+
     /// Samples before the slowness counts.
     const MIN_SAMPLES: u32 = 4;
 
@@ -59,6 +72,9 @@
             reported: None,
             failures: 0,
             avoided: None,
+            errors: 0.0,
+            failed: None,
+            succeeded: None,
             slowness: 1.0,
             samples: 0,
         }
@@ -67,10 +83,19 @@
     /// Estimated number of requests at the engine, those that wait included.
     pub fn requests(&self, now: Moment) -> f64 {
         let age = self.reported.map(|it| now.saturating_sub(it));
-        let decay = age.map_or(0.0, |it| {
-            0.5_f64.powf(it.as_secs_f64() / Self::HALF_LIFE.as_secs_f64())
-        });
-        f64::from(self.in_flight) + self.others * decay
+        f64::from(self.in_flight) + self.others * decay(age, Self::HALF_LIFE)
+    }
+
+    /// Estimated share of failures among its answers.
+    pub fn errors(&self, now: Moment) -> f64 {
+        let age = self.failed.map(|it| now.saturating_sub(it));
+        self.errors * decay(age, Self::ERROR_HALF_LIFE)
+    }
+
+    /// Whether it answered a request of this node well lately.
+    pub fn is_proven(&self, now: Moment) -> bool {
+        self.succeeded
+            .is_some_and(|it| now.saturating_sub(it) <= Self::PROOF)
     }
 
     /// Whether the engine failed lately and should get no work while others can take it.
@@ -87,6 +112,11 @@
     }
 }
 
+/// Weight of something that is `age` old, of which half is over after `half_life`; none if it never was.
+fn decay(age: Option<Duration>, half_life: Duration) -> f64 {
+    age.map_or(0.0, |it| 0.5_f64.powf(it.as_secs_f64() / half_life.as_secs_f64()))
+}
+
 /// The loads of all engines that this node sent requests to.
 #[derive(Debug, Clone, Default)]
 pub struct Loads {
@@ -136,10 +166,12 @@
     }
 
     /// Notes an answer whose first byte took `ratio` times as long as usual for the service.
-    pub fn answered(&mut self, engine: &Engine, ratio: f64) {
+    pub fn answered(&mut self, engine: &Engine, ratio: f64, now: Moment) {
         let load = self.entry(engine);
         load.failures = 0;
         load.avoided = None;
+        load.errors -= Load::ERROR_GAIN * load.errors;
+        load.succeeded = Some(now);
         load.samples += 1;
         load.slowness += Load::GAIN * (ratio.clamp(0.1, 10.0) - load.slowness);
     }
@@ -149,8 +181,12 @@
         let load = self.entry(engine);
         let pause = match failure {
             Failure::Refused => Self::FULL,
-            // An engine of a plain service fails some requests in normal operation.
-            Failure::Failed => return,
+            Failure::Failed => {
+                load.errors = load.errors(now);
+                load.errors += Load::ERROR_GAIN * (1.0 - load.errors);
+                load.failed = Some(now);
+                return;
+            }
             _ => {
                 load.failures += 1;
                 Self::AVOID * 2_u32.pow((load.failures - 1).min(Self::MAX_DOUBLINGS))
--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -59,6 +59,14 @@
 /// Fraction of the slots that each request of mean work counts for while the engine may be reading its prompt.
 const PENDING_COST: f64 = 0.015;
 
+/// Fraction of the slots that an engine all of whose answers fail must be less loaded by. One that fails at once always
+/// looks idle, and would get most of the traffic.
+const ERROR_COST: f64 = 1.0;
+
+/// Fraction of the slots that an engine without a recent good answer must be less loaded by for a request that has
+/// failed elsewhere.
+const UNPROVEN_COST: f64 = 0.5;
+
 /// Load that an avoided engine seems to have more, so that it is used only if all others are full.
 const AVOIDED: f64 = 10.0;
 
@@ -102,13 +110,19 @@
 
 /// Share of the slots in use, weighted by how slow the engine is.
 fn score(engine: &Engine, loads: &Loads, demand: &Demand<'_>, now: Moment) -> f64 {
+    let unproven = if demand.tried.is_empty() {
+        0.0
+    } else {
+        UNPROVEN_COST
+    };
     let Some(load) = loads.get(engine) else {
-        return 0.0;
+        return unproven;
     };
+    let unproven = if load.is_proven(now) { 0.0 } else { unproven };
     let used = (load.requests(now) + 1.0) / f64::from(engine.slots.max(1));
     let avoid = load.is_avoided(now) || load.in_flight >= demand.max_in_flight;
     let avoided = if avoid { AVOIDED } else { 0.0 };
-    used * load.slowness() + avoided
+    used * load.slowness() + avoided + unproven + ERROR_COST * load.errors(now)
 }
 
 fn preferred<'a>(engines: &'a [Arc<Engine>], demand: &Demand<'_>, part: u64) -> Vec<&'a str> {
--- a/crates/forward/tests/decisions.rs
+++ b/crates/forward/tests/decisions.rs
@@ -230,6 +230,61 @@
     assert!(load.is_some_and(|it| !it.is_avoided(SECOND * 4)));
 }
 
+/// Requests that fail, and picks of engines that fail all requests at once, of 200 requests; two of ten engines do.
+fn black_holes(attempts: usize) -> (usize, usize) {
+    const BETWEEN: Duration = Duration::from_millis(150);
+    const TIME: Duration = Duration::from_millis(4500);
+    let all: Vec<_> = (0..30).map(|it| engine(&format!("e{it}"), "a", 12)).collect();
+    let fails = |it: &Engine| it.id.ends_with(['3', '7']);
+    let mut loads = Loads::default();
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut busy: Vec<(Duration, Arc<Engine>)> = vec![];
+    let (mut failed, mut picks) = (0, 0);
+    for request in 0..200 {
+        let now = BETWEEN * request;
+        busy.retain(|(end, engine)| {
+            let ended = *end <= now;
+            if ended {
+                loads.ended(engine);
+            }
+            !ended
+        });
+        let mut tried = vec![];
+        let served = (0..attempts).any(|_| {
+            let demand = Demand {
+                domain: &Domain::from("a"),
+                affinity: None,
+                model: None,
+                size: None,
+                max_in_flight: u32::MAX,
+                tried: &tried,
+            };
+            let engine = placement::choose(&all, &loads, &demand, now, &mut rng).expect("some engine");
+            loads.sent(&engine, 0.0);
+            tried.push(engine.clone());
+            if fails(&engine) {
+                loads.failed(&engine, Failure::Failed, now);
+                loads.ended(&engine);
+                picks += 1;
+                return false;
+            }
+            loads.answered(&engine, 1.0, now);
+            busy.push((now + TIME, engine));
+            true
+        });
+        failed += usize::from(!served);
+    }
+    (failed, picks)
+}
+
+/// Guards against engines that fail at once and so always look idle: they would get most of the traffic.
+#[test]
+fn engines_that_fail_at_once_do_not_attract_requests() {
+    let (failed, picks) = black_holes(3);
+    assert!(failed <= 2, "{failed} of 200 requests failed");
+    assert!(picks <= 40, "{picks} attempts at failing engines");
+}
+
 #[test]
 fn report_of_other_nodes_requests_counts_and_fades() {
     let all = engines(1);
