entry: notices in a module of their own; a halted version is logged with the answers that decided it

A judge that halted a version by the counters of others wrote no line at all. Now each node that finds a version bad writes one, with the route and the counts of both versions. The rest is moved.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod front;
 mod members;
 mod metrics;
+mod notice;
 mod relay;
 mod releases;
 mod request;
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -11,8 +11,8 @@
 use wire::peer;
 
 use crate::clock;
+use crate::notice::{self, Notice};
 use crate::relay::{self, Answer, Question};
-use crate::releases::{self, Notice};
 use crate::shared::{Shared, lock};
 
 /// Interval of the failure detector's clock; a fraction of its acknowledgement time-out.
@@ -99,7 +99,7 @@
             }
         }
         NOTICE => match serde_json::from_slice::<Notice>(content) {
-            Ok(notice) => releases::noticed(shared, notice),
+            Ok(notice) => notice::noticed(shared, notice),
             Err(err) => log::debug!("a notice does not decode: {err}"),
         },
         QUESTION => match serde_json::from_slice::<Question>(content) {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -238,9 +238,20 @@
             let halted = release.is_halted();
             release.answered(self.incarnation, route, arm, grade);
             if release.is_halted() && !halted {
-                let target = &release.order().target;
-                log::warn!(service = **service, target = **target, route = **route; "release halted: bad answers");
+                log_halt(release);
             }
         }
     }
 }
+
+/// One line for a version that was found to be bad, with the answers that decided it.
+pub(crate) fn log_halt(release: &Release) {
+    let Some((route, answers)) = release.bad_route() else {
+        return;
+    };
+    let order = release.order();
+    log::warn!(
+        service = *order.service, target = *order.target, route = **route, answers:?;
+        "release halted: bad answers"
+    );
+}
--- a/crates/forward/src/evidence.rs
+++ b/crates/forward/src/evidence.rs
@@ -166,16 +166,25 @@
             .sum()
     }
 
-    /// Whether the new version is bad on some route.
-    pub(crate) fn is_against(&self) -> bool {
-        let mut sums = self.sums.values().flat_map(|it| [it.failures, it.slowness]);
-        sums.any(|it| it.value >= ALARM)
+    /// A route on which the new version is bad.
+    pub(crate) fn bad_route(&self) -> Option<&Name> {
+        let is_bad = |it: &Sums| it.failures.value >= ALARM || it.slowness.value >= ALARM;
+        self.sums
+            .iter()
+            .find(|(_, it)| is_bad(it))
+            .map(|(route, _)| route)
     }
 
-    fn update(&mut self, route: &Name) {
+    /// All known answers on a route.
+    pub(crate) fn total(&self, route: &Name) -> Tally {
         let mut total = Tally::default();
         let tallies = self.counters.values().filter_map(|it| it.get(route));
         tallies.for_each(|it| total.add(it));
+        total
+    }
+
+    fn update(&mut self, route: &Name) {
+        let total = self.total(route);
         let sums = self.sums.entry(route.clone()).or_default();
         let Tally { old, new, .. } = total;
         sums.failures
--- a/crates/forward/src/release.rs
+++ b/crates/forward/src/release.rs
@@ -300,7 +300,7 @@
     /// Counts an answer of this process.
     pub fn answered(&mut self, own: Incarnation, route: &Name, arm: Arm, grade: Grade) {
         self.evidence.count(own, route, arm, grade);
-        self.halted |= self.evidence.is_against();
+        self.halted |= self.evidence.bad_route().is_some();
     }
 
     /// The counters of one process.
@@ -308,10 +308,16 @@
         self.evidence.counters(of)
     }
 
+    /// A route on which the new version is bad by the answers that are known here, with their counts.
+    pub fn bad_route(&self) -> Option<(&Name, Tally)> {
+        let route = self.evidence.bad_route()?;
+        Some((route, self.evidence.total(route)))
+    }
+
     /// Takes over another process's counters.
     pub fn merge(&mut self, of: Incarnation, counters: Counters) {
         self.evidence.merge(of, counters);
-        self.halted |= self.evidence.is_against();
+        self.halted |= self.evidence.bad_route().is_some();
     }
 
     /// What the driver should record now.
