entry: a reader that the store turns away asks other nodes

By its log edge-norte-c-1, a reader of the engines, was turned away for 7.5 s. A reader asked nobody, so it had no reading in that time. Its first one, 1.1 s after the store took it back, looked like one after an outage of the store, and an engine that was gone counted as lapsed for 2 s: 2,564 ms after the engine had left, a request reached it.

Change: a node whose call to the store failed asks the other reader and two further nodes, and tries the store each 2 s. So there is no gap, and no wrong belief that the store was away for all.

Ruled out: the relay itself (the removal reached the node, as a lapse), and the longer pauses after failures alone (they delayed the return by up to 0.9 s, but the settling time would have been as long without them).

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
+use forward::Moment;
 use rand::Rng;
 use tokio::time::sleep;
 
+use crate::clock;
 use crate::dialect::{Fact, Page, Topic};
 use crate::shared::Shared;
 use crate::store::{self, Error};
@@ -18,33 +20,53 @@
 const MIN_PAUSE: Duration = Duration::from_millis(250);
 const MAX_PAUSE: Duration = Duration::from_millis(700);
 
+/// Time after which a node that learns from others tries a store again that failed it.
+const RETRY: Duration = Duration::from_secs(2);
+
 /// Whether a part of the store can be read, for the log and the pace of further calls.
 #[derive(Debug)]
 struct Access {
     what: &'static str,
     failures: u32,
+    /// When the store last failed.
+    failed: Moment,
 }
 
 impl Access {
     fn new(what: &'static str) -> Self {
-        Self { what, failures: 0 }
+        Self {
+            what,
+            failures: 0,
+            failed: Moment::ZERO,
+        }
+    }
+
+    /// Whether the last call failed.
+    fn is_lost(&self) -> bool {
+        self.failures > 0
     }
 
-    /// Logs the loss and the return; pauses after a failure.
-    async fn note(&mut self, err: Option<&Error>) {
+    /// Whether a lost store should be tried again although other nodes tell what is new.
+    fn is_due(&self) -> bool {
+        self.is_lost() && clock::now().saturating_sub(self.failed) >= RETRY
+    }
+
+    /// Notes the result of a call.
+    fn note(&mut self, err: Option<&Error>) {
         let what = self.what;
-        let Some(err) = err else {
-            if self.failures > 0 {
-                log::info!(what, failures = self.failures; "store regained");
-            }
-            self.failures = 0;
-            return;
-        };
-        if self.failures == 0 {
-            log::warn!(what, error:% = err; "store lost");
+        match err {
+            Some(err) if !self.is_lost() => log::warn!(what, error:% = err; "store lost"),
+            None if self.is_lost() => log::info!(what, failures = self.failures; "store regained"),
+            _ => {}
         }
-        let pause = MIN_PAUSE.saturating_mul(1 << self.failures.min(4)).min(MAX_PAUSE);
-        self.failures = self.failures.saturating_add(1);
+        self.failures = err.map_or(0, |_| self.failures.saturating_add(1));
+        self.failed = clock::now();
+    }
+
+    /// Pauses after a failure.
+    async fn pause(&self) {
+        let doublings = self.failures.saturating_sub(1).min(4);
+        let pause = MIN_PAUSE.saturating_mul(1 << doublings).min(MAX_PAUSE);
         let more = rand::rng().random_range(0.0..1.0);
         sleep(pause + pause.mul_f64(more)).await;
     }
--- a/crates/entry/src/follow/engines.rs
+++ b/crates/entry/src/follow/engines.rs
@@ -29,38 +29,62 @@
     let mut next = None;
     let mut access = Access::new("list of engines");
     loop {
-        let result = match next {
-            None => read_engines(&shared).await.map(Some),
-            Some(from) => follow(&shared, &socket, from).await,
+        next = match next {
+            Some(from) => follow(&shared, &socket, from, &mut access).await,
+            None => start(&shared, &mut access).await,
         };
-        access.note(result.as_ref().err()).await;
-        next = result.unwrap_or(next);
     }
 }
 
+async fn start(shared: &Shared, access: &mut Access) -> Option<u64> {
+    let result = read_engines(shared).await;
+    access.note(result.as_ref().err());
+    if result.is_err() {
+        access.pause().await;
+    }
+    result.ok()
+}
+
 /// Learns changes from another node or reads them from the store, and waits until the next ones are due.
-async fn follow(shared: &Shared, socket: &UdpSocket, from: u64) -> Result<Option<u64>, Error> {
+///
+/// Returns the offset to go on from; `None` if records are missing and everything must be read again.
+async fn follow(shared: &Shared, socket: &UdpSocket, from: u64, access: &mut Access) -> Option<u64> {
     let poll = shared.settings().store.engine_poll;
-    if let Some(taken) = ask(shared, socket, from, poll).await {
+    let taken = ask(shared, socket, from, access.is_lost()).await;
+    let from = taken.as_ref().map_or(from, |it| it.next);
+    let is_relayed = taken.is_some();
+    if let Some(taken) = taken {
         let changes = taken.changes.into_iter().map(Change::into_entry);
         apply(shared, changes, taken.next, taken.at);
+    }
+    if is_relayed && !access.is_due() {
         sleep(poll.div_f64(relay::ASKS)).await;
-        return Ok(Some(taken.next));
+        return Some(from);
     }
-    let next = read_changes(shared, from).await?;
-    if next.is_some() {
-        sleep(poll).await;
+    let result = read_changes(shared, from).await;
+    access.note(result.as_ref().err());
+    match result {
+        Ok(Some(next)) => {
+            sleep(poll).await;
+            Some(next)
+        }
+        Ok(None) => None,
+        Err(_) => {
+            if !is_relayed {
+                access.pause().await;
+            }
+            Some(from)
+        }
     }
-    Ok(next)
 }
 
-async fn ask(shared: &Shared, socket: &UdpSocket, from: u64, poll: Duration) -> Option<Taken<Change>> {
-    let doubt = shared.settings().store.heartbeat * DOUBT_HEARTBEATS;
+async fn ask(shared: &Shared, socket: &UdpSocket, from: u64, is_lost: bool) -> Option<Taken<Change>> {
+    let store = &shared.settings().store;
     // An engine that was taken for gone and lives shows it by its next heartbeat, which other nodes do not pass on.
-    if lock(&shared.directory).has_forgotten(clock::now(), doubt) {
+    if lock(&shared.directory).has_forgotten(clock::now(), store.heartbeat * DOUBT_HEARTBEATS) {
         return None;
     }
-    relay::ask(shared, socket, Subject::Engines, from, poll).await
+    relay::ask(shared, socket, Subject::Engines, from, is_lost).await
 }
 
 async fn read_engines(shared: &Shared) -> Result<u64, Error> {
--- a/crates/entry/src/follow/operators.rs
+++ b/crates/entry/src/follow/operators.rs
@@ -21,26 +21,42 @@
     let mut next = None;
     let mut access = Access::new("operators' records");
     loop {
-        let result = match next {
-            None => read_operators(&shared).await.map(Some),
-            Some(from) => follow(&shared, &socket, from).await,
+        next = match next {
+            Some(from) => follow(&shared, &socket, from, &mut access).await,
+            None => start(&shared, &mut access).await,
         };
-        access.note(result.as_ref().err()).await;
-        next = result.unwrap_or(next);
     }
 }
 
+async fn start(shared: &Shared, access: &mut Access) -> Option<u64> {
+    let result = read_operators(shared).await;
+    access.note(result.as_ref().err());
+    if result.is_err() {
+        access.pause().await;
+    }
+    result.ok()
+}
+
 /// Learns from another node whether there is something new, or reads it from the store.
-async fn follow(shared: &Shared, socket: &UdpSocket, from: u64) -> Result<Option<u64>, Error> {
-    let wait = shared.settings().store.config_wait;
-    match relay::ask(shared, socket, Subject::Operators, from, wait).await {
-        Some(taken) if taken.next == from => {
-            confirm(shared, from, taken.at);
-            sleep(wait.div_f64(relay::ASKS)).await;
-            Ok(Some(from))
-        }
-        _ => wait_for_operators(shared, from).await,
+///
+/// Returns the offset to go on from; `None` if records are missing and everything must be read again.
+async fn follow(shared: &Shared, socket: &UdpSocket, from: u64, access: &mut Access) -> Option<u64> {
+    let taken = relay::ask(shared, socket, Subject::Operators, from, access.is_lost()).await;
+    let is_confirmed = taken.as_ref().is_some_and(|it| it.next == from);
+    if let Some(taken) = taken.filter(|it| it.next == from) {
+        confirm(shared, from, taken.at);
+    }
+    if is_confirmed && !access.is_due() {
+        let wait = shared.settings().store.config_wait;
+        sleep(wait.div_f64(relay::ASKS)).await;
+        return Some(from);
+    }
+    let result = wait_for_operators(shared, from).await;
+    access.note(result.as_ref().err());
+    if result.is_err() && !is_confirmed {
+        access.pause().await;
     }
+    result.unwrap_or(Some(from))
 }
 
 async fn read_operators(shared: &Shared) -> Result<u64, Error> {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -33,6 +33,10 @@
 /// the store.
 const USABLE: f64 = 1.2;
 
+/// Nodes besides the readers that a node asks when the store has failed it: if the readers are turned away as well,
+/// these read the store themselves.
+const SUBSTITUTES: usize = 2;
+
 /// Questions in the time of one reading of the store.
 pub(crate) const ASKS: f64 = 2.0;
 
@@ -96,6 +100,15 @@
         }
     }
 
+    /// Time between two readings of the store.
+    fn pace(self, shared: &Shared) -> Duration {
+        let store = &shared.settings().store;
+        match self {
+            Self::Operators => store.config_wait,
+            Self::Engines => store.engine_poll,
+        }
+    }
+
     fn journal(self, relay: &Relay) -> &Mutex<Journal<Change>> {
         match self {
             Self::Operators => &relay.operators,
@@ -139,16 +152,17 @@
 
 /// Asks the readers of a subject for what lies behind `from`.
 ///
-/// `pace` is the time between two readings of the store. `None` if this node has to read the store itself, because
-/// it is one of the readers, or because none of them has a recent reading.
+/// `None` if this node has to read the store itself, because it is one of the readers, or because none of them has a
+/// recent reading. A node that the store has failed (`is_lost`) asks also if it is a reader, and some more nodes.
 pub(crate) async fn ask(
     shared: &Shared,
     socket: &UdpSocket,
     subject: Subject,
     from: u64,
-    pace: Duration,
+    is_lost: bool,
 ) -> Option<Taken<Change>> {
-    for reader in readers(shared, subject)? {
+    let pace = subject.pace(shared);
+    for reader in readers(shared, subject, is_lost)? {
         let sent = clock::now();
         let own = lock(subject.journal(&shared.relay)).newest(sent);
         let age = own.map_or(Duration::MAX, |(_, age)| age);
@@ -167,12 +181,15 @@
 }
 
 /// The nodes to ask, those of the own failure domain first; `None` if this node is itself a reader.
-fn readers(shared: &Shared, subject: Subject) -> Option<Vec<SocketAddr>> {
+fn readers(shared: &Shared, subject: Subject, is_lost: bool) -> Option<Vec<SocketAddr>> {
     let table = lock(&shared.members);
     let own = table.local();
     let live = table.live(clock::now());
-    let chosen = hash::highest(subject.name(), live.iter().map(|it| &*it.host), READERS);
-    if chosen.contains(&&*own.host) {
+    let count = if is_lost { READERS + SUBSTITUTES } else { READERS };
+    let mut chosen = hash::highest(subject.name(), live.iter().map(|it| &*it.host), count);
+    if is_lost {
+        chosen.retain(|it| *it != &*own.host);
+    } else if chosen.contains(&&*own.host) {
         return None;
     }
     let is_chosen = |host: &Host| chosen.contains(&&**host);
@@ -189,7 +206,7 @@
             "subject": subject.name(),
             "offset": newest.map(|it| it.0),
             "age_ms": newest.map(|it| it.1.as_millis() as u64),
-            "reads_store": readers(shared, subject).is_none(),
+            "reads_store": readers(shared, subject, false).is_none(),
         })
     };
     [Subject::Operators, Subject::Engines].map(subject).into()
