entry: one way to note a reading of the store; no change is made for an entry that says nothing new

Both followers noted a result, paused after a failure and kept the value, each in two places of its own. Access::take does it for all four. A change for other nodes was built for every renewal of an engine's entry, five strings each, and dropped for nearly all of them; now it is built from the directory when it is needed.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -51,7 +51,15 @@
         self.is_lost() && clock::now().saturating_sub(self.failed) >= RETRY
     }
 
-    /// Notes the result of a call.
+    /// Notes the result of a call and keeps its value; `pauses` after a failure.
+    async fn take<T>(&mut self, result: Result<T, Error>, pauses: bool) -> Option<T> {
+        self.note(result.as_ref().err());
+        if result.is_err() && pauses {
+            self.pause().await;
+        }
+        result.ok()
+    }
+
     fn note(&mut self, err: Option<&Error>) {
         let what = self.what;
         match err {
@@ -63,7 +71,6 @@
         self.failed = clock::now();
     }
 
-    /// Pauses after a failure.
     async fn pause(&self) {
         let doublings = self.failures.saturating_sub(1).min(4);
         let pause = MIN_PAUSE.saturating_mul(1 << doublings).min(MAX_PAUSE);
--- a/crates/entry/src/follow/engines.rs
+++ b/crates/entry/src/follow/engines.rs
@@ -31,20 +31,11 @@
     loop {
         next = match next {
             Some(from) => follow(&shared, &socket, from, &mut access).await,
-            None => start(&shared, &mut access).await,
+            None => access.take(read_engines(&shared).await, true).await,
         };
     }
 }
 
-async fn start(shared: &Shared, access: &mut Access) -> Option<u64> {
-    let result = read_engines(shared).await;
-    access.note(result.as_ref().err());
-    if result.is_err() {
-        access.pause().await;
-    }
-    result.ok()
-}
-
 /// Learns changes from another node or reads them from the store, and waits until the next ones are due.
 ///
 /// Returns the offset to go on from; `None` if records are missing and everything must be read again.
@@ -62,20 +53,13 @@
         return Some(from);
     }
     let result = read_changes(shared, from).await;
-    access.note(result.as_ref().err());
-    match result {
-        Ok(Some(next)) => {
-            sleep(poll).await;
-            Some(next)
-        }
-        Ok(None) => None,
-        Err(_) => {
-            if !is_relayed {
-                access.pause().await;
-            }
-            Some(from)
-        }
+    let Some(next) = access.take(result, !is_relayed).await else {
+        return Some(from);
+    };
+    if next.is_some() {
+        sleep(poll).await;
     }
+    next
 }
 
 async fn ask(shared: &Shared, socket: &UdpSocket, from: u64, is_lost: bool) -> Option<Taken<Change>> {
@@ -129,15 +113,16 @@
     let mut changed = false;
     for (id, engine) in entries {
         let draining = engine.as_ref().is_some_and(|it| it.draining);
-        let change = Change::new(&id, engine.as_ref());
         let listed = engine.is_some();
-        if directory.apply(&id, engine, at) {
+        let is_new = directory.apply(&id, engine, at);
+        if is_new {
             changed = true;
             log_engine(&id, listed, draining);
-            news.push(change);
-        } else if !listed {
-            // Other nodes may still hold an engine that this one has forgotten.
-            news.push(change);
+        }
+        // Other nodes may still hold an engine that is gone and that this one has forgotten.
+        if is_new || !listed {
+            let engine = directory.engine(&id).filter(|_| listed);
+            news.push(Change::new(&id, engine.map(|it| &**it)));
         }
     }
     lock(&shared.relay.engines).extend(next, news, at);
--- a/crates/entry/src/follow/operators.rs
+++ b/crates/entry/src/follow/operators.rs
@@ -23,20 +23,11 @@
     loop {
         next = match next {
             Some(from) => follow(&shared, &socket, from, &mut access).await,
-            None => start(&shared, &mut access).await,
+            None => access.take(read_operators(&shared).await, true).await,
         };
     }
 }
 
-async fn start(shared: &Shared, access: &mut Access) -> Option<u64> {
-    let result = read_operators(shared).await;
-    access.note(result.as_ref().err());
-    if result.is_err() {
-        access.pause().await;
-    }
-    result.ok()
-}
-
 /// Learns from another node whether there is something new, or reads it from the store.
 ///
 /// Returns the offset to go on from; `None` if records are missing and everything must be read again.
@@ -52,11 +43,7 @@
         return Some(from);
     }
     let result = wait_for_operators(shared, from).await;
-    access.note(result.as_ref().err());
-    if result.is_err() && !is_confirmed {
-        access.pause().await;
-    }
-    result.unwrap_or(Some(from))
+    access.take(result, !is_confirmed).await.unwrap_or(Some(from))
 }
 
 async fn read_operators(shared: &Shared) -> Result<u64, Error> {
