forward: choose models by expected worth; read short prompts first

Cause: a fixed threshold of confidence knew two models and six constants of two sites.

- escalation: an answer is worth its quality and latency less the price of the model; any model of the route may come first or next. adequacy learns what larger models make of the requests (by the confidence of the smaller one), answer_value what a request is worth beside the stated prices, first_byte how probable a timely answer is.
- congestion: load reports tell how many requests wait for their first event (waiting 0: 131 ms to the first byte, 4: 323, 8 and more: 473; running: no relation).
The price of engine time rises with it.
- urgency: short work first, priority between equals.

Tests of the old threshold moved to model_choice.rs.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -10,6 +10,7 @@
 use forward::placement::{self, PlacementRequest};
 use forward::release::{Arm, ResponseGrade, SLOW_RATIO};
 use forward::retry::Failure;
+use forward::urgency::{self, Urgency};
 use forward::work::Work;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -44,11 +45,6 @@
 /// Minimum time to wait for an attempt before a retry.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(200);
 
-/// Urgency of the most urgent requests, and its step per priority; engines accept 0 to 9.
-const FIRST_URGENCY: u8 = 2;
-const URGENCY_STEP: u8 = 2;
-const LAST_URGENCY: u8 = 9;
-
 /// Response of an engine whose body has not been read.
 #[derive(Debug)]
 pub(crate) struct EngineResponse {
@@ -90,7 +86,7 @@
     shared: Arc<Shared>,
     engine: Arc<Engine>,
     /// Work that is pending until the response starts.
-    pending: Work,
+    pending: Option<Work>,
 }
 
 impl InFlight {
@@ -99,14 +95,15 @@
         Self {
             shared: shared.clone(),
             engine: engine.clone(),
-            pending: work,
+            pending: Some(work),
         }
     }
 
     /// Records that the response has started.
     fn record_response_start(&mut self) {
-        let pending = std::mem::take(&mut self.pending);
-        lock(&self.shared.loads).record_response_start(&self.engine, pending);
+        if let Some(work) = self.pending.take() {
+            lock(&self.shared.loads).record_response_start(&self.engine, work);
+        }
     }
 }
 
@@ -164,7 +161,11 @@
     let (head, body) = response.into_parts();
     let metadata = context.shared.protocol.response_metadata(&head);
     if let Some(report) = metadata.load_report {
-        lock(&context.shared.loads).record_report(&engine, report, clock::now());
+        let now = clock::now();
+        lock(&context.shared.loads).record_report(&engine, report, now);
+        context
+            .shared
+            .record_waiting(&context.service, report.waiting, now);
     }
     let engine_response = EngineResponse {
         head,
@@ -249,13 +250,13 @@
     Ok(request)
 }
 
-/// A request that was already sent goes before others of the same priority.
-fn urgency(context: &RequestContext) -> u8 {
+fn urgency(context: &RequestContext) -> Urgency {
     let own = context.organisation.as_ref().and_then(|it| it.priority);
-    let priority = own.unwrap_or(context.route.priority);
-    let urgency = FIRST_URGENCY.saturating_add(priority.saturating_mul(URGENCY_STEP));
-    let bonus = u8::from(context.retry_state.runs() > 0);
-    urgency.min(LAST_URGENCY) - bonus
+    let position = context
+        .shared
+        .request_size(&context.service, context.work(), false)
+        .map_or(0.0, |it| it.position);
+    urgency::urgency(position, own.unwrap_or(context.route.priority))
 }
 
 /// Waits for the head of a response; stops early only if a retry is certain to be allowed.
@@ -334,13 +335,14 @@
         };
     }
     shared.metrics.first_byte_seconds.observe(elapsed.as_secs_f64());
-    let usual = shared
-        .usual_first_byte(route, context.model.as_ref(), context.prompt_tokens())
+    let (model, tokens) = (context.model.as_ref(), context.prompt_tokens());
+    let usual = lock(&shared.first_byte_times)
+        .expected(route, model, tokens)
         .unwrap_or(elapsed);
     let ratio = elapsed.as_secs_f64() / usual.as_secs_f64().max(0.001);
     lock(&shared.loads).record_success(engine, ratio, clock::now());
     if arm == Arm::Old {
-        shared.record_first_byte(route, context.model.as_ref(), context.prompt_tokens(), elapsed);
+        lock(&shared.first_byte_times).record(route, model, tokens, elapsed);
     }
     let grade = if ratio > SLOW_RATIO {
         ResponseGrade::Slow
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod follow;
 mod listener;
 mod metrics;
+mod model_choice;
 mod notice;
 mod relay;
 mod releases;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -8,7 +8,7 @@
 use forward::BootTime;
 use forward::configuration::{Configuration, Limits, Organisation, Route, RouteKind};
 use forward::directory::Engine;
-use forward::escalation::{self, EscalationDecision, EscalationInput};
+use forward::escalation::Confidence;
 use forward::release::Arm;
 use forward::retry::{Failure, FinalResponse, RetryDecision, RetryState};
 use forward::retry_budget::RetryReason;
@@ -20,7 +20,7 @@
 use hyper::{Method, Request, Response};
 use model::Name;
 
-use crate::attempt::{AttemptOutcome, EngineResponse, attempt};
+use crate::attempt::{AttemptOutcome, attempt};
 use crate::protocol::RequestMetadata;
 use crate::response::{Refusal, ResponseBody, strip_connection_headers};
 use crate::shared::{Shared, lock};
@@ -51,6 +51,8 @@
     pub model: Option<Name>,
     /// Version that the last engine belongs to.
     pub arm: Option<Arm>,
+    /// Model whose answer was dropped last, and its confidence.
+    pub dropped_answer: Option<(usize, Confidence)>,
     /// Whether a retry is already reserved for the next attempt.
     retry_reserved: bool,
     _active: ActiveGuard,
@@ -153,6 +155,7 @@
         tried: Vec::new(),
         model,
         arm: None,
+        dropped_answer: None,
         retry_reserved: false,
         _active: active,
     })
@@ -211,6 +214,7 @@
 
 /// Sends a request to engines until there is a final response.
 async fn serve(mut context: RequestContext) -> Response<ResponseBody> {
+    context.choose_model();
     loop {
         let engine_response = match attempt(&mut context, None).await {
             AttemptOutcome::Responded(engine_response) => engine_response,
@@ -331,7 +335,7 @@
         self.retry_reserved
     }
 
-    fn try_reserve_retry(&self, reason: RetryReason, now: BootTime) -> bool {
+    pub(crate) fn try_reserve_retry(&self, reason: RetryReason, now: BootTime) -> bool {
         self.shared.try_reserve_retry(&self.service, reason, now)
     }
 
@@ -343,46 +347,6 @@
         }
     }
 
-    /// Whether to drop the response and escalate to the largest model; prepares the next attempt if so.
-    fn try_escalate(&mut self, engine_response: &EngineResponse) -> bool {
-        let now = clock::now();
-        let Some(largest) = self.route.models.last().cloned() else {
-            return false;
-        };
-        if self.model.as_ref().is_none_or(|it| *it == largest) || !self.retry_state.may_run_again(now) {
-            return false;
-        }
-        let elapsed = now.saturating_sub(self.arrived);
-        let expected = self
-            .shared
-            .usual_first_byte(&self.route.name, Some(&largest), self.prompt_tokens());
-        let input = EscalationInput {
-            confidence: engine_response.metadata.confidence,
-            elapsed,
-            latency_goal: self.route.latency_goal,
-            tokens: self.metadata.tokens,
-            expected_first_byte: expected,
-        };
-        let wanted = escalation::decide(input) == EscalationDecision::Escalate;
-        if !wanted || !self.try_reserve_retry(RetryReason::Quality, now) {
-            return false;
-        }
-        let confidence = engine_response.metadata.confidence.unwrap_or_default();
-        let expected_ms = expected.map_or(0, |it| it.as_millis() as u64);
-        log::info!(
-            id = self.id, confidence, expected_ms, model = *largest;
-            "answer dropped for a larger model"
-        );
-        self.shared
-            .metrics
-            .retries
-            .get_or_create(&[("reason", "escalated")])
-            .inc();
-        self.model = Some(largest);
-        self.tried.clear();
-        true
-    }
-
     /// Forwards the response of an engine.
     fn forward_response(&self, response: Response<ResponseBody>) -> Response<ResponseBody> {
         self.log_end(response.status().as_u16(), "answered");
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -3,13 +3,14 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
-use std::time::Duration;
 
 use config::settings::entry::Settings;
 use forward::BootTime;
 use forward::cached::Cached;
-use forward::configuration::Configuration;
+use forward::configuration::{Configuration, Route};
+use forward::congestion::Congestion;
 use forward::directory::{Directory, Engine};
+use forward::first_byte::FirstByteTimes;
 use forward::load::Loads;
 use forward::placement::Size;
 use forward::release::{Arm, Release, ResponseGrade, Stage};
@@ -21,12 +22,10 @@
 
 use crate::clock;
 use crate::metrics::Metrics;
+use crate::model_choice::RouteModels;
 use crate::protocol::Protocol;
 use crate::relay::Relay;
 
-/// Smoothed time to the first byte per unit of [`Shared::prompt_cost`], by route and model.
-type FirstByteTimes = HashMap<(Name, Option<Name>), Duration>;
-
 /// State of a node.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -39,7 +38,9 @@
     pub releases: Mutex<BTreeMap<Name, Release>>,
     pub members: Mutex<Table>,
     retry_budgets: Mutex<HashMap<Name, RetryBudget>>,
-    first_byte_times: Mutex<FirstByteTimes>,
+    pub first_byte_times: Mutex<FirstByteTimes>,
+    route_models: Mutex<HashMap<Name, RouteModels>>,
+    congestions: Mutex<HashMap<Name, Congestion>>,
     work_distributions: Mutex<HashMap<Name, WorkDistribution>>,
     pub relay: Relay,
     pub metrics: Metrics,
@@ -64,13 +65,6 @@
     /// Number of entry lifetimes for which some callers cache entry addresses, as specified by the platform.
     pub(crate) const CACHED_LIFETIMES: u32 = 3;
 
-    /// Number of prompt tokens that take about as long to process as a request usually waits in an engine's
-    /// queue.
-    const QUEUE_TOKENS: f64 = 2000.0;
-
-    /// Smoothing factor of the times to the first byte.
-    const SMOOTHING: f64 = 0.1;
-
     pub(crate) fn new(
         settings: Settings,
         protocol: Arc<dyn Protocol>,
@@ -89,6 +83,8 @@
             members: Mutex::new(members),
             retry_budgets: Mutex::default(),
             first_byte_times: Mutex::default(),
+            route_models: Mutex::default(),
+            congestions: Mutex::default(),
             work_distributions: Mutex::default(),
             relay: Relay::default(),
             metrics: Metrics::new(),
@@ -215,32 +211,29 @@
         })
     }
 
-    /// Usual time to the first byte for a prompt of `tokens`; `None` if it is not known.
-    pub(crate) fn usual_first_byte(
-        &self,
-        route: &Name,
-        model: Option<&Name>,
-        tokens: u64,
-    ) -> Option<Duration> {
-        let key = (route.clone(), model.cloned());
-        let per_token = lock(&self.first_byte_times).get(&key).copied()?;
-        Some(per_token.mul_f64(Self::prompt_cost(tokens)))
+    /// Uses what is known about the models of a route.
+    pub(crate) fn with_route_models<T>(&self, route: &Route, f: impl FnOnce(&mut RouteModels) -> T) -> T {
+        let mut route_models = lock(&self.route_models);
+        let known = route_models
+            .entry(route.name.clone())
+            .or_insert_with(|| RouteModels::new(&route.models));
+        known.follow(&route.models);
+        f(known)
     }
 
-    /// Records a measured time to the first byte for a prompt of `tokens`.
-    pub(crate) fn record_first_byte(&self, route: &Name, model: Option<&Name>, tokens: u64, time: Duration) {
-        let per_token = time.div_f64(Self::prompt_cost(tokens));
-        let mut first_byte_times = lock(&self.first_byte_times);
-        let known = first_byte_times
-            .entry((route.clone(), model.cloned()))
-            .or_insert(per_token);
-        *known = known.mul_f64(1.0 - Self::SMOOTHING) + per_token.mul_f64(Self::SMOOTHING);
+    /// Records the number of requests that wait at an engine of a service.
+    pub(crate) fn record_waiting(&self, service: &Name, waiting: u32, now: BootTime) {
+        let mut congestions = lock(&self.congestions);
+        congestions
+            .entry(service.clone())
+            .or_default()
+            .record(waiting, now);
     }
 
-    /// Quantity that the time to the first byte is proportional to; the constant represents the wait in the
-    /// engine's queue.
-    fn prompt_cost(tokens: u64) -> f64 {
-        tokens as f64 + Self::QUEUE_TOKENS
+    /// Factor by which the use of a service's engines is dearer than its price.
+    pub(crate) fn price_factor(&self, service: &Name, now: BootTime) -> f64 {
+        let congestions = lock(&self.congestions);
+        congestions.get(service).map_or(1.0, |it| it.price_factor(now))
     }
 
     /// Counts a response for the release of a service, if there is one.
--- a/crates/forward/src/escalation.rs
+++ b/crates/forward/src/escalation.rs
@@ -1,94 +1,84 @@
-//! Whether a request is repeated on a larger model.
+//! Which model answers a request.
 //!
-//! A request starts on the smallest model of its route. The head of the engine's response states the model's
-//! confidence before anything reaches the caller. A response below the threshold is dropped and the request
-//! runs again on the largest model, if the remaining time, the retry budget and the latency of that model
-//! permit.
+//! An answer is worth to the caller what its quality and its latency make of it, less the price of the model.
+//! [`first_model`] chooses the model that is asked first, and [`decide`] whether its answer, of which the
+//! caller has received nothing yet, is dropped in favour of another model. Both compare expected worths, so that
+//! a saturated engine pool, a dear model or a request that is already late shifts the choice by itself.
 
-use std::time::Duration;
+use crate::adequacy::{self, Adequacy};
 
 /// Confidence of a model in its own response, from 0 to 100.
 pub type Confidence = u8;
 
-/// What is known when the head of a response has arrived.
+/// A model that may answer a request.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct EscalationInput {
-    /// Confidence in the response; `None` if the engine states none.
-    pub confidence: Option<Confidence>,
-    /// Time since the request arrived.
-    pub elapsed: Duration,
-    /// Time within which the first event has its full value to the caller.
-    pub latency_goal: Duration,
-    /// Prompt tokens and expected output tokens; `None` if the request does not state them.
-    pub tokens: Option<(u64, u64)>,
-    /// Usual time to the first byte of the largest model; `None` if it was not used recently.
-    pub expected_first_byte: Option<Duration>,
+pub struct Candidate {
+    /// Price of its answer relative to the value of an adequate one.
+    pub price: f64,
+    /// Probability that its first event arrives within the latency goal if it is asked now.
+    pub timely: f64,
 }
 
-/// What to do with a response.
+/// An answer of which the caller has received nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum EscalationDecision {
-    /// Forward it to the caller.
-    Accept,
-    /// Drop it and send the request to the largest model.
-    Escalate,
+pub struct Answer {
+    /// Model that gave it, numbered from the smallest.
+    pub model: usize,
+    /// Stated confidence.
+    pub confidence: Confidence,
+    /// Whether it arrived within the latency goal.
+    pub is_timely: bool,
 }
 
-/// Confidence below which a response is dropped if all its tokens are output. On both sites, 53 and 63
-/// improved responses but cost more than the improvement was worth to the users who pay for them.
-const BASE_THRESHOLD: f64 = 47.0;
+/// Value of an inadequate answer relative to an adequate one.
+const INADEQUATE_VALUE: f64 = 0.05;
 
-/// Decrease of the threshold for each unit of [`relative_price`] above [`MIN_RELATIVE_PRICE`].
-const PRICE_SLOPE: f64 = 168.0;
+/// Value of a late answer relative to a timely one.
+const LATE_VALUE: f64 = 0.4;
 
-/// Relative price of a request with a short prompt and a long output.
-const MIN_RELATIVE_PRICE: f64 = 0.13;
-
-/// Relative price assumed for requests that do not state their tokens.
-const DEFAULT_RELATIVE_PRICE: f64 = 0.2;
-
-/// Cost of a prompt token relative to an output token.
-const PROMPT_TOKEN_COST: f64 = 0.25;
-
-/// Value of an output token relative to a prompt token.
-const OUTPUT_TOKEN_VALUE: f64 = 10.0;
-
-/// Fraction of the latency goal within which the first event of the second response must be expected; the
-/// rest covers the variance of the time to the first byte.
-const USABLE_GOAL_FRACTION: f64 = 0.65;
-
-/// Fraction of the latency goal over which the threshold falls from its full value to zero.
-const FALLOFF_GOAL_FRACTION: f64 = 0.4;
+/// The model that is asked instead of accepting `answer`; `None` to accept it.
+pub fn decide(adequacy: &Adequacy, answer: Answer, candidates: &[Candidate]) -> Option<usize> {
+    let timely = f64::from(u8::from(answer.is_timely));
+    let own = worth(adequacy::of_confidence(answer.confidence), timely);
+    let larger = (answer.model + 1..candidates.len()).map(|model| {
+        let quality = adequacy.after(answer.model, answer.confidence, model);
+        let it = candidates[model];
+        (worth(quality, it.timely) - it.price, model)
+    });
+    let best = larger.max_by(|a, b| a.0.total_cmp(&b.0))?;
+    (best.0 > own).then_some(best.1)
+}
 
-/// Decides about a response of a model that is not the largest.
-///
-/// The threshold falls as the largest model gets slower under load, so that the responses with the lowest
-/// confidence are escalated first and a saturated model gets no additional work.
-pub fn decide(input: EscalationInput) -> EscalationDecision {
-    let Some(confidence) = input.confidence else {
-        return EscalationDecision::Accept;
-    };
-    let goal = input.latency_goal.as_secs_f64();
-    // Without a measurement, the second run is expected to take as long as the first.
-    let expected = input.expected_first_byte.unwrap_or(input.elapsed);
-    let reserve = USABLE_GOAL_FRACTION * goal - (input.elapsed + expected).as_secs_f64();
-    let scale = (reserve / (FALLOFF_GOAL_FRACTION * goal).max(0.001)).clamp(0.0, 1.0);
-    if f64::from(confidence) < threshold(input.tokens) * scale {
-        EscalationDecision::Escalate
-    } else {
-        EscalationDecision::Accept
-    }
+/// The model that is asked first.
+pub fn first_model(adequacy: &Adequacy, candidates: &[Candidate]) -> usize {
+    let worths = (0..candidates.len()).map(|it| (expected_worth(adequacy, candidates, it), it));
+    // Of equal models the smallest is chosen.
+    let best = worths.max_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
+    best.map_or(0, |it| it.1)
 }
 
-/// Confidence below which another response is worth its price.
-fn threshold(tokens: Option<(u64, u64)>) -> f64 {
-    let price = tokens.map_or(DEFAULT_RELATIVE_PRICE, |(prompt, output)| {
-        relative_price(prompt as f64, output as f64)
+/// Expected worth of asking `first` and, where its answer is inadequate, the best larger model.
+///
+/// Whether an answer is adequate counts as known when it arrives, and a request that is too hard for a model as
+/// too hard for all smaller ones.
+fn expected_worth(adequacy: &Adequacy, candidates: &[Candidate], first: usize) -> f64 {
+    let own = candidates[first];
+    let bands = adequacy.bands().map(|(band, share)| {
+        let quality = adequacy.in_band(band, first);
+        let escalations = candidates.iter().enumerate().skip(first + 1).map(|(model, it)| {
+            let improved = (adequacy.in_band(band, model) - quality).max(0.0);
+            let improvement = improved / (1.0 - quality).max(f64::EPSILON);
+            worth(improvement, own.timely * it.timely) - it.price
+        });
+        let otherwise = escalations.fold(worth(0.0, own.timely), f64::max);
+        share * (quality * worth(1.0, own.timely) + (1.0 - quality) * otherwise)
     });
-    BASE_THRESHOLD - PRICE_SLOPE * (price - MIN_RELATIVE_PRICE)
+    bands.sum::<f64>() - own.price
 }
 
-/// Cost of a request relative to its value, both as the users weight tokens.
-fn relative_price(prompt: f64, output: f64) -> f64 {
-    (PROMPT_TOKEN_COST * prompt + output) / (prompt + OUTPUT_TOKEN_VALUE * output).max(1.0)
+/// Expected value of an answer relative to a timely and adequate one.
+fn worth(quality: f64, timely: f64) -> f64 {
+    let by_quality = quality + INADEQUATE_VALUE * (1.0 - quality);
+    let by_latency = timely + LATE_VALUE * (1.0 - timely);
+    by_quality * by_latency
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -7,7 +7,8 @@
 //! - [`cached`], [`configuration`], [`directory`]: the configuration and the engines as this node knows them,
 //!   and the age of that knowledge
 //! - [`retry`]: one request with its attempts; whether it may be sent again, and which final response is true
-//! - [`work`], [`load`], [`placement`], [`escalation`]: which engine and which model serve a request
+//! - [`work`], [`load`], [`placement`], [`urgency`]: which engine serves a request, and in which order
+//! - [`escalation`] with [`adequacy`], [`answer_value`], [`congestion`], [`first_byte`]: which model answers a request
 //! - [`event_stream`]: event streams split at event boundaries and resumed without gaps or duplicates
 //! - [`retry_budget`]: the share of the fleet's retry budget that a node may use
 //! - [`relay`]: changes read from the store that nodes pass on to each other
@@ -15,19 +16,29 @@
 
 use std::time::Duration;
 
+pub mod adequacy;
+pub mod answer_value;
 pub mod cached;
 pub mod configuration;
+pub mod congestion;
 pub mod directory;
 pub mod escalation;
 pub mod event_stream;
 pub mod evidence;
+pub mod first_byte;
 pub mod load;
 pub mod placement;
 pub mod relay;
 pub mod release;
 pub mod retry;
 pub mod retry_budget;
+pub mod urgency;
 pub mod work;
 
 /// Time since an arbitrary start on a clock that includes suspension (`CLOCK_BOOTTIME` on Linux).
 pub type BootTime = Duration;
+
+/// Weight after `age` of a value that decays with `half_life`; 0 if there is no value.
+fn decay(age: Option<Duration>, half_life: Duration) -> f64 {
+    age.map_or(0.0, |it| 0.5_f64.powf(it.as_secs_f64() / half_life.as_secs_f64()))
+}
--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -1,8 +1,8 @@
 //! Which engine serves a request.
 //!
-//! Engines whose prefix cache probably holds the shared parts of the prompt are preferred: rendezvous hashing
-//! selects the same few engines for a part on every node, without messages. Load decides among these, and
-//! among all engines when the preferred ones are busier than the others by more than the cached tokens save.
+//! The engine whose prefix cache probably holds the shared parts of the prompt is preferred: rendezvous hashing
+//! selects the same one for a part on every node, without messages. Any other engine is chosen when the preferred
+//! one is busier by more than the cached tokens save.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -42,25 +42,23 @@
     pub mean_work: Work,
 }
 
-/// Engines preferred for each prompt part.
-const PREFERRED_ENGINES: usize = 2;
-
 // Costs are fractions of an engine's slots: an engine with a cost is chosen only if its load is lower by at
 // least that.
 
 /// Cost of an engine outside the node's failure domain: traffic between domains is billed, and each direction
 /// adds about a millisecond.
-const REMOTE_DOMAIN_COST: f64 = 0.15;
+const REMOTE_DOMAIN_COST: f64 = 0.05;
 
-/// Cost reduction of an engine that has the prompt part cached: reading the part again costs about as much as
-/// a few percent of a batch.
-const CACHE_HIT_GAIN: f64 = 0.08;
+/// Cost reduction of the engine that has the prompt part cached. Reading the part again is billed and delays all
+/// requests of the engine, by more than the traffic from another failure domain costs.
+const CACHE_HIT_GAIN: f64 = 0.3;
 
 /// Cost of an engine whose size interval is at the opposite end.
 const SIZE_DISTANCE_COST: f64 = 0.4;
 
-/// Cost of each request of mean work while the engine may be reading its prompt.
-const PENDING_REQUEST_COST: f64 = 0.015;
+/// Cost of each request of mean work while the engine may be reading its prompt. Prompts are read one after the
+/// other, so a waiting one delays a new request more than one that is being answered.
+const PENDING_REQUEST_COST: f64 = 0.03;
 
 /// Cost of an engine whose responses all fail. An engine that fails immediately always looks idle, and would
 /// otherwise get most of the traffic.
@@ -83,7 +81,7 @@
     now: BootTime,
     rng: &mut impl Rng,
 ) -> Option<Arc<Engine>> {
-    let preferred_ids = request.affinity.map(|it| preferred(engines, request, it));
+    let preferred_id = request.affinity.and_then(|it| preferred(engines, request, it));
     let size_costs = request
         .size
         .map(|it| size_costs(engines, it.position))
@@ -94,9 +92,11 @@
         .filter(|it| request.tried.iter().all(|tried| tried.id != it.id));
     let costs = untried.map(|it| {
         let is_local = *it.domain == **request.domain;
-        let is_preferred = preferred_ids.as_ref().is_some_and(|ids| ids.contains(&&*it.id));
+        let is_preferred = preferred_id == Some(&*it.id);
         let size_cost = size_costs.get(&*it.id).copied().unwrap_or_default();
-        let pending = loads.get(it).map_or(0.0, |load| load.pending_work) / mean_work;
+        let pending = loads.get(it).map_or(0.0, |load| {
+            load.pending_work / mean_work + load.other_waiting(now)
+        });
         let cost = load_cost(it, loads, request, now)
             + size_cost
             + PENDING_REQUEST_COST * pending
@@ -129,19 +129,16 @@
     used * load.latency_ratio() + avoided_cost + no_success_cost + ERROR_RATE_COST * load.error_rate(now)
 }
 
+/// The engine that serves requests with a prompt part on a model, on every node.
 fn preferred<'a>(
     engines: &'a [Arc<Engine>],
     request: &PlacementRequest<'_>,
     prompt_part: u64,
-) -> Vec<&'a str> {
+) -> Option<&'a str> {
     let model = request.model.map_or("", |it| it);
     let key = format!("{prompt_part:x}/{model}");
-    let local = engines.iter().filter(|it| *it.domain == **request.domain);
-    let local: Vec<_> = hash::highest(&key, local.map(|it| &*it.id), PREFERRED_ENGINES);
-    if local.is_empty() {
-        return hash::highest(&key, engines.iter().map(|it| &*it.id), PREFERRED_ENGINES);
-    }
-    local
+    let ids = engines.iter().map(|it| &*it.id);
+    ids.max_by_key(|it| hash::rendezvous(&key, it))
 }
 
 /// Cost of each engine by the distance of its size interval from `position`.
--- a/crates/forward/src/retry_budget.rs
+++ b/crates/forward/src/retry_budget.rs
@@ -40,11 +40,11 @@
 
 impl RetryBudget {
     /// Fraction of the limit that is used; the rest covers requests that cross the edge of a window.
-    const USABLE_FRACTION: f64 = 0.85;
+    const USABLE_FRACTION: f64 = 0.9;
 
     /// Fraction available for [`RetryReason::Quality`]; the rest is reserved for requests that would
     /// otherwise fail.
-    const QUALITY_FRACTION: f64 = 0.75;
+    const QUALITY_FRACTION: f64 = 0.9;
 
     /// A budget of which nothing is used.
     pub fn new(limit: RetryLimit) -> Self {
