placement: drop the size intervals of engines

Hypothesis: with short prompts read first and waiting prompts counted, engines need not be divided by the size of requests. The intervals keep engines idle beside busy ones; removed.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -199,13 +199,14 @@
     let now = clock::now();
     let (engines, arm) = context.shared.engines(&context.service, context.session(), now);
     let domain = &context.shared.settings().node.failure_domain;
+    if let Some(work) = work.filter(|_| context.tried.is_empty()) {
+        context.shared.record_work(&context.service, work);
+    }
     let request = PlacementRequest {
         domain,
         affinity: context.affinity(),
         model: context.model.as_ref(),
-        size: context
-            .shared
-            .request_size(&context.service, work, context.tried.is_empty()),
+        mean_work: context.shared.mean_work(&context.service),
         max_in_flight: max_in_flight(context),
         tried: &context.tried,
     };
@@ -252,10 +253,8 @@
 
 fn urgency(context: &RequestContext) -> Urgency {
     let own = context.organisation.as_ref().and_then(|it| it.priority);
-    let position = context
-        .shared
-        .request_size(&context.service, context.work(), false)
-        .map_or(0.0, |it| it.position);
+    let work = context.work().unwrap_or_default();
+    let position = context.shared.work_position(&context.service, work);
     urgency::urgency(position, own.unwrap_or(context.route.priority))
 }
 
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -12,7 +12,6 @@
 use forward::directory::{Directory, Engine};
 use forward::first_byte::FirstByteTimes;
 use forward::load::Loads;
-use forward::placement::Size;
 use forward::release::{Arm, Release, ResponseGrade, Stage};
 use forward::retry_budget::{RetryBudget, RetryLimit, RetryReason};
 use forward::work::{Work, WorkDistribution};
@@ -197,18 +196,23 @@
         }
     }
 
-    /// Size of a request relative to others of its service; each request is counted once, when `is_new`.
-    pub(crate) fn request_size(&self, service: &Name, work: Option<Work>, is_new: bool) -> Option<Size> {
-        let work = work?;
+    /// Counts a run of a request towards the mean work of the service.
+    pub(crate) fn record_work(&self, service: &Name, work: Work) {
         let mut distributions = lock(&self.work_distributions);
-        let distribution = distributions.entry(service.clone()).or_default();
-        if is_new {
-            distribution.record(work);
-        }
-        Some(Size {
-            position: distribution.position(work),
-            mean_work: distribution.mean(),
-        })
+        distributions.entry(service.clone()).or_default().record(work);
+    }
+
+    /// Mean work of a request; `None` if the requests of the service do not state their size.
+    pub(crate) fn mean_work(&self, service: &Name) -> Option<Work> {
+        lock(&self.work_distributions)
+            .get(service)
+            .map(WorkDistribution::mean)
+    }
+
+    /// Position of a request among the others of its service, from 0 for the shortest to 1.
+    pub(crate) fn work_position(&self, service: &Name, work: Work) -> f64 {
+        let distributions = lock(&self.work_distributions);
+        distributions.get(service).map_or(0.0, |it| it.position(work))
     }
 
     /// Uses what is known about the models of a route.
--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -4,7 +4,6 @@
 //! selects the same one for a part on every node, without messages. Any other engine is chosen when the preferred
 //! one is busier by more than the cached tokens save.
 
-use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use model::hash;
@@ -25,23 +24,14 @@
     pub affinity: Option<u64>,
     /// Model that will run it; each model has its own cache.
     pub model: Option<&'a Name>,
-    /// Size of the request; `None` if sizes do not matter.
-    pub size: Option<Size>,
+    /// Mean work of a request; `None` if requests differ little.
+    pub mean_work: Option<Work>,
     /// Maximum number of concurrent requests of this node at one engine.
     pub max_in_flight: u32,
     /// Engines that were already tried.
     pub tried: &'a [Arc<Engine>],
 }
 
-/// Size of a request relative to others.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Size {
-    /// Position among the engines of a domain, from 0 for the smallest to 1.
-    pub position: f64,
-    /// Mean work of a request.
-    pub mean_work: Work,
-}
-
 // Costs are fractions of an engine's slots: an engine with a cost is chosen only if its load is lower by at
 // least that.
 
@@ -53,9 +43,6 @@
 /// requests of the engine, by more than the traffic from another failure domain costs.
 const CACHE_HIT_GAIN: f64 = 0.3;
 
-/// Cost of an engine whose size interval is at the opposite end.
-const SIZE_DISTANCE_COST: f64 = 0.4;
-
 /// Cost of each request of mean work while the engine may be reading its prompt. Prompts are read one after the
 /// other, so a waiting one delays a new request more than one that is being answered.
 const PENDING_REQUEST_COST: f64 = 0.03;
@@ -82,23 +69,17 @@
     rng: &mut impl Rng,
 ) -> Option<Arc<Engine>> {
     let preferred_id = request.affinity.and_then(|it| preferred(engines, request, it));
-    let size_costs = request
-        .size
-        .map(|it| size_costs(engines, it.position))
-        .unwrap_or_default();
-    let mean_work = request.size.map_or(f64::INFINITY, |it| it.mean_work.max(1.0));
+    let mean_work = request.mean_work.map_or(f64::INFINITY, |it| it.max(1.0));
     let untried = engines
         .iter()
         .filter(|it| request.tried.iter().all(|tried| tried.id != it.id));
     let costs = untried.map(|it| {
         let is_local = *it.domain == **request.domain;
         let is_preferred = preferred_id == Some(&*it.id);
-        let size_cost = size_costs.get(&*it.id).copied().unwrap_or_default();
         let pending = loads.get(it).map_or(0.0, |load| {
             load.pending_work / mean_work + load.other_waiting(now)
         });
         let cost = load_cost(it, loads, request, now)
-            + size_cost
             + PENDING_REQUEST_COST * pending
             + if is_local { 0.0 } else { REMOTE_DOMAIN_COST }
             - if is_preferred { CACHE_HIT_GAIN } else { 0.0 }
@@ -140,22 +121,3 @@
     let ids = engines.iter().map(|it| &*it.id);
     ids.max_by_key(|it| hash::rendezvous(&key, it))
 }
-
-/// Cost of each engine by the distance of its size interval from `position`.
-fn size_costs(engines: &[Arc<Engine>], position: f64) -> HashMap<&str, f64> {
-    let mut domains: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
-    for engine in engines {
-        domains.entry(&engine.domain).or_default().push(&engine.id);
-    }
-    let mut costs = HashMap::with_capacity(engines.len());
-    for ids in domains.values_mut() {
-        ids.sort_unstable();
-        let half_interval = 0.5 / ids.len() as f64;
-        for (rank, id) in ids.iter().enumerate() {
-            let middle = (2 * rank + 1) as f64 * half_interval;
-            let distance = ((position - middle).abs() - half_interval).max(0.0);
-            costs.insert(*id, SIZE_DISTANCE_COST * distance);
-        }
-    }
-    costs
-}
--- a/crates/forward/src/work.rs
+++ b/crates/forward/src/work.rs
@@ -1,9 +1,7 @@
-//! Size-interval assignment: requests with similar amounts of work share engines.
+//! How much work requests are, and which of them are short.
 //!
-//! The work of requests differs by a factor of a thousand, and a long prompt on a large model delays every
-//! other request on its engine. Each engine of a failure domain therefore serves an interval of sizes, with
-//! bounds that give every interval the same total work. All nodes see the same mix of requests and so derive
-//! about the same bounds.
+//! The work of requests differs by a factor of a thousand, and a long prompt on a large model delays every other
+//! request on its engine. The position of a request is the share of all work that shorter requests make up.
 
 /// Estimated work of one request, in tokens of the cheapest model.
 pub type Work = f64;
@@ -23,8 +21,8 @@
 /// Buckets for each doubling of the size.
 const BUCKETS_PER_DOUBLING: usize = 4;
 
-/// Exponent applied to the share of work that smaller requests contribute. Above 1, large requests get more
-/// engines than their share, because streams on an engine wait for each long prompt that it reads.
+/// Exponent applied to the share of work that shorter requests contribute. Above 1, positions tell long requests
+/// apart better than short ones, which delay each other little.
 const POSITION_EXPONENT: f64 = 2.0;
 
 /// Decay factor applied with each request; about the last thousand requests count.
@@ -50,7 +48,7 @@
         self.count = self.count * DECAY + 1.0;
     }
 
-    /// Position of a size among the engines of a domain, from 0 for the smallest to 1.
+    /// Position of a request among the others, from 0 for the shortest to 1.
     pub fn position(&self, work: Work) -> f64 {
         if self.total <= 0.0 {
             return 0.5;
--- a/crates/forward/tests/decisions.rs
+++ b/crates/forward/tests/decisions.rs
@@ -9,7 +9,7 @@
 use forward::configuration::{Configuration, Limits, Organisation, Route, RouteKind};
 use forward::directory::Engine;
 use forward::load::{LoadReport, Loads};
-use forward::placement::{self, PlacementRequest, Size};
+use forward::placement::{self, PlacementRequest};
 use forward::retry::Failure;
 use model::Domain;
 use model::object::service::Repeat;
@@ -133,7 +133,7 @@
         domain: &Domain::from("a"),
         affinity,
         model: None,
-        size: None,
+        mean_work: None,
         max_in_flight: u32::MAX,
         tried,
     };
@@ -189,15 +189,11 @@
     loads.record_sent(&all[1], 1_000.0);
     loads.record_sent(&all[1], 1_000.0);
     let mut rng = StdRng::seed_from_u64(1);
-    let size = Size {
-        position: 0.25,
-        mean_work: 10_000.0,
-    };
     let request = PlacementRequest {
         domain: &Domain::from("a"),
         affinity: None,
         model: None,
-        size: Some(size),
+        mean_work: Some(10_000.0),
         max_in_flight: u32::MAX,
         tried: &[],
     };
@@ -229,7 +225,7 @@
             domain: &Domain::from(domain),
             affinity: Some(0xfeed),
             model: None,
-            size: None,
+            mean_work: None,
             max_in_flight: u32::MAX,
             tried: &[],
         };
@@ -314,7 +310,7 @@
                 domain: &Domain::from("a"),
                 affinity: None,
                 model: None,
-                size: None,
+                mean_work: None,
                 max_in_flight: u32::MAX,
                 tried: &tried,
             };
