--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use forward::BootTime;
+use forward::relay::Position;
 use rand::Rng;
 use tokio::time::sleep;
 
@@ -83,7 +84,7 @@
 
 /// Reads all pages of a topic. Records that change meanwhile are read again from the end that the first page
 /// states.
-async fn read_all(shared: &Shared, topic: Topic) -> Result<(Vec<Record>, u64), Error> {
+async fn read_all(shared: &Shared, topic: Topic) -> Result<(Vec<Record>, Position), Error> {
     let Page {
         mut records,
         mut after,
@@ -91,6 +92,9 @@
     } = store::newest(shared, topic, None).await?;
     while let Some(key) = after {
         let page = store::newest(shared, topic, Some(&key)).await?;
+        if page.end.era != end.era {
+            return Err(Error::HistoryChanged);
+        }
         records.extend(page.records);
         after = page.after;
     }
--- a/crates/entry/src/follow/engines.rs
+++ b/crates/entry/src/follow/engines.rs
@@ -6,7 +6,7 @@
 
 use forward::BootTime;
 use forward::directory::Engine;
-use forward::relay::AcceptedReply;
+use forward::relay::{AcceptedReply, Position};
 use model::Upstream;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
@@ -38,15 +38,20 @@
 
 /// Gets changes from another node or reads them from the store, then waits until the next ones are due.
 ///
-/// Returns the next offset; `None` if records are missing and all entries must be read again.
-async fn follow(shared: &Shared, socket: &UdpSocket, from: u64, access: &mut TopicAccess) -> Option<u64> {
+/// Returns the next position; `None` if records are missing and all entries must be read again.
+async fn follow(
+    shared: &Shared,
+    socket: &UdpSocket,
+    from: Position,
+    access: &mut TopicAccess,
+) -> Option<Position> {
     let interval = shared.settings().store.engine_poll;
     let reply = query(shared, socket, from, access.is_lost()).await;
-    let from = reply.as_ref().map_or(from, |it| it.next_offset);
+    let from = reply.as_ref().map_or(from, |it| it.next);
     let is_relayed = reply.is_some();
     if let Some(reply) = reply {
         let changes = reply.changes.into_iter().map(EngineChange::into_entry);
-        apply(shared, changes, reply.next_offset, reply.current_at);
+        apply(shared, changes, reply.next, reply.current_at);
     }
     if is_relayed && !access.is_due() {
         sleep(interval.div_f64(relay::QUERIES_PER_INTERVAL)).await;
@@ -65,7 +70,7 @@
 async fn query(
     shared: &Shared,
     socket: &UdpSocket,
-    from: u64,
+    from: Position,
     is_lost: bool,
 ) -> Option<AcceptedReply<EngineChange>> {
     let store = &shared.settings().store;
@@ -77,7 +82,7 @@
     relay::query(shared, socket, RelayedTopic::Engines, from, is_lost).await
 }
 
-async fn read_engines(shared: &Shared) -> Result<u64, Error> {
+async fn read_engines(shared: &Shared) -> Result<Position, Error> {
     let requested_at = clock::now();
     let (records, end) = read_all(shared, Topic::Engines).await?;
     let present = records.into_iter().filter_map(|it| match it {
@@ -85,9 +90,17 @@
         _ => None,
     });
     let mut directory = lock(&shared.directory);
+    let mut journal = lock(&shared.relay.engines);
     directory.record_read(requested_at);
-    directory.replace(present.collect(), requested_at);
-    lock(&shared.relay.engines).reset(end, requested_at);
+    match journal.newest(requested_at) {
+        Some((known, _)) if known.era < end.era => {
+            log::warn!(era = end.era, before = known.era, offset = end.offset; "list of engines restored from a copy");
+            directory.restore(present.collect(), requested_at);
+        }
+        _ => directory.replace(present.collect(), requested_at),
+    }
+    journal.reset(end, requested_at);
+    drop(journal);
     lock(&shared.loads).retain(directory.engines());
     if !shared.engines_known.swap(true, Ordering::Relaxed) {
         log::info!(engines = directory.engines().count(); "engines known");
@@ -96,7 +109,7 @@
 }
 
 /// Reads changes from the store; `None` if records are missing and all entries must be read again.
-async fn read_changes(shared: &Shared, from: u64) -> Result<Option<u64>, Error> {
+async fn read_changes(shared: &Shared, from: Position) -> Result<Option<Position>, Error> {
     let requested_at = clock::now();
     match store::tail(shared, Topic::Engines, from, Duration::ZERO).await? {
         Tail::Expired => Ok(None),
@@ -111,8 +124,8 @@
     }
 }
 
-/// Applies the entries of a read that was made at `at` and ends before the offset `next`.
-fn apply(shared: &Shared, entries: impl Iterator<Item = Entry>, next: u64, at: BootTime) {
+/// Applies the entries of a read that was made at `at` and ends at the position `next`.
+fn apply(shared: &Shared, entries: impl Iterator<Item = Entry>, next: Position, at: BootTime) {
     let mut directory = lock(&shared.directory);
     directory.record_read(at);
     let mut relayed = vec![];
--- a/crates/entry/src/follow/operators.rs
+++ b/crates/entry/src/follow/operators.rs
@@ -4,6 +4,7 @@
 
 use forward::BootTime;
 use forward::configuration::Configuration;
+use forward::relay::Position;
 use forward::release::{Release, ReleaseOrder, ReleaseStatus};
 use model::Name;
 use tokio::net::UdpSocket;
@@ -30,11 +31,16 @@
 
 /// Learns from another node whether there are new records, or reads them from the store.
 ///
-/// Returns the next offset; `None` if records are missing and all must be read again.
-async fn follow(shared: &Shared, socket: &UdpSocket, from: u64, access: &mut TopicAccess) -> Option<u64> {
+/// Returns the next position; `None` if records are missing and all must be read again.
+async fn follow(
+    shared: &Shared,
+    socket: &UdpSocket,
+    from: Position,
+    access: &mut TopicAccess,
+) -> Option<Position> {
     let reply = relay::query(shared, socket, RelayedTopic::Operators, from, access.is_lost()).await;
-    let is_confirmed = reply.as_ref().is_some_and(|it| it.next_offset == from);
-    if let Some(reply) = reply.filter(|it| it.next_offset == from) {
+    let is_confirmed = reply.as_ref().is_some_and(|it| it.next == from);
+    if let Some(reply) = reply.filter(|it| it.next == from) {
         confirm(shared, from, reply.current_at);
     }
     if is_confirmed && !access.is_due() {
@@ -46,11 +52,18 @@
     access.complete(result, !is_confirmed).await.unwrap_or(Some(from))
 }
 
-async fn read_operators(shared: &Shared) -> Result<u64, Error> {
+async fn read_operators(shared: &Shared) -> Result<Position, Error> {
     let requested_at = clock::now();
     // Statuses are read first, so that an order whose release has begun is not taken for a new one.
     let (statuses, _) = read_all(shared, Topic::Status).await?;
     let (records, end) = read_all(shared, Topic::Operators).await?;
+    let known = lock(&shared.relay.operators).newest(requested_at);
+    if let Some((known, _)) = known.filter(|it| it.0.era < end.era) {
+        log::warn!(era = end.era, before = known.era, offset = end.offset; "operators' records restored from a copy");
+        lock(&shared.releases)
+            .values_mut()
+            .for_each(Release::expect_rewrite);
+    }
     apply_operators(shared, records)?;
     confirm(shared, end, requested_at);
     apply_statuses(shared, statuses);
@@ -58,7 +71,7 @@
 }
 
 /// Waits for a change; `None` if records are missing and all must be read again.
-async fn wait_for_operators(shared: &Shared, from: u64) -> Result<Option<u64>, Error> {
+async fn wait_for_operators(shared: &Shared, from: Position) -> Result<Option<Position>, Error> {
     let wait = shared.settings().store.config_wait;
     let requested_at = clock::now();
     match store::tail(shared, Topic::Operators, from, wait).await? {
@@ -78,7 +91,7 @@
 }
 
 /// Records that the configuration was current, and that the topic ended at `next`, at the time `at`.
-fn confirm(shared: &Shared, next: u64, at: BootTime) {
+fn confirm(shared: &Shared, next: Position, at: BootTime) {
     lock(&shared.configuration).confirm(at);
     lock(&shared.relay.operators).reset(next, at);
 }
@@ -118,9 +131,11 @@
 
 fn begin_release(shared: &Shared, order: ReleaseOrder) {
     let mut releases = lock(&shared.releases);
-    let known = releases.get(&order.service).map(|it| it.order().offset);
-    if known.is_some_and(|it| it >= order.offset) {
-        return;
+    if let Some(known) = releases.get_mut(&order.service) {
+        known.follow_rewrite(&order);
+        if !known.is_replaced_by(&order) {
+            return;
+        }
     }
     let (service, target) = (order.service.clone(), order.target.clone());
     let duration_ms = order.duration.as_millis() as u64;
@@ -145,7 +160,7 @@
         return;
     };
     let before = release.stage();
-    release.apply_status(status, clock::now());
+    release.apply_recorded_status(status, clock::now());
     if release.stage() != before {
         log::info!(service = **service, before:? = before, stage:? = release.stage(); "release moved");
     }
--- a/crates/entry/src/notice.rs
+++ b/crates/entry/src/notice.rs
@@ -71,7 +71,7 @@
     let named = |(route, it): (&Name, &Tally)| (route.to_string(), to_row(it));
     Notice {
         service: release.order().service.to_string(),
-        order: release.order().offset,
+        order: release.order().position.offset,
         sender: shared.incarnation.to_string(),
         is_evaluator,
         counters: counters.map(named).collect(),
@@ -125,7 +125,7 @@
     let Some(release) = releases.get_mut(&*notice.service) else {
         return;
     };
-    if release.order().offset != notice.order {
+    if release.order().position.offset != notice.order {
         return;
     }
     if notice.halted && !release.is_halted() {
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -13,6 +13,7 @@
 use forward::directory::Engine;
 use forward::escalation::Confidence;
 use forward::load::LoadReport;
+use forward::relay::Position;
 use forward::release::{ReleaseOrder, ReleaseStatus};
 use hyper::header::HeaderMap;
 use hyper::http::{request, response};
@@ -129,7 +130,7 @@
     /// Key after which the next page begins; `None` on the last page.
     pub after: Option<String>,
     /// End of the topic when the page was read.
-    pub end: u64,
+    pub end: Position,
 }
 
 /// Result of reading a topic from an offset.
@@ -139,10 +140,11 @@
     Records {
         /// Records in the order of their offsets.
         records: Vec<Record>,
-        /// Offset at which the next read begins.
-        next: u64,
+        /// Position at which the next read begins.
+        next: Position,
     },
-    /// Records after the offset have already been deleted.
+    /// The store does not have the records from the position on: they were deleted, or belong to a history that it
+    /// has lost.
     Expired,
 }
 
@@ -198,17 +200,17 @@
     /// The store rejected the request, or the response is malformed.
     fn parse_page(&self, topic: Topic, reply: &StoreReply) -> Result<Page, StoreError>;
 
-    /// Request for the records of a topic from an offset on; the store waits up to `wait` if there are none.
-    fn tail_request(&self, topic: Topic, from: u64, wait: Duration) -> StoreRequest;
+    /// Request for the records of a topic from a position on; the store waits up to `wait` if there are none.
+    fn tail_request(&self, topic: Topic, from: Position, wait: Duration) -> StoreRequest;
 
-    /// Decodes the response to [`Protocol::tail_request`] with the offset `from`.
+    /// Decodes the response to [`Protocol::tail_request`] with the position `from`.
     ///
     /// # Errors
     /// The store rejected the request, or the response is malformed.
-    fn parse_tail(&self, topic: Topic, from: u64, reply: &StoreReply) -> Result<Tail, StoreError>;
+    fn parse_tail(&self, topic: Topic, from: Position, reply: &StoreReply) -> Result<Tail, StoreError>;
 
     /// Request that appends a release status if [`Topic::Status`] still ends at `end`.
-    fn append_status_request(&self, service: &str, status: &ReleaseStatus, end: u64) -> StoreRequest;
+    fn append_status_request(&self, service: &str, status: &ReleaseStatus, end: Position) -> StoreRequest;
 
     /// Decodes the response to [`Protocol::append_status_request`].
     ///
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -10,7 +10,7 @@
 
 use forward::BootTime;
 use forward::directory::Engine;
-use forward::relay::{AcceptedReply, Journal, JournalReply, Query, READERS_PER_TOPIC};
+use forward::relay::{AcceptedReply, Journal, JournalReply, Position, Query, READERS_PER_TOPIC};
 use model::{Host, Upstream, hash};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
@@ -56,6 +56,9 @@
     #[serde(rename = "subject")]
     topic: RelayedTopic,
     from: u64,
+    /// Era of the offset `from`.
+    #[serde(default)]
+    era: u64,
 }
 
 /// The reply to a [`QueryMessage`].
@@ -66,6 +69,9 @@
     /// known.
     #[serde(rename = "reading")]
     read: Option<(u64, u64, Vec<EngineChange>)>,
+    /// Era of the next offset.
+    #[serde(default)]
+    era: u64,
 }
 
 /// Topics that nodes pass on. Release statuses are not among them, as the driver of a release sends these.
@@ -155,7 +161,7 @@
     }
 }
 
-/// Queries the readers of a topic for changes from the offset `from` on.
+/// Queries the readers of a topic for changes from the position `from` on.
 ///
 /// `None` if this node must read the store itself, because it is a reader or because no reader has a recent
 /// read. A node that cannot reach the store (`is_lost`) queries other nodes even if it is a reader, and
@@ -164,7 +170,7 @@
     shared: &Shared,
     socket: &UdpSocket,
     topic: RelayedTopic,
-    from: u64,
+    from: Position,
     is_lost: bool,
 ) -> Option<AcceptedReply<EngineChange>> {
     let interval = topic.read_interval(shared);
@@ -175,11 +181,7 @@
         let Some(reply) = query_reader(shared, socket, reader, topic, from).await else {
             continue;
         };
-        let query = Query {
-            from_offset: from,
-            age,
-            sent_at,
-        };
+        let query = Query { from, age, sent_at };
         let accepted = query.accept(reply, clock::now(), interval.mul_f64(MAX_AGE_INTERVALS));
         if accepted.is_some() {
             let label = [("subject", topic.name())];
@@ -218,7 +220,8 @@
         let newest = lock(topic.journal(&shared.relay)).newest(now);
         json!({
             "subject": topic.name(),
-            "offset": newest.map(|it| it.0),
+            "era": newest.map(|it| it.0.era),
+            "offset": newest.map(|it| it.0.offset),
             "age_ms": newest.map(|it| it.1.as_millis() as u64),
             "reads_store": readers(shared, topic, false).is_none(),
         })
@@ -231,21 +234,30 @@
     socket: &UdpSocket,
     reader: SocketAddr,
     topic: RelayedTopic,
-    from: u64,
+    from: Position,
 ) -> Option<JournalReply<EngineChange>> {
     let number = rand::rng().random();
     let (sender, receiver) = oneshot::channel();
     lock(&shared.relay.pending).insert(number, sender);
-    datagrams::send_query(socket, &QueryMessage { number, topic, from }, reader);
+    let message = QueryMessage {
+        number,
+        topic,
+        from: from.offset,
+        era: from.era,
+    };
+    datagrams::send_query(socket, &message, reader);
     let reply = timeout(REPLY_TIMEOUT, receiver).await;
     lock(&shared.relay.pending).remove(&number);
     let Ok(Ok(reply)) = reply else {
         log::debug!(subject = topic.name(), reader:%; "no reply to a query about a topic");
         return None;
     };
-    let (next, age_ms, changes) = reply.read?;
+    let (offset, age_ms, changes) = reply.read?;
     Some(JournalReply {
-        next_offset: next,
+        next: Position {
+            era: reply.era,
+            offset,
+        },
         age: Duration::from_millis(age_ms),
         changes,
     })
@@ -254,15 +266,21 @@
 /// The encoded reply to a query; `None` if it cannot be encoded.
 pub(crate) fn reply_to(shared: &Shared, query: &QueryMessage) -> Option<Vec<u8>> {
     let journal = lock(query.topic.journal(&shared.relay));
-    let read = journal.since(query.from, clock::now());
+    let from = Position {
+        era: query.era,
+        offset: query.from,
+    };
+    let read = journal.since(from, clock::now());
     drop(journal);
-    let read = read.map(|it| (it.next_offset, it.age.as_millis() as u64 + 1, it.changes));
+    let era = read.as_ref().map_or(0, |it| it.next.era);
+    let read = read.map(|it| (it.next.offset, it.age.as_millis() as u64 + 1, it.changes));
     let number = query.number;
-    let encoded = encode(&ReplyMessage { number, read })?;
+    let encoded = encode(&ReplyMessage { number, read, era })?;
     if encoded.len() <= MAX_REPLY_BYTES {
         return Some(encoded);
     }
-    encode(&ReplyMessage { number, read: None })
+    let read = None;
+    encode(&ReplyMessage { number, read, era })
 }
 
 fn encode(reply: &ReplyMessage) -> Option<Vec<u8>> {
--- a/crates/entry/src/releases.rs
+++ b/crates/entry/src/releases.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use forward::relay::Position;
 use forward::release::{Decision, Release, Stage};
 use model::{Name, hash};
 use rand::seq::SliceRandom;
@@ -135,7 +136,7 @@
 }
 
 /// Reads and applies all recorded statuses; returns the end of their topic.
-async fn read_statuses(shared: &Shared) -> Result<u64, Error> {
+async fn read_statuses(shared: &Shared) -> Result<Position, Error> {
     let page = store::newest(shared, Topic::Status, None).await?;
     follow::operators::apply_statuses(shared, page.records);
     Ok(page.end)
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use forward::relay::Position;
 use forward::release::ReleaseStatus;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::HOST;
@@ -36,6 +37,9 @@
     /// The newest configuration cannot be decoded, so the one in force may be outdated.
     #[error("the configuration cannot be decoded: {0}")]
     Configuration(String),
+    /// The store came back from an older copy between two pages of a topic.
+    #[error("the history of the store changed while it was read")]
+    HistoryChanged,
     /// The store rejected the request, or its response is malformed.
     #[error(transparent)]
     Store(#[from] StoreError),
@@ -52,10 +56,20 @@
     Ok(shared.protocol.parse_page(topic, &reply)?)
 }
 
-/// Reads records of a topic from an offset on; waits up to `wait` if there are none.
-pub(crate) async fn tail(shared: &Shared, topic: Topic, from: u64, wait: Duration) -> Result<Tail, Error> {
+/// Reads records of a topic from a position on; waits up to `wait` if there are none.
+pub(crate) async fn tail(
+    shared: &Shared,
+    topic: Topic,
+    from: Position,
+    wait: Duration,
+) -> Result<Tail, Error> {
     let reply = send(shared, shared.protocol.tail_request(topic, from, wait), wait).await?;
-    Ok(shared.protocol.parse_tail(topic, from, &reply)?)
+    let tail = shared.protocol.parse_tail(topic, from, &reply)?;
+    Ok(match tail {
+        // The offset belongs to another history, so the records may not follow on those that are known.
+        Tail::Records { next, .. } if next.era != from.era => Tail::Expired,
+        tail => tail,
+    })
 }
 
 /// Appends a release status if [`Topic::Status`] still ends at `end`.
@@ -63,7 +77,7 @@
     shared: &Shared,
     service: &str,
     status: &ReleaseStatus,
-    end: u64,
+    end: Position,
 ) -> Result<AppendOutcome, Error> {
     let request = shared.protocol.append_status_request(service, status, end);
     let reply = send(shared, request, Duration::ZERO).await?;
--- a/crates/forward/src/directory.rs
+++ b/crates/forward/src/directory.rs
@@ -17,6 +17,9 @@
 /// platform.
 pub const RENEWAL_GRACE: Duration = Duration::from_secs(2);
 
+/// Time for which engines that left are remembered; a registry comes back from a copy that is some seconds old.
+const DEPARTURE_RETENTION: Duration = Duration::from_secs(60);
+
 /// One run of an engine or of an instance of a plain service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Engine {
@@ -57,6 +60,8 @@
     grace_end: Option<BootTime>,
     /// When an engine was last evicted before the registry removed its entry.
     last_eviction: Option<BootTime>,
+    /// Runs of engines that left, with the time.
+    departed: BTreeMap<Upstream, (u64, BootTime)>,
 }
 
 impl Directory {
@@ -69,6 +74,7 @@
             last_read: None,
             grace_end: None,
             last_eviction: None,
+            departed: BTreeMap::new(),
         }
     }
 
@@ -95,6 +101,19 @@
         }
     }
 
+    /// Replaces all entries by a list from a registry that came back from an older copy.
+    ///
+    /// Engines that the copy lacks renew their entries as after an outage. Entries of engines that have left since the
+    /// copy was made are ignored; one that runs after all writes its entry again.
+    pub fn restore(&mut self, engines: Vec<Engine>, now: BootTime) {
+        self.grace_end = Some(now + RENEWAL_GRACE);
+        let departed = std::mem::take(&mut self.departed);
+        let has_departed = |it: &Engine| departed.get(&it.id).is_some_and(|left| left.0 == it.started_ms);
+        let present = engines.into_iter().filter(|it| !has_departed(it));
+        self.replace(present.collect(), now);
+        self.departed.extend(departed);
+    }
+
     /// Records that the registry was read; called before the changes of that read are applied.
     pub fn record_read(&mut self, now: BootTime) {
         let gap = self.last_read.map(|it| now.saturating_sub(it));
@@ -138,6 +157,7 @@
         {
             self.entries.remove(id);
             self.last_eviction = Some(now);
+            self.record_departure(id.into(), started_ms, now);
         }
     }
 
@@ -152,6 +172,12 @@
         if known.is_some_and(|it| engine.started_ms < it.engine.started_ms) {
             return false;
         }
+        // An engine that drains does not return; only an older copy of its entry says so.
+        let drains = known.is_some_and(|it| it.engine.draining && it.engine.started_ms == engine.started_ms);
+        let engine = Engine {
+            draining: engine.draining || drains,
+            ..engine
+        };
         let changed = known.is_none_or(|it| it.missing || *it.engine != engine);
         if changed {
             let entry = Entry {
@@ -170,8 +196,19 @@
                 it.missing = true;
                 true
             }
-            Some(_) => self.entries.remove(id).is_some(),
+            Some(it) => {
+                let started_ms = it.engine.started_ms;
+                self.entries.remove(id);
+                self.record_departure(id.clone(), started_ms, now);
+                true
+            }
             None => false,
         }
     }
+
+    fn record_departure(&mut self, id: Upstream, started_ms: u64, now: BootTime) {
+        self.departed
+            .retain(|_, it| now.saturating_sub(it.1) < DEPARTURE_RETENTION);
+        self.departed.insert(id, (started_ms, now));
+    }
 }
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -4,6 +4,9 @@
 //! replies from its [`Journal`], so the number of calls to the store does not grow with the number of nodes.
 //! Any node may be queried: the age of the reply decides whether it can be used, and the querying node reads
 //! the store itself if it cannot.
+//!
+//! A store that came back from an older copy has lost its newest records and assigns their offsets again. Such a
+//! history has a higher era, and a [`Position`] names both, so that nodes in different eras do not mix them up.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -17,11 +20,20 @@
 /// node that needs older changes reads the store.
 const JOURNAL_CAPACITY: usize = 512;
 
+/// A place in a topic.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub struct Position {
+    /// Rises each time that the store comes back from an older copy.
+    pub era: u64,
+    /// Number of records before it in the history of that era.
+    pub offset: u64,
+}
+
 /// Changes of one read.
 #[derive(Debug, Clone)]
 struct Batch<C> {
-    /// Offset after the last record of the read.
-    next_offset: u64,
+    /// Position after the last record of the read.
+    next: Position,
     changes: Vec<C>,
 }
 
@@ -29,18 +41,18 @@
 #[derive(Debug, Clone)]
 pub struct Journal<C> {
     batches: VecDeque<Batch<C>>,
-    /// Offset from which on no change is missing.
-    first_offset: u64,
-    /// Offset after the newest read, and the latest time at which the topic was known to end there.
-    newest: Option<(u64, BootTime)>,
+    /// Position from which on no change is missing.
+    first: Position,
+    /// Position after the newest read, and the latest time at which the topic was known to end there.
+    newest: Option<(Position, BootTime)>,
 }
 
 /// Reply to a node that knows a topic up to some offset.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct JournalReply<C> {
-    /// Offset up to which the topic is known after the changes.
-    pub next_offset: u64,
-    /// Time since the topic was known to end at that offset.
+    /// Position up to which the topic is known after the changes.
+    pub next: Position,
+    /// Time since the topic was known to end at that position.
     pub age: Duration,
     /// Changes in the order in which they apply.
     pub changes: Vec<C>,
@@ -49,9 +61,9 @@
 /// A reply that the querying node can apply.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AcceptedReply<C> {
-    /// Offset up to which the topic is known after the changes.
-    pub next_offset: u64,
-    /// When the topic was known to end at that offset, on the clock of the querying node.
+    /// Position up to which the topic is known after the changes.
+    pub next: Position,
+    /// When the topic was known to end at that position, on the clock of the querying node.
     pub current_at: BootTime,
     /// Changes in the order in which they apply.
     pub changes: Vec<C>,
@@ -60,8 +72,8 @@
 /// A query sent to another node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Query {
-    /// Offset up to which the querying node knows the topic.
-    pub from_offset: u64,
+    /// Position up to which the querying node knows the topic.
+    pub from: Position,
     /// Age of that knowledge when the query was sent.
     pub age: Duration,
     /// When the query was sent.
@@ -73,7 +85,7 @@
     ///
     /// The age of the reply is counted from the time of the query. The reply was made later, so neither a
     /// delayed datagram nor a suspended host makes it look more recent than it is. The end of a topic never
-    /// moves backwards, so a reply that ends before the offset of the query only shows that the reader had
+    /// moves backwards within an era, so a reply that ends before the position of the query only shows that the reader had
     /// nothing newer.
     pub fn accept<C>(
         self,
@@ -81,15 +93,15 @@
         now: BootTime,
         max_age: Duration,
     ) -> Option<AcceptedReply<C>> {
-        let accepted = if reply.next_offset >= self.from_offset {
+        let accepted = if reply.next >= self.from {
             AcceptedReply {
-                next_offset: reply.next_offset,
+                next: reply.next,
                 current_at: self.sent_at.saturating_sub(reply.age),
                 changes: reply.changes,
             }
         } else {
             AcceptedReply {
-                next_offset: self.from_offset,
+                next: self.from,
                 current_at: self.sent_at.saturating_sub(self.age),
                 changes: vec![],
             }
@@ -103,52 +115,51 @@
     pub fn new() -> Self {
         Self {
             batches: VecDeque::new(),
-            first_offset: 0,
+            first: Position::default(),
             newest: None,
         }
     }
 
-    /// Drops all changes and records that the topic was known to end at `next_offset` at the time `at`.
-    pub fn reset(&mut self, next_offset: u64, at: BootTime) {
+    /// Drops all changes and records that the topic was known to end at `next` at the time `at`.
+    pub fn reset(&mut self, next: Position, at: BootTime) {
         self.batches.clear();
-        self.first_offset = next_offset;
-        self.newest = Some((next_offset, at));
+        self.first = next;
+        self.newest = Some((next, at));
     }
 
     /// Records a read that began where the previous one ended.
-    pub fn extend(&mut self, next_offset: u64, changes: Vec<C>, at: BootTime) {
+    pub fn extend(&mut self, next: Position, changes: Vec<C>, at: BootTime) {
         // An earlier time than the recorded one would understate how current the journal is.
         let at = self.newest.map_or(at, |(_, known)| known.max(at));
-        self.newest = Some((next_offset, at));
+        self.newest = Some((next, at));
         if !changes.is_empty() {
-            self.batches.push_back(Batch { next_offset, changes });
+            self.batches.push_back(Batch { next, changes });
         }
         while self.batches.iter().map(|it| it.changes.len()).sum::<usize>() > JOURNAL_CAPACITY {
             if let Some(dropped) = self.batches.pop_front() {
-                self.first_offset = dropped.next_offset;
+                self.first = dropped.next;
             }
         }
     }
 
-    /// Offset after the newest read, and its age.
-    pub fn newest(&self, now: BootTime) -> Option<(u64, Duration)> {
-        self.newest
-            .map(|(next_offset, at)| (next_offset, now.saturating_sub(at)))
+    /// Position after the newest read, and its age.
+    pub fn newest(&self, now: BootTime) -> Option<(Position, Duration)> {
+        self.newest.map(|(next, at)| (next, now.saturating_sub(at)))
     }
 
-    /// Changes from `from_offset` on; `None` if some of them are missing. For an offset after the newest
-    /// read, the reply has no changes and the offset of that read.
+    /// Changes from `from` on; `None` if some of them are missing. For a position after the newest
+    /// read, the reply has no changes and the position of that read.
     ///
-    /// A read that began before `from_offset` is returned as a whole: applied in order, its changes lead to
+    /// A read that began before `from` is returned as a whole: applied in order, its changes lead to
     /// the same state.
-    pub fn since(&self, from_offset: u64, now: BootTime) -> Option<JournalReply<C>> {
-        let (next_offset, age) = self.newest(now)?;
-        if from_offset < self.first_offset {
+    pub fn since(&self, from: Position, now: BootTime) -> Option<JournalReply<C>> {
+        let (next, age) = self.newest(now)?;
+        if from < self.first {
             return None;
         }
-        let batches = self.batches.iter().filter(|it| it.next_offset > from_offset);
+        let batches = self.batches.iter().filter(|it| it.next > from);
         Some(JournalReply {
-            next_offset,
+            next,
             age,
             changes: batches.flat_map(|it| it.changes.iter().cloned()).collect(),
         })
--- a/crates/forward/src/release.rs
+++ b/crates/forward/src/release.rs
@@ -13,6 +13,7 @@
 use crate::BootTime;
 use crate::evidence::Evidence;
 pub use crate::evidence::{Counters, ResponseGrade, Tally};
+use crate::relay::Position;
 
 /// An order of the operators to release a version.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -23,8 +24,8 @@
     pub target: Name,
     /// Time within which the release must be complete or reverted.
     pub duration: Duration,
-    /// Offset of the order in its log; a later order replaces an earlier one.
-    pub offset: u64,
+    /// Position of the order in its log; a later order replaces an earlier one.
+    pub position: Position,
 }
 
 /// Progress of a release.
@@ -127,12 +128,17 @@
 #[derive(Debug, Clone)]
 pub struct Release {
     order: ReleaseOrder,
+    /// Offset at which the order was first read. It decides which sessions get the new version first, also after the
+    /// order was written again elsewhere.
+    seed: u64,
     started_at: BootTime,
     stage: Stage,
     /// Stage that is active until `effective_after`.
     previous_stage: Stage,
     effective_after: Duration,
     is_recorded: bool,
+    /// Whether the store came back from a copy that may lack the status.
+    expects_rewrite: bool,
     halted: bool,
     evidence: Evidence,
     /// Maximum time between two requests of a session.
@@ -147,12 +153,14 @@
     /// A release whose order was just read; a session ends after `session_timeout` without a request.
     pub fn new(order: ReleaseOrder, session_timeout: Duration, now: BootTime) -> Self {
         Self {
+            seed: order.position.offset,
             order,
             started_at: now,
             stage: Stage::Trial(0),
             previous_stage: Stage::Trial(0),
             effective_after: Duration::ZERO,
             is_recorded: false,
+            expects_rewrite: false,
             halted: false,
             evidence: Evidence::default(),
             session_timeout,
@@ -183,7 +191,7 @@
 
     /// Whether the release was recorded as complete or reverted.
     pub fn has_ended(&self) -> bool {
-        self.is_recorded && self.stage >= Stage::Complete
+        self.is_recorded && !self.expects_rewrite && self.stage >= Stage::Complete
     }
 
     /// Whether the new version was detected to be bad.
@@ -198,7 +206,7 @@
 
     /// Applies a recorded status; statuses of other orders and earlier stages have no effect.
     pub fn apply_status(&mut self, status: &ReleaseStatus, now: BootTime) {
-        if status.order_offset != self.order.offset || status.target != self.order.target {
+        if status.order_offset != self.order.position.offset || status.target != self.order.target {
             return;
         }
         self.is_recorded = true;
@@ -211,11 +219,39 @@
         }
     }
 
+    /// Applies a status that was read from the store or written to it.
+    pub fn apply_recorded_status(&mut self, status: &ReleaseStatus, now: BootTime) {
+        self.apply_status(status, now);
+        let is_own = status.order_offset == self.order.position.offset && status.target == self.order.target;
+        self.expects_rewrite &= !(is_own && status.stage >= self.stage);
+    }
+
+    /// Records that the store came back from an older copy: the driver writes the status again unless the store still
+    /// has it.
+    pub fn expect_rewrite(&mut self) {
+        self.expects_rewrite |= self.is_recorded;
+    }
+
+    /// Continues under the position of an order that was written again in a new era.
+    pub fn follow_rewrite(&mut self, order: &ReleaseOrder) {
+        let is_new_era = order.position.era > self.order.position.era;
+        if is_new_era && order.target == self.order.target {
+            self.order.position = order.position;
+        }
+    }
+
+    /// Whether an order that was just read replaces this release. In a new era, an order for another version is newer
+    /// only if its offset is: one with a lower offset is what the copy of the store still has.
+    pub fn is_replaced_by(&self, order: &ReleaseOrder) -> bool {
+        let known = self.order.position;
+        order.position > known && order.position.offset > known.offset
+    }
+
     /// The status to record for a stage that is decided now.
     pub fn status_for(&self, stage: Stage, now: BootTime) -> ReleaseStatus {
         let elapsed = self.elapsed(now);
         ReleaseStatus {
-            order_offset: self.order.offset,
+            order_offset: self.order.position.offset,
             target: self.order.target.clone(),
             stage,
             elapsed,
@@ -274,7 +310,7 @@
     }
 
     fn hash(&self, session: &[u8]) -> SessionHash {
-        let mut seeded = self.order.offset.to_be_bytes().to_vec();
+        let mut seeded = self.seed.to_be_bytes().to_vec();
         seeded.extend_from_slice(session);
         (hash::stable(&seeded) >> 32) as SessionHash
     }
@@ -340,6 +376,9 @@
         if self.has_ended() {
             return Decision::Hold;
         }
+        if self.expects_rewrite {
+            return Decision::Record(self.stage);
+        }
         if self.halted {
             return Decision::Record(Stage::Reverted);
         }
--- a/crates/forward/tests/directory.rs
+++ b/crates/forward/tests/directory.rs
@@ -136,3 +136,29 @@
     directory.apply(&"x".into(), None, SECOND * 3);
     assert!(directory.engine("x").is_none());
 }
+
+/// Guards against engines that are given up because the copy of the registry is older than their entries.
+#[test]
+fn engine_that_a_restored_registry_lacks_may_renew_its_entry() {
+    let mut directory = directory(&["a", "b"]);
+    (1..=5).for_each(|it| directory.record_read(SECOND * it));
+    directory.restore(vec![engine("a", 1)], SECOND * 5);
+    directory.record_read(SECOND * 6);
+    assert_eq!(available(&directory, SECOND * 6), ["a".into(), "b".into()]);
+    directory.record_read(SECOND * 5 + RENEWAL_GRACE);
+    assert_eq!(available(&directory, SECOND * 5 + RENEWAL_GRACE), ["a".into()]);
+}
+
+/// Guards against requests to an engine whose leaving the registry has forgotten.
+#[test]
+fn engines_that_left_do_not_return_with_a_restored_registry() {
+    let mut directory = directory(&["a", "b", "c"]);
+    directory.apply(&"a".into(), Some(draining("a")), SECOND * 3);
+    directory.apply(&"b".into(), None, SECOND * 3);
+    let copy = ["a", "b", "c"].map(|it| engine(it, 1));
+    directory.restore(copy.to_vec(), SECOND * 5);
+    assert_eq!(available(&directory, SECOND * 5), ["c".into()]);
+    // An entry that is written again shows that the engine runs after all.
+    directory.apply(&"b".into(), Some(engine("b", 1)), SECOND * 6);
+    assert_eq!(available(&directory, SECOND * 6), ["b".into(), "c".into()]);
+}
--- a/crates/forward/tests/relay.rs
+++ b/crates/forward/tests/relay.rs
@@ -5,63 +5,92 @@
 use std::time::Duration;
 
 use forward::BootTime;
-use forward::relay::Journal;
+use forward::relay::{Journal, Position, Query};
 use proptest::prelude::*;
 
 type Changes = Vec<(u8, Option<u8>)>;
 
+/// A position of the first era.
+fn offset(offset: u64) -> Position {
+    Position { era: 0, offset }
+}
+
 fn at(millis: u64) -> BootTime {
     Duration::from_millis(millis)
 }
 
 #[test]
 fn no_reply_before_the_first_read() {
-    assert_eq!(Journal::<u8>::new().since(0, at(0)), None);
+    assert_eq!(Journal::<u8>::new().since(offset(0), at(0)), None);
 }
 
 #[test]
 fn age_counts_from_the_read() {
     let mut journal = Journal::<u8>::new();
-    journal.reset(7, at(100));
-    let reply = journal.since(7, at(350)).expect("the end is known");
-    assert_eq!((reply.next_offset, reply.age), (7, at(250)));
+    journal.reset(offset(7), at(100));
+    let reply = journal.since(offset(7), at(350)).expect("the end is known");
+    assert_eq!((reply.next, reply.age), (offset(7), at(250)));
 }
 
 #[test]
 fn out_of_order_read_does_not_increase_the_age() {
     let mut journal = Journal::<u8>::new();
-    journal.reset(7, at(300));
-    journal.extend(7, vec![], at(200));
-    assert_eq!(journal.since(7, at(300)).map(|it| it.age), Some(at(0)));
+    journal.reset(offset(7), at(300));
+    journal.extend(offset(7), vec![], at(200));
+    assert_eq!(journal.since(offset(7), at(300)).map(|it| it.age), Some(at(0)));
 }
 
 #[test]
 fn no_reply_for_an_offset_before_the_journal() {
     let mut journal = Journal::new();
-    journal.reset(7, at(0));
-    journal.extend(9, vec![1], at(1));
-    assert!(journal.since(6, at(1)).is_none());
+    journal.reset(offset(7), at(0));
+    journal.extend(offset(9), vec![1], at(1));
+    assert!(journal.since(offset(6), at(1)).is_none());
 }
 
 /// Guards against a node that reads the store repeatedly because it is always slightly ahead of the reader.
 #[test]
 fn node_ahead_of_the_reader_gets_the_offset_of_the_reader() {
     let mut journal = Journal::new();
-    journal.reset(7, at(0));
-    journal.extend(9, vec![1], at(1));
-    let reply = journal.since(10, at(1)).expect("nothing is missing");
-    assert_eq!((reply.next_offset, reply.changes.len()), (9, 0));
+    journal.reset(offset(7), at(0));
+    journal.extend(offset(9), vec![1], at(1));
+    let reply = journal.since(offset(10), at(1)).expect("nothing is missing");
+    assert_eq!((reply.next, reply.changes.len()), (offset(9), 0));
+}
+
+/// Guards against offsets of a lost history that are taken for those of the current one.
+#[test]
+fn eras_do_not_mix() {
+    let mut journal = Journal::new();
+    journal.reset(Position { era: 1, offset: 4 }, at(0));
+    journal.extend(Position { era: 1, offset: 6 }, vec![1], at(1));
+    assert!(journal.since(offset(5), at(1)).is_none());
+    let query = Query {
+        from: Position { era: 2, offset: 3 },
+        age: at(5),
+        sent_at: at(100),
+    };
+    let reply = journal
+        .since(query.from, at(100))
+        .expect("the reader has nothing newer");
+    let accepted = query
+        .accept(reply, at(101), at(50))
+        .expect("the own read is recent");
+    assert_eq!((accepted.next, accepted.current_at), (query.from, at(95)));
+    assert!(accepted.changes.is_empty());
 }
 
 #[test]
 fn no_reply_after_dropped_changes() {
     let mut journal = Journal::new();
-    journal.reset(0, at(0));
+    journal.reset(offset(0), at(0));
     for next in 1..2000 {
-        journal.extend(next, vec![next], at(next));
+        journal.extend(offset(next), vec![next], at(next));
     }
-    assert!(journal.since(1, at(2000)).is_none());
-    let recent = journal.since(1990, at(2000)).expect("recent changes are kept");
+    assert!(journal.since(offset(1), at(2000)).is_none());
+    let recent = journal
+        .since(offset(1990), at(2000))
+        .expect("recent changes are kept");
     assert_eq!(recent.changes, (1991..2000).collect::<Vec<_>>());
 }
 
@@ -84,11 +113,11 @@
         queries in prop::collection::vec(0..60_usize, 1..8),
     ) {
         let mut journal = Journal::new();
-        journal.reset(0, at(0));
+        journal.reset(offset(0), at(0));
         let mut read = 0;
         for part in parts {
             let end = log.len().min(read + part);
-            journal.extend(end as u64, log[read..end].to_vec(), at(read as u64));
+            journal.extend(offset(end as u64), log[read..end].to_vec(), at(read as u64));
             read = end;
         }
         let mut expected = BTreeMap::new();
@@ -96,10 +125,10 @@
         for from in queries.into_iter().filter(|it| *it <= read) {
             let mut state = BTreeMap::new();
             apply(&mut state, &log[..from].to_vec());
-            let reply = journal.since(from as u64, at(100)).expect("nothing was dropped");
+            let reply = journal.since(offset(from as u64), at(100)).expect("nothing was dropped");
             apply(&mut state, &reply.changes);
             prop_assert_eq!(&state, &expected);
-            prop_assert_eq!(reply.next_offset, read as u64);
+            prop_assert_eq!(reply.next, offset(read as u64));
         }
     }
 }
--- a/crates/forward/tests/relay_schedules.rs
+++ b/crates/forward/tests/relay_schedules.rs
@@ -1,8 +1,9 @@
 //! Random schedules of nodes that read a log and query each other, with reordered, lost and delayed messages.
 //!
 //! Guards against a node that lacks a record written before the time at which it considers its state current,
-//! and against a state that differs from the log up to the node's offset. Deliberate faults show that the
-//! checks detect these violations.
+//! and against a state that differs from the log up to the node's position, also when the store comes back from an
+//! older copy, several times in a row, and while nodes are in different eras. Deliberate faults show that the checks
+//! detect these violations.
 
 #![expect(clippy::unwrap_used, reason = "helpers of tests may panic")]
 
@@ -10,7 +11,7 @@
 use std::time::Duration;
 
 use forward::BootTime;
-use forward::relay::{AcceptedReply, Journal, JournalReply, Query};
+use forward::relay::{AcceptedReply, Journal, JournalReply, Position, Query};
 use proptest::prelude::*;
 
 type Change = (u8, Option<u8>);
@@ -33,11 +34,15 @@
     NoJournalReset,
     /// A read counts as current at its arrival.
     ReadFromArrival,
+    /// The records from an offset on are applied although the offset belongs to another era.
+    TailOfOtherEra,
+    /// A reader replies to a query from another era as if the offset were its own.
+    ReplyToOtherEra,
 }
 
 #[derive(Debug, PartialEq, Eq)]
 enum Violation {
-    /// A node's state differs from the log up to its offset.
+    /// A node's state differs from the log up to its position.
     State,
     /// A node lacks a record written before the time at which it considers its state current.
     Currency,
@@ -47,6 +52,10 @@
 enum Step {
     Write(Change),
     Wait(u16),
+    /// The store comes back without its newest records.
+    Restore {
+        lost: usize,
+    },
     /// A node begins to read the log: either the changes, or everything again.
     Read {
         node: usize,
@@ -66,8 +75,8 @@
     LogRead {
         node: usize,
         sent_at: BootTime,
-        from: Option<u64>,
-        end: usize,
+        from: Option<Position>,
+        end: Position,
     },
     Query {
         node: usize,
@@ -84,20 +93,20 @@
 #[derive(Debug, Default)]
 struct Node {
     state: BTreeMap<u8, u8>,
-    next_offset: Option<u64>,
+    next: Option<Position>,
     current_at: BootTime,
     journal: Journal<Change>,
 }
 
 impl Node {
-    fn apply(&mut self, changes: &[Change], next_offset: u64, at: BootTime) {
+    fn apply(&mut self, changes: &[Change], next: Position, at: BootTime) {
         for (key, value) in changes {
             match value {
                 Some(value) => self.state.insert(*key, *value),
                 None => self.state.remove(key),
             };
         }
-        self.next_offset = Some(next_offset);
+        self.next = Some(next);
         self.current_at = self.current_at.max(at);
     }
 }
@@ -106,7 +115,8 @@
 struct Simulation {
     fault: Option<Fault>,
     now: BootTime,
-    log: Vec<(Change, BootTime)>,
+    /// Records with the time of writing, and the time at which the history began, of each era.
+    histories: Vec<(Vec<(Change, BootTime)>, BootTime)>,
     nodes: Vec<Node>,
     messages: Vec<Message>,
 }
@@ -114,23 +124,45 @@
 impl Simulation {
     fn new(fault: Option<Fault>) -> Self {
         let nodes = (0..NODES).map(|_| Node::default()).collect();
-        let (now, log, messages) = (Duration::from_secs(1), vec![], vec![]);
         Self {
             fault,
-            now,
-            log,
+            now: Duration::from_secs(1),
+            histories: vec![(vec![], BootTime::ZERO)],
             nodes,
-            messages,
+            messages: vec![],
         }
     }
 
+    fn end(&self) -> Position {
+        let era = self.histories.len() - 1;
+        Position {
+            era: era as u64,
+            offset: self.histories[era].0.len() as u64,
+        }
+    }
+
+    /// Records of an era before a position.
+    fn records(&self, end: Position) -> Vec<Change> {
+        let history = &self.histories[usize::try_from(end.era).unwrap()].0;
+        let known = &history[..usize::try_from(end.offset).unwrap()];
+        known.iter().map(|it| it.0).collect()
+    }
+
     fn step(&mut self, step: &Step) {
         match step {
-            Step::Write(change) => self.log.push((*change, self.now)),
+            Step::Write(change) => {
+                let now = self.now;
+                self.histories.last_mut().unwrap().0.push((*change, now));
+            }
+            Step::Restore { lost } => {
+                let mut history = self.histories.last().unwrap().0.clone();
+                history.truncate(history.len().saturating_sub(*lost));
+                self.histories.push((history, self.now));
+            }
             Step::Wait(millis) => self.now += Duration::from_millis((*millis).into()),
             Step::Read { node, full } => {
-                let from = self.nodes[*node].next_offset.filter(|_| !full);
-                let (node, sent_at, end) = (*node, self.now, self.log.len());
+                let from = self.nodes[*node].next.filter(|_| !full);
+                let (node, sent_at, end) = (*node, self.now, self.end());
                 self.messages.push(Message::LogRead {
                     node,
                     sent_at,
@@ -140,7 +172,7 @@
             }
             Step::Query { node, reader } if node != reader => {
                 let Node {
-                    next_offset: Some(from),
+                    next: Some(from),
                     journal,
                     ..
                 } = &self.nodes[*node]
@@ -149,7 +181,7 @@
                 };
                 let age = journal.newest(self.now).map_or(Duration::MAX, |it| it.1);
                 let query = Query {
-                    from_offset: *from,
+                    from: *from,
                     age,
                     sent_at: self.now,
                 };
@@ -178,7 +210,15 @@
                 end,
             } => self.read(node, sent_at, from, end),
             Message::Query { node, reader, query } => {
-                if let Some(reply) = self.nodes[reader].journal.since(query.from_offset, self.now) {
+                let journal = &self.nodes[reader].journal;
+                let from = match (self.fault, journal.newest(self.now)) {
+                    (Some(Fault::ReplyToOtherEra), Some((newest, _))) => Position {
+                        era: newest.era,
+                        ..query.from
+                    },
+                    _ => query.from,
+                };
+                if let Some(reply) = journal.since(from, self.now) {
                     self.messages.push(Message::Reply { node, query, reply });
                 }
             }
@@ -187,68 +227,76 @@
     }
 
     /// A node handles reads and replies sequentially, so a read that was overtaken is never applied.
-    fn read(&mut self, node: usize, sent_at: BootTime, from: Option<u64>, end: usize) {
+    fn read(&mut self, node: usize, sent_at: BootTime, from: Option<Position>, end: Position) {
         let fault = self.fault;
         let at = if fault == Some(Fault::ReadFromArrival) {
             self.now
         } else {
             sent_at
         };
-        let log: Vec<_> = self.log[..end].iter().map(|it| it.0).collect();
+        let log = self.records(end);
         let node = &mut self.nodes[node];
-        if from.is_some() && from != node.next_offset
-            || from.is_none() && node.next_offset.is_some_and(|it| it > end as u64)
-        {
+        let is_overtaken = from.is_some() && from != node.next || from.is_none() && node.next > Some(end);
+        if is_overtaken {
             return;
         }
+        // A read from the offset of another era is answered with the records of this one, or with a refusal.
+        let from = from.filter(|it| it.era == end.era || fault == Some(Fault::TailOfOtherEra));
         if from.is_none() {
             node.state.clear();
         }
-        let changes = &log[usize::try_from(from.unwrap_or(0)).unwrap()..];
-        node.apply(changes, end as u64, at);
+        let known = from.map_or(0, |it| usize::try_from(it.offset).unwrap());
+        let changes = &log[known.min(log.len())..];
+        node.apply(changes, end, at);
         match from {
-            Some(_) => node.journal.extend(end as u64, changes.to_vec(), at),
-            None if fault == Some(Fault::NoJournalReset) => node.journal.extend(end as u64, vec![], at),
-            None => node.journal.reset(end as u64, at),
+            Some(_) => node.journal.extend(end, changes.to_vec(), at),
+            None if fault == Some(Fault::NoJournalReset) => node.journal.extend(end, vec![], at),
+            None => node.journal.reset(end, at),
         }
     }
 
     fn apply_reply(&mut self, node: usize, query: Query, reply: JournalReply<Change>) {
         let (fault, now) = (self.fault, self.now);
         let node = &mut self.nodes[node];
-        if node.next_offset != Some(query.from_offset) {
+        if node.next != Some(query.from) {
             return;
         }
-        let (next_offset, changes) = (reply.next_offset, reply.changes.clone());
+        let (next, changes) = (reply.next, reply.changes.clone());
         let accepted = match fault {
-            Some(Fault::OffsetMovesBack) if next_offset < query.from_offset => Some(AcceptedReply {
-                next_offset,
+            Some(Fault::OffsetMovesBack) if next < query.from => Some(AcceptedReply {
+                next,
                 current_at: query.sent_at,
                 changes,
             }),
-            Some(Fault::ReplyAgeFromArrival) if next_offset >= query.from_offset => Some(AcceptedReply {
-                next_offset,
+            Some(Fault::ReplyAgeFromArrival) if next >= query.from => Some(AcceptedReply {
+                next,
                 current_at: now.saturating_sub(reply.age),
                 changes,
             }),
             _ => query.accept(reply, now, MAX_AGE),
         };
         if let Some(it) = accepted {
-            node.apply(&it.changes, it.next_offset, it.current_at);
-            node.journal.extend(it.next_offset, it.changes, it.current_at);
+            node.apply(&it.changes, it.next, it.current_at);
+            node.journal.extend(it.next, it.changes, it.current_at);
         }
     }
 
     fn check(&self) -> Result<(), Violation> {
         for node in &self.nodes {
-            let known = usize::try_from(node.next_offset.unwrap_or(0)).unwrap();
+            let known = node.next.unwrap_or_default();
             let mut expected = Node::default();
-            let records: Vec<_> = self.log[..known].iter().map(|it| it.0).collect();
-            expected.apply(&records, 0, node.current_at);
+            expected.apply(&self.records(known), known, node.current_at);
             if node.state != expected.state {
                 return Err(Violation::State);
             }
-            if self.log.iter().filter(|it| it.1 < node.current_at).count() > known {
+            let era = usize::try_from(known.era).unwrap();
+            let history = &self.histories[era].0;
+            let written = history.iter().filter(|it| it.1 < node.current_at).count();
+            let has_ended = self
+                .histories
+                .get(era + 1)
+                .is_some_and(|it| it.1 < node.current_at);
+            if written as u64 > known.offset || has_ended {
                 return Err(Violation::Currency);
             }
         }
@@ -265,6 +313,7 @@
         3 => (0..NODES, 0..NODES).prop_map(|(node, reader)| Step::Query { node, reader }),
         6 => index().prop_map(Step::Deliver),
         1 => index().prop_map(Step::Lose),
+        1 => (0..4_usize).prop_map(|lost| Step::Restore { lost }),
     ];
     prop::collection::vec(step, 1..120)
 }
@@ -298,4 +347,6 @@
     offset_that_moves_back_is_detected: OffsetMovesBack => State;
     journal_without_reset_is_detected: NoJournalReset => State;
     read_from_arrival_is_detected: ReadFromArrival => Currency;
+    tail_of_another_era_is_detected: TailOfOtherEra => State;
+    reply_to_another_era_is_detected: ReplyToOtherEra => State;
 }
--- a/crates/forward/tests/release.rs
+++ b/crates/forward/tests/release.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use forward::relay::Position;
 use forward::release::{Arm, Counters, Decision, Release, ReleaseOrder, ResponseGrade, Stage, Tally};
 use model::{Incarnation, Name};
 use rand::rngs::StdRng;
@@ -17,7 +18,7 @@
         service: "pool".into(),
         target: "v2".into(),
         duration: SECOND * 24,
-        offset: 7,
+        position: Position { era: 0, offset: 7 },
     }
 }
 
@@ -217,6 +218,68 @@
     assert_eq!(release.stage(), Stage::Trial(0));
 }
 
+/// Guards against a release that the operators see as unfinished because the store lost its end.
+#[test]
+fn status_that_a_restored_store_lacks_is_written_again() {
+    let mut release = release();
+    let end = release.status_for(Stage::Complete, SECOND * 20);
+    release.apply_recorded_status(&end, SECOND * 20);
+    assert!(release.has_ended());
+    release.expect_rewrite();
+    release.apply_recorded_status(&release.status_for(Stage::Trial(1), SECOND * 9), SECOND * 21);
+    assert_eq!(release.stage(), Stage::Complete);
+    assert_eq!(release.decide(SECOND * 21), Decision::Record(Stage::Complete));
+    release.apply_recorded_status(&release.status_for(Stage::Complete, SECOND * 21), SECOND * 21);
+    assert!(release.has_ended());
+    assert_eq!(release.decide(SECOND * 22), Decision::Hold);
+}
+
+/// Guards against a driver that believes another node's notice about a status that the store has lost.
+#[test]
+fn notice_does_not_prove_that_a_restored_store_has_the_status() {
+    let mut release = release();
+    let status = release.status_for(Stage::Trial(0), SECOND);
+    release.apply_recorded_status(&status, SECOND);
+    release.expect_rewrite();
+    release.apply_status(&status, SECOND * 2);
+    assert_eq!(release.decide(SECOND * 2), Decision::Record(Stage::Trial(0)));
+}
+
+/// Guards against a release that starts anew, or sessions that change version, because its order was written again.
+#[test]
+fn release_continues_when_its_order_is_written_again() {
+    let mut release = release();
+    release.apply_recorded_status(&release.status_for(Stage::Trial(1), SECOND), SECOND);
+    let sessions: Vec<String> = (0..200).map(|it| format!("s{it}")).collect();
+    let arms = |release: &mut Release| -> Vec<Arm> {
+        let assign = |it: &String| release.assign_arm(it.as_bytes(), SECOND * 10);
+        sessions.iter().map(assign).collect()
+    };
+    let before = arms(&mut release);
+    let rewritten = ReleaseOrder {
+        position: Position { era: 1, offset: 4 },
+        ..order()
+    };
+    release.follow_rewrite(&rewritten);
+    assert!(!release.is_replaced_by(&rewritten));
+    assert_eq!(release.order().position, rewritten.position);
+    assert_eq!(release.stage(), Stage::Trial(1));
+    assert_eq!(arms(&mut release), before);
+}
+
+#[test]
+fn order_that_only_the_copy_still_has_does_not_return() {
+    let release = release();
+    let order = |era, offset| ReleaseOrder {
+        target: "other".into(),
+        position: Position { era, offset },
+        ..order()
+    };
+    assert!(!release.is_replaced_by(&order(1, 5)));
+    assert!(release.is_replaced_by(&order(1, 9)));
+    assert!(release.is_replaced_by(&order(0, 9)));
+}
+
 #[test]
 fn new_driver_takes_the_start_from_the_status() {
     let mut release = Release::new(order(), SESSION_TIMEOUT, SECOND * 100);
--- a/crates/forward/tests/release_schedules.rs
+++ b/crates/forward/tests/release_schedules.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use forward::BootTime;
+use forward::relay::Position;
 use forward::release::{Arm, Decision, Release, ReleaseOrder, ReleaseStatus, ResponseGrade, Stage};
 use model::{Incarnation, Name};
 use proptest::prelude::*;
@@ -81,7 +82,7 @@
         service: "pool".into(),
         target: "v2".into(),
         duration: Duration::from_secs(24),
-        offset: 7,
+        position: Position { era: 0, offset: 7 },
     }
 }
 
