entry: refuse calls just before the exit of a planned stop

Cause: streams were refused once the entry addresses had expired, calls until the very end, on the assumption that a call ends before the exit. A call that arrives within a second of the exit is now refused with a true 'not run'. The decision is pure (forward::drain).

--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -19,9 +19,6 @@
 use crate::shared::Shared;
 use crate::{clock, datagrams, follow, releases};
 
-/// Margin before the end of the grace period, for the exit of the process.
-const EXIT_MARGIN: Duration = Duration::from_millis(400);
-
 /// Interval at which a stopping node checks whether all requests have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
@@ -152,12 +149,11 @@
 }
 
 async fn drain(shared: &Shared) -> usize {
-    let bounds = shared.settings().bounds.clone();
     let began = clock::now();
     shared.leaving.send_replace(Some(began));
     // A caller may have received this node's address just before the stop.
-    let serve_time = bounds.entry_lifetime * Shared::CACHED_LIFETIMES + Duration::from_millis(500);
-    let limit = bounds.grace.saturating_sub(EXIT_MARGIN);
+    let serve_time = shared.drain().addresses_expired + Duration::from_millis(500);
+    let limit = shared.drain().exit;
     loop {
         let elapsed = clock::now().saturating_sub(began);
         let active = shared.active_requests.load(Ordering::SeqCst);
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -123,8 +123,7 @@
     let body = read_body(body, limits).await?;
     let now = clock::now();
     let (route, organisation) = authorise(shared, &head, &metadata, now)?;
-    // A new stream could be cut off by the end of the process; a call ends before it.
-    if matches!(route.kind, RouteKind::Stream { .. }) && shared.entry_addresses_expired(now) {
+    if !shared.accepts(route.kind, now) {
         return Err(Refusal::Leaving);
     }
     let service = route
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -3,13 +3,15 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::Duration;
 
 use config::settings::entry::Settings;
 use forward::BootTime;
 use forward::cached::Cached;
-use forward::configuration::{Configuration, Route};
+use forward::configuration::{Configuration, Route, RouteKind};
 use forward::congestion::Congestion;
 use forward::directory::{Directory, Engine};
+use forward::drain::Drain;
 use forward::first_byte::FirstByteTimes;
 use forward::load::Loads;
 use forward::release::{Arm, Release, ResponseGrade, Stage};
@@ -62,7 +64,10 @@
     const OUTAGE_HEARTBEATS: u32 = 2;
 
     /// Number of entry lifetimes for which some callers cache entry addresses, as specified by the platform.
-    pub(crate) const CACHED_LIFETIMES: u32 = 3;
+    const CACHED_LIFETIMES: u32 = 3;
+
+    /// Margin before the end of the grace period, for the exit of the process.
+    const EXIT_MARGIN: Duration = Duration::from_millis(400);
 
     pub(crate) fn new(
         settings: Settings,
@@ -110,12 +115,19 @@
         self.leaving.borrow().is_some()
     }
 
-    /// Whether all responses with this node's entry address that were sent before the planned stop have
-    /// expired.
-    pub(crate) fn entry_addresses_expired(&self, now: BootTime) -> bool {
-        let lifetime = self.settings().bounds.entry_lifetime * Self::CACHED_LIFETIMES;
+    /// Course of a planned stop.
+    pub(crate) fn drain(&self) -> Drain {
+        let bounds = &self.settings().bounds;
+        Drain {
+            addresses_expired: bounds.entry_lifetime * Self::CACHED_LIFETIMES,
+            exit: bounds.grace.saturating_sub(Self::EXIT_MARGIN),
+        }
+    }
+
+    /// Whether a new request is served, or refused because the node is about to stop.
+    pub(crate) fn accepts(&self, kind: RouteKind, now: BootTime) -> bool {
         let began = *self.leaving.borrow();
-        began.is_some_and(|it| now.saturating_sub(it) >= lifetime)
+        began.is_none_or(|it| self.drain().accepts(kind, now.saturating_sub(it)))
     }
 
     /// Whether callers may be directed to this node.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`retry`]: one request with its attempts; whether it may be sent again, and which final response is true
 //! - [`work`], [`load`], [`placement`], [`urgency`]: which engine serves a request, and in which order
 //! - [`escalation`] with [`adequacy`], [`answer_value`], [`congestion`], [`first_byte`]: which model answers a request
+//! - [`drain`]: which requests a node accepts during its planned stop
 //! - [`event_stream`]: event streams split at event boundaries and resumed without gaps or duplicates
 //! - [`retry_budget`]: the share of the fleet's retry budget that a node may use
 //! - [`relay`]: changes read from the store that nodes pass on to each other
@@ -22,6 +23,7 @@
 pub mod configuration;
 pub mod congestion;
 pub mod directory;
+pub mod drain;
 pub mod escalation;
 pub mod event_stream;
 pub mod evidence;
