--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -163,6 +163,9 @@
     /// The store rejected the request.
     #[error("the store responded with status {0}")]
     Status(u16),
+    /// The key of a record has more bytes than the store accepts.
+    #[error("a key of {0} bytes is too long for the store")]
+    KeyTooLong(usize),
     /// The body is malformed.
     #[error("malformed response of the store: {0}")]
     Malformed(String),
@@ -210,7 +213,15 @@
     fn parse_tail(&self, topic: Topic, from: Position, reply: &StoreReply) -> Result<Tail, StoreError>;
 
     /// Request that appends a release status if [`Topic::Status`] still ends at `end`.
-    fn append_status_request(&self, service: &str, status: &ReleaseStatus, end: Position) -> StoreRequest;
+    ///
+    /// # Errors
+    /// The name of the service is too long for the key of a record.
+    fn append_status_request(
+        &self,
+        service: &str,
+        status: &ReleaseStatus,
+        end: Position,
+    ) -> Result<StoreRequest, StoreError>;
 
     /// Decodes the response to [`Protocol::append_status_request`].
     ///
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -79,7 +79,7 @@
     status: &ReleaseStatus,
     end: Position,
 ) -> Result<AppendOutcome, Error> {
-    let request = shared.protocol.append_status_request(service, status, end);
+    let request = shared.protocol.append_status_request(service, status, end)?;
     let reply = send(shared, request, Duration::ZERO).await?;
     Ok(shared.protocol.parse_append(&reply)?)
 }
