--- a/crates/forward/src/first_byte.rs
+++ b/crates/forward/src/first_byte.rs
@@ -16,7 +16,7 @@
 
 /// Spreads by which the expected time must be shorter than the remaining time to be met as often as not. The first
 /// event is only a part of a timely stream: pauses between its events count as well.
-const MARGIN: f64 = 1.0;
+const MARGIN: f64 = 2.0;
 
 /// Smoothed times to the first byte per unit of [`prompt_cost`], by route and model.
 #[derive(Debug, Clone, Default)]
