--- a/crates/forward/src/load.rs
+++ b/crates/forward/src/load.rs
@@ -31,12 +31,8 @@
     /// Work of this node's requests without a response so far, whose prompts the engine may still have to
     /// read.
     pub pending_work: Work,
-    /// Requests of this node without a response so far.
-    pending: u32,
     /// Requests of other nodes according to the last report.
     other_requests: f64,
-    /// Those of them that wait for their first event.
-    other_waiting: f64,
     reported_at: Option<BootTime>,
     consecutive_failures: u32,
     avoided_until: Option<BootTime>,
@@ -50,9 +46,6 @@
 }
 
 impl Load {
-    /// Time after which half of the requests that waited at a report have probably begun.
-    const WAITING_HALF_LIFE: Duration = Duration::from_millis(400);
-
     /// Time after which half of a report counts as outdated.
     const REPORT_HALF_LIFE: Duration = Duration::from_millis(1500);
 
@@ -77,9 +70,7 @@
             started_ms,
             in_flight: 0,
             pending_work: 0.0,
-            pending: 0,
             other_requests: 0.0,
-            other_waiting: 0.0,
             reported_at: None,
             consecutive_failures: 0,
             avoided_until: None,
@@ -97,12 +88,6 @@
         f64::from(self.in_flight) + self.other_requests * decay(age, Self::REPORT_HALF_LIFE)
     }
 
-    /// Estimated number of other nodes' requests that wait for their first event.
-    pub fn other_waiting(&self, now: BootTime) -> f64 {
-        let age = self.reported_at.map(|it| now.saturating_sub(it));
-        self.other_waiting * decay(age, Self::WAITING_HALF_LIFE)
-    }
-
     /// Estimated share of failures among the responses.
     pub fn error_rate(&self, now: BootTime) -> f64 {
         let age = self.error_at.map(|it| now.saturating_sub(it));
@@ -157,14 +142,12 @@
         let load = self.entry(engine);
         load.in_flight += 1;
         load.pending_work += work;
-        load.pending += 1;
     }
 
     /// Records that the response to a request has begun, or that there will be none.
     pub fn record_response_start(&mut self, engine: &Engine, work: Work) {
         let load = self.entry(engine);
         load.pending_work = (load.pending_work - work).max(0.0);
-        load.pending = load.pending.saturating_sub(1);
     }
 
     /// Records the end of a request.
@@ -178,7 +161,6 @@
         let load = self.entry(engine);
         let total = f64::from(report.running + report.waiting);
         load.other_requests = (total - f64::from(load.in_flight)).max(0.0);
-        load.other_waiting = f64::from(report.waiting.saturating_sub(load.pending));
         load.reported_at = Some(now);
     }
 
--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -76,9 +76,7 @@
     let costs = untried.map(|it| {
         let is_local = *it.domain == **request.domain;
         let is_preferred = preferred_id == Some(&*it.id);
-        let pending = loads.get(it).map_or(0.0, |load| {
-            load.pending_work / mean_work + load.other_waiting(now)
-        });
+        let pending = loads.get(it).map_or(0.0, |load| load.pending_work) / mean_work;
         let cost = load_cost(it, loads, request, now)
             + PENDING_REQUEST_COST * pending
             + if is_local { 0.0 } else { REMOTE_DOMAIN_COST }
