forward, entry: one discounted mean, work estimated once an attempt

From the last reading, behaviour unchanged: adequacy, answer_value and congestion kept three copies of a discounted mean (now forward::mean); the urgency estimated the work of a request a second time in each attempt; the value of an answer was looked up under its own lock.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -135,7 +135,7 @@
             return AttemptOutcome::failed(Failure::Unreachable);
         }
     };
-    let request = match build_request(context, &engine, last_event_id) {
+    let request = match build_request(context, &engine, work, last_event_id) {
         Ok(request) => request,
         Err(err) => {
             log::error!(id = context.id, error:% = err; "request cannot be built");
@@ -226,6 +226,7 @@
 fn build_request(
     context: &RequestContext,
     engine: &Engine,
+    work: Option<Work>,
     last_event_id: Option<u64>,
 ) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
     let metadata = ForwardMetadata {
@@ -234,7 +235,7 @@
         organisation: context.organisation.as_ref().map(|it| &*it.name),
         model: context.model.as_deref(),
         last_event_id: last_event_id.or(context.metadata.last_event_id),
-        urgency: matches!(context.route.kind, RouteKind::Stream { .. }).then(|| urgency(context)),
+        urgency: matches!(context.route.kind, RouteKind::Stream { .. }).then(|| urgency(context, work)),
     };
     let mut headers = context
         .shared
@@ -251,10 +252,11 @@
     Ok(request)
 }
 
-fn urgency(context: &RequestContext) -> Urgency {
+fn urgency(context: &RequestContext, work: Option<Work>) -> Urgency {
     let own = context.organisation.as_ref().and_then(|it| it.priority);
-    let work = context.work().unwrap_or_default();
-    let position = context.shared.work_position(&context.service, work);
+    let position = context
+        .shared
+        .work_position(&context.service, work.unwrap_or_default());
     urgency::urgency(position, own.unwrap_or(context.route.priority))
 }
 
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -152,12 +152,12 @@
     let began = clock::now();
     shared.leaving.send_replace(Some(began));
     // A caller may have received this node's address just before the stop.
-    let serve_time = shared.drain().addresses_expired + Duration::from_millis(500);
-    let limit = shared.drain().exit;
+    let plan = shared.drain();
+    let serve_time = plan.addresses_expired + Duration::from_millis(500);
     loop {
         let elapsed = clock::now().saturating_sub(began);
         let active = shared.active_requests.load(Ordering::SeqCst);
-        if (elapsed >= serve_time && active == 0) || elapsed >= limit {
+        if (elapsed >= serve_time && active == 0) || elapsed >= plan.exit {
             return active;
         }
         sleep(DRAIN_POLL).await;
--- a/crates/entry/src/model_choice.rs
+++ b/crates/entry/src/model_choice.rs
@@ -56,13 +56,15 @@
         if self.model.is_none() {
             return;
         }
-        let tokens = self.metadata.tokens.unwrap_or(DEFAULT_TOKENS);
-        self.shared
-            .with_route_models(&self.route, |it| it.value.record(tokens));
+        let tokens = self.tokens();
+        let value = self.shared.with_route_models(&self.route, |it| {
+            it.value.record(tokens);
+            it.value.of(tokens)
+        });
         if rand::random_bool(EXPLORATION_SHARE) {
             return;
         }
-        let candidates = self.candidates(clock::now());
+        let candidates = self.candidates(value, clock::now());
         let first = self.shared.with_route_models(&self.route, |it| {
             escalation::first_model(&it.adequacy, &candidates)
         });
@@ -77,7 +79,7 @@
         let (Some(model), Some(confidence)) = (model, engine_response.metadata.confidence) else {
             return false;
         };
-        self.record_confidence(model, confidence);
+        let value = self.record_confidence(model, confidence);
         if !self.retry_state.may_run_again(now) {
             return false;
         }
@@ -86,7 +88,7 @@
             confidence,
             is_timely: now.saturating_sub(self.arrived) <= self.route.latency_goal,
         };
-        let candidates = self.candidates(now);
+        let candidates = self.candidates(value, now);
         let next = self.shared.with_route_models(&self.route, |it| {
             escalation::decide(&it.adequacy, answer, &candidates)
         });
@@ -109,25 +111,30 @@
         true
     }
 
-    fn record_confidence(&self, model: usize, confidence: Confidence) {
-        let dropped = self.dropped_answer;
-        self.shared.with_route_models(&self.route, |it| match dropped {
-            Some(before) => it.adequacy.record_escalation(before, (model, confidence)),
-            None if model == 0 => it.adequacy.record_smallest(confidence),
-            None => {}
-        });
+    /// Records the confidence of an answer; returns the value of an adequate one.
+    fn record_confidence(&self, model: usize, confidence: Confidence) -> f64 {
+        let (dropped, tokens) = (self.dropped_answer, self.tokens());
+        self.shared.with_route_models(&self.route, |it| {
+            match dropped {
+                Some(before) => it.adequacy.record_escalation(before, (model, confidence)),
+                None if model == 0 => it.adequacy.record_smallest(confidence),
+                None => {}
+            }
+            it.value.of(tokens)
+        })
+    }
+
+    fn tokens(&self) -> Tokens {
+        self.metadata.tokens.unwrap_or(DEFAULT_TOKENS)
     }
 
-    /// Relative price and timeliness of each model of the route.
-    fn candidates(&self, now: BootTime) -> Vec<Candidate> {
-        let tokens = self.metadata.tokens.unwrap_or(DEFAULT_TOKENS);
+    /// Price, relative to the value of an adequate answer, and timeliness of each model of the route.
+    fn candidates(&self, value: f64, now: BootTime) -> Vec<Candidate> {
+        let tokens = self.tokens();
         let remaining = self
             .route
             .latency_goal
             .saturating_sub(now.saturating_sub(self.arrived));
-        let value = self
-            .shared
-            .with_route_models(&self.route, |it| it.value.of(tokens));
         let price_factor = self.shared.price_factor(&self.service, now) / value;
         let configuration = lock(&self.shared.configuration).value().cloned();
         let service = configuration.as_ref().and_then(|it| it.service(&self.service));
--- a/crates/forward/src/adequacy.rs
+++ b/crates/forward/src/adequacy.rs
@@ -4,6 +4,7 @@
 //! what a larger model makes of the same requests is learned from those that both have answered.
 
 use crate::escalation::Confidence;
+use crate::mean::Mean;
 
 /// Number of bands into which confidences are divided.
 const BANDS: usize = 10;
@@ -32,24 +33,6 @@
     1.0 / (1.0 + ((UNDECIDED - confidence) / ODDS_STEP).exp())
 }
 
-/// A mean in which older observations weigh less.
-#[derive(Debug, Clone, Copy, Default)]
-struct Mean {
-    sum: f64,
-    weight: f64,
-}
-
-impl Mean {
-    fn record(&mut self, value: f64, weight: f64) {
-        self.sum = self.sum * RETENTION + value;
-        self.weight = self.weight * RETENTION + weight;
-    }
-
-    fn with_prior(self, prior: f64) -> f64 {
-        (self.sum + PRIOR_WEIGHT * prior) / (self.weight + PRIOR_WEIGHT)
-    }
-}
-
 /// What is known about a model's answers to requests that a smaller one has answered.
 #[derive(Debug, Clone, Default)]
 struct Comparison {
@@ -95,8 +78,8 @@
         let Some(comparison) = self.comparisons.get_mut(from).and_then(|it| it.get_mut(to)) else {
             return;
         };
-        comparison.by_band[band(before)].record(other, 1.0);
-        comparison.improvement.record(other - own, 1.0 - own);
+        comparison.by_band[band(before)].record(other, 1.0, RETENTION);
+        comparison.improvement.record(other - own, 1.0 - own, RETENTION);
     }
 
     /// Probability that model `to` answers adequately a request that `from` has answered with `confidence`.
@@ -125,10 +108,15 @@
         };
         let steps = i32::try_from(to.saturating_sub(from)).unwrap_or(i32::MAX);
         let prior = 1.0 - (1.0 - PRIOR_IMPROVEMENT).powi(steps);
-        let improvement = comparison.improvement.with_prior(prior).clamp(0.0, 1.0);
+        let improvement = comparison
+            .improvement
+            .with_prior(prior, PRIOR_WEIGHT)
+            .clamp(0.0, 1.0);
         let expected = own + (1.0 - own) * improvement;
         // A larger model is not assumed to be worse, however few answers of it are known.
-        comparison.by_band[band].with_prior(expected).max(own)
+        comparison.by_band[band]
+            .with_prior(expected, PRIOR_WEIGHT)
+            .max(own)
     }
 }
 
--- a/crates/forward/src/answer_value.rs
+++ b/crates/forward/src/answer_value.rs
@@ -3,6 +3,8 @@
 //! The configuration does not state the value of requests. Within a route it is taken to grow with the size of a
 //! request, and from one route to another in proportion to the mean size.
 
+use crate::mean::Mean;
+
 /// Number of prompt tokens and maximum number of output tokens of a request.
 pub type Tokens = (u64, u64);
 
@@ -27,25 +29,19 @@
 /// Sizes of the recent requests of one route.
 #[derive(Debug, Clone, Default)]
 pub struct AnswerValue {
-    sum: f64,
-    weight: f64,
+    size: Mean,
 }
 
 impl AnswerValue {
     /// Counts a request.
     pub fn record(&mut self, tokens: Tokens) {
-        self.sum = self.sum * RETENTION + size(tokens);
-        self.weight = self.weight * RETENTION + 1.0;
+        self.size.record(size(tokens), 1.0, RETENTION);
     }
 
     /// Value of an adequate answer to a request.
     pub fn of(&self, tokens: Tokens) -> f64 {
         let size = size(tokens);
-        let mean = if self.weight > 0.0 {
-            self.sum / self.weight
-        } else {
-            size
-        };
+        let mean = self.size.value().unwrap_or(size);
         let units = FIXED_SHARE * mean + (1.0 - FIXED_SHARE) * size;
         VALUE_PER_UNIT * units.min(MAX_RELATIVE_VALUE * mean)
     }
--- a/crates/forward/src/congestion.rs
+++ b/crates/forward/src/congestion.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::mean::Mean;
 use crate::{BootTime, decay};
 
 /// Time after which a report counts half. The queues of engines build up and drain within a second.
@@ -17,8 +18,7 @@
 /// Requests that wait at the engines of a service.
 #[derive(Debug, Clone, Default)]
 pub struct Congestion {
-    waiting: f64,
-    weight: f64,
+    waiting: Mean,
     reported_at: Option<BootTime>,
 }
 
@@ -26,16 +26,15 @@
     /// Records the number of requests that wait at an engine.
     pub fn record(&mut self, waiting: u32, now: BootTime) {
         let retention = self.retention(now);
-        self.waiting = self.waiting * retention + f64::from(waiting);
-        self.weight = self.weight * retention + 1.0;
+        self.waiting.record(f64::from(waiting), 1.0, retention);
         self.reported_at = Some(now);
     }
 
     /// Factor by which the use of an engine's time is dearer than its price.
     pub fn price_factor(&self, now: BootTime) -> f64 {
-        let retention = self.retention(now);
-        let mean = self.waiting * retention / (self.weight * retention + PRIOR_WEIGHT);
-        1.0 + PRICE_PER_WAITING * mean
+        let mut waiting = self.waiting;
+        waiting.record(0.0, 0.0, self.retention(now));
+        1.0 + PRICE_PER_WAITING * waiting.with_prior(0.0, PRIOR_WEIGHT)
     }
 
     fn retention(&self, now: BootTime) -> f64 {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod evidence;
 pub mod first_byte;
 pub mod load;
+mod mean;
 pub mod placement;
 pub mod relay;
 pub mod release;
