forward, entry: log and count the request limits that engines state

The header is decoded, changes are logged with the request that showed them and counted, the limit is on the line "attempt" and in /state. Nothing acts on it yet. A limit that cannot be parsed is logged and neither starts nor ends one.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use forward::BootTime;
 use forward::configuration::RouteKind;
 use forward::directory::Engine;
 use forward::placement::{self, PlacementRequest};
@@ -23,8 +24,9 @@
 
 use crate::client::{self, Connection};
 use crate::clock;
-use crate::protocol::{ForwardMetadata, ResponseMetadata};
+use crate::protocol::{ForwardMetadata, ResponseMetadata, StatedLimit};
 use crate::request::RequestContext;
+use crate::request_limit;
 use crate::response::{ResponseBody, strip_connection_headers};
 use crate::shared::{Shared, lock};
 
@@ -167,6 +169,7 @@
             .shared
             .record_waiting(&context.service, report.waiting, now);
     }
+    record_request_limit(context, &engine, head.status, &metadata, sent_at);
     let engine_response = EngineResponse {
         head,
         metadata,
@@ -189,8 +192,9 @@
     );
     let (model, version) = (context.model.as_deref().unwrap_or_default(), &*engine.version);
     let session = context.metadata.session.as_deref().unwrap_or_default();
+    let request_limit = lock(&context.shared.request_limits).rate(engine);
     log::info!(
-        id = context.id, session, engine = *engine.id, version, arm:?, model, load, run, waited_ms;
+        id = context.id, session, engine = *engine.id, version, arm:?, model, load, request_limit, run, waited_ms;
         "attempt"
     );
 }
@@ -289,6 +293,33 @@
     (limit - waited).min(remaining)
 }
 
+/// Records the request limit that a response states, or that it ended.
+fn record_request_limit(
+    context: &RequestContext,
+    engine: &Engine,
+    status: StatusCode,
+    metadata: &ResponseMetadata,
+    sent_at: BootTime,
+) {
+    let rate = match metadata.request_limit {
+        // Another engine sent the response.
+        _ if status == StatusCode::MISDIRECTED_REQUEST => return,
+        StatedLimit::Rate(rate) => Some(rate),
+        // Only a response of the engine itself shows that it states no limit.
+        StatedLimit::None if metadata.is_signed => None,
+        StatedLimit::None => return,
+        StatedLimit::Unreadable => {
+            log::warn!(id = context.id, engine = *engine.id; "request limit cannot be parsed");
+            return;
+        }
+    };
+    let now = clock::now();
+    let change = lock(&context.shared.request_limits).record_response(engine, rate, sent_at, now);
+    if let Some(change) = change {
+        request_limit::log_change(&context.shared, &engine.id, change, &context.id);
+    }
+}
+
 fn record_failure(context: &RequestContext, engine: &Engine, failure: Failure) {
     lock(&context.shared.loads).record_failure(engine, failure, clock::now());
 }
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -95,6 +95,7 @@
         "version": *engine.version,
         "draining": engine.draining,
         "requests": load.map_or(0.0, |it| it.estimated_requests(now)),
+        "request_limit": lock(&shared.request_limits).rate(engine),
         "avoided": load.is_some_and(|it| it.is_avoided(now)),
     })
 }
--- a/crates/entry/src/follow/engines.rs
+++ b/crates/entry/src/follow/engines.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use forward::BootTime;
-use forward::directory::Engine;
+use forward::directory::{Directory, Engine};
 use forward::relay::{AcceptedReply, Position};
 use model::Upstream;
 use tokio::net::UdpSocket;
@@ -101,7 +101,7 @@
     }
     journal.reset(end, requested_at);
     drop(journal);
-    lock(&shared.loads).retain(directory.engines());
+    forget_removed(shared, &directory);
     if !shared.engines_known.swap(true, Ordering::Relaxed) {
         log::info!(engines = directory.engines().count(); "engines known");
     }
@@ -146,10 +146,16 @@
     }
     lock(&shared.relay.engines).extend(next, relayed, at);
     if changed {
-        lock(&shared.loads).retain(directory.engines());
+        forget_removed(shared, &directory);
     }
 }
 
+/// Drops the state of engines that are no longer listed.
+fn forget_removed(shared: &Shared, directory: &Directory) {
+    lock(&shared.loads).retain(directory.engines());
+    lock(&shared.request_limits).retain(directory.engines());
+}
+
 fn log_engine(id: &Upstream, listed: bool, draining: bool) {
     log::info!(engine = **id, listed, draining; "engine changed");
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -21,6 +21,7 @@
 mod relay;
 mod releases;
 mod request;
+mod request_limit;
 mod response;
 mod shared;
 mod store;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -28,6 +28,8 @@
     pub streams_resumed: Counter,
     /// Streams that broke off.
     pub streams_broken: Counter,
+    /// Changes of the request limits that engines state, by change.
+    pub request_limit_changes: Family<Label, Counter>,
     /// Requests to the store.
     pub store_calls: Counter,
     /// Requests to the store without a usable response.
@@ -51,6 +53,7 @@
             retries_denied: Counter::default(),
             streams_resumed: Counter::default(),
             streams_broken: Counter::default(),
+            request_limit_changes: Family::default(),
             store_calls: Counter::default(),
             store_failures: Counter::default(),
             relayed: Family::default(),
@@ -103,6 +106,11 @@
             "Streams that broke off",
             self.streams_broken.clone(),
         );
+        registry.register(
+            "request_limit_changes",
+            "Changes of the request limits that engines state, by change",
+            self.request_limit_changes.clone(),
+        );
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
         registry.register(
             "store_failures",
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -15,6 +15,7 @@
 use forward::load::LoadReport;
 use forward::relay::Position;
 use forward::release::{ReleaseOrder, ReleaseStatus};
+use forward::request_limit::Rate;
 use hyper::header::HeaderMap;
 use hyper::http::{request, response};
 use hyper::{Method, Response};
@@ -59,7 +60,7 @@
 }
 
 /// Metadata in the head of an engine's response.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct ResponseMetadata {
     /// Id of the caller's attempt to which the engine responds.
     pub id: Option<String>,
@@ -69,10 +70,24 @@
     pub not_run: bool,
     /// Load that the engine reports.
     pub load_report: Option<LoadReport>,
+    /// Rate to which the engine limits the requests of all nodes together.
+    pub request_limit: StatedLimit,
     /// Confidence of the model in its response.
     pub confidence: Option<Confidence>,
 }
 
+/// Request limit in the head of an engine's response.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum StatedLimit {
+    /// The response states none.
+    #[default]
+    None,
+    /// Requests per second, finite and not negative.
+    Rate(Rate),
+    /// The response states one that cannot be parsed.
+    Unreadable,
+}
+
 /// A topic of the platform's store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Topic {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -15,6 +15,7 @@
 use forward::first_byte::FirstByteTimes;
 use forward::load::Loads;
 use forward::release::{Arm, Release, ResponseGrade, Stage};
+use forward::request_limit::Limits;
 use forward::retry_budget::{RetryBudget, RetryLimit, RetryReason};
 use forward::work::{Work, WorkDistribution};
 use membership::Table;
@@ -36,6 +37,7 @@
     pub configuration: Mutex<Cached<Configuration>>,
     pub directory: Mutex<Directory>,
     pub loads: Mutex<Loads>,
+    pub request_limits: Mutex<Limits>,
     pub releases: Mutex<BTreeMap<Name, Release>>,
     pub members: Mutex<Table>,
     retry_budgets: Mutex<HashMap<Name, RetryBudget>>,
@@ -83,6 +85,7 @@
             configuration: Mutex::new(Cached::empty()),
             directory: Mutex::new(Directory::new(outage)),
             loads: Mutex::default(),
+            request_limits: Mutex::default(),
             releases: Mutex::default(),
             members: Mutex::new(members),
             retry_budgets: Mutex::default(),
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`escalation`] with [`adequacy`], [`answer_value`], [`congestion`], [`first_byte`]: which model answers a request
 //! - [`drain`]: which requests a node accepts during its planned stop
 //! - [`event_stream`]: event streams split at event boundaries and resumed without gaps or duplicates
+//! - [`request_limit`]: rates to which engines limit the requests of all nodes together
 //! - [`retry_budget`]: the share of the fleet's retry budget that a node may use
 //! - [`relay`]: changes read from the store that nodes pass on to each other
 //! - [`evidence`], [`release`]: how much traffic a new version of a service gets
@@ -33,6 +34,7 @@
 pub mod placement;
 pub mod relay;
 pub mod release;
+pub mod request_limit;
 pub mod retry;
 pub mod retry_budget;
 pub mod urgency;
