--- a/crates/entry/src/datagrams.rs
+++ b/crates/entry/src/datagrams.rs
@@ -31,7 +31,7 @@
 const REPLY: u8 = b'a';
 
 /// Sends and receives datagrams until the process ends.
-pub(crate) async fn run(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+pub(crate) async fn run(shared: Arc<Shared>) {
     let seeds = shared
         .settings()
         .seeds
@@ -39,7 +39,7 @@
         .copied()
         .map(Seed::from_address)
         .collect();
-    handle(&shared, &socket, Event::Hosts(seeds));
+    handle(&shared, Event::Hosts(seeds));
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -50,20 +50,20 @@
         tokio::select! {
             _ = ticks.tick() => {
                 if count.is_multiple_of(STATUS_TICKS) {
-                    handle(&shared, &socket, Event::Status(status(&shared)));
+                    handle(&shared, Event::Status(status(&shared)));
                 }
                 count = count.wrapping_add(1);
-                handle(&shared, &socket, Event::Tick);
+                handle(&shared, Event::Tick);
             }
-            received = socket.recv_from(&mut buffer) => match received {
-                Ok((len, from)) => receive(&shared, &socket, &buffer[..len], from),
+            received = shared.socket.recv_from(&mut buffer) => match received {
+                Ok((len, from)) => receive(&shared, &buffer[..len], from),
                 // The error of an earlier datagram to a closed port is reported here; it concerns only that
                 // peer.
                 Err(err) => log::debug!("gossip socket: {err}"),
             },
             _ = leaving.changed(), if !is_leaving => {
                 is_leaving = true;
-                handle(&shared, &socket, Event::Leave);
+                handle(&shared, Event::Leave);
             }
         }
     }
@@ -87,7 +87,7 @@
     Status { readiness, ..status }
 }
 
-fn receive(shared: &Shared, socket: &UdpSocket, bytes: &[u8], from: SocketAddr) {
+fn receive(shared: &Shared, bytes: &[u8], from: SocketAddr) {
     let Some((kind, content)) = bytes.split_first() else {
         return;
     };
@@ -95,7 +95,7 @@
         MEMBERSHIP => {
             let message = peer::Datagram::decode(content).ok();
             match message.and_then(gossip::parse_datagram) {
-                Some(it) => handle(shared, socket, Event::Received(Box::new(it))),
+                Some(it) => handle(shared, Event::Received(Box::new(it))),
                 None => log::debug!("cannot decode a membership datagram"),
             }
         }
@@ -106,7 +106,7 @@
         QUERY => match serde_json::from_slice::<QueryMessage>(content) {
             Ok(query) => {
                 if let Some(reply) = relay::reply_to(shared, &query) {
-                    send_content(socket, REPLY, &reply, from);
+                    send_content(&shared.socket, REPLY, &reply, from);
                 }
             }
             Err(err) => log::debug!("cannot decode a query: {err}"),
@@ -119,14 +119,14 @@
     }
 }
 
-fn handle(shared: &Shared, socket: &UdpSocket, event: Event) {
+fn handle(shared: &Shared, event: Event) {
     let now = clock::now();
     let actions = lock(&shared.members).handle(event, now, &mut rand::rng());
     for action in actions {
         match action {
             Action::Send { to, datagram } => {
                 let message = gossip::datagram_message(&datagram, 0);
-                send_content(socket, MEMBERSHIP, &message.encode_to_vec(), to);
+                send_content(&shared.socket, MEMBERSHIP, &message.encode_to_vec(), to);
             }
             Action::Changed(member) if member.state == State::Dead => {
                 log::warn!(host = *member.host; "host declared dead");
--- a/crates/entry/src/follow/engines.rs
+++ b/crates/entry/src/follow/engines.rs
@@ -8,7 +8,6 @@
 use forward::directory::{Directory, Engine};
 use forward::relay::{AcceptedReply, Position};
 use model::Upstream;
-use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
 use super::{TopicAccess, read_all};
@@ -25,12 +24,12 @@
 type Entry = (Upstream, Option<Engine>);
 
 /// Follows the list of engines: reads all entries, then polls for changes.
-pub(crate) async fn run(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+pub(crate) async fn run(shared: Arc<Shared>) {
     let mut next = None;
     let mut access = TopicAccess::new("list of engines");
     loop {
         next = match next {
-            Some(from) => follow(&shared, &socket, from, &mut access).await,
+            Some(from) => follow(&shared, from, &mut access).await,
             None => access.complete(read_engines(&shared).await, true).await,
         };
     }
@@ -39,14 +38,9 @@
 /// Gets changes from another node or reads them from the store, then waits until the next ones are due.
 ///
 /// Returns the next position; `None` if records are missing and all entries must be read again.
-async fn follow(
-    shared: &Shared,
-    socket: &UdpSocket,
-    from: Position,
-    access: &mut TopicAccess,
-) -> Option<Position> {
+async fn follow(shared: &Shared, from: Position, access: &mut TopicAccess) -> Option<Position> {
     let interval = shared.settings().store.engine_poll;
-    let reply = query(shared, socket, from, access.is_lost()).await;
+    let reply = query(shared, from, access.is_lost()).await;
     let from = reply.as_ref().map_or(from, |it| it.next);
     let is_relayed = reply.is_some();
     if let Some(reply) = reply {
@@ -67,19 +61,14 @@
     next
 }
 
-async fn query(
-    shared: &Shared,
-    socket: &UdpSocket,
-    from: Position,
-    is_lost: bool,
-) -> Option<AcceptedReply<EngineChange>> {
+async fn query(shared: &Shared, from: Position, is_lost: bool) -> Option<AcceptedReply<EngineChange>> {
     let store = &shared.settings().store;
     // An evicted engine that still runs renews its entry with the next heartbeat, which other nodes do not
     // pass on.
     if lock(&shared.directory).has_evicted_within(clock::now(), store.heartbeat * EVICTION_HEARTBEATS) {
         return None;
     }
-    relay::query(shared, socket, RelayedTopic::Engines, from, is_lost).await
+    relay::query(shared, RelayedTopic::Engines, from, is_lost).await
 }
 
 async fn read_engines(shared: &Shared) -> Result<Position, Error> {
--- a/crates/entry/src/follow/operators.rs
+++ b/crates/entry/src/follow/operators.rs
@@ -7,7 +7,6 @@
 use forward::relay::Position;
 use forward::release::{Release, ReleaseOrder, ReleaseStatus};
 use model::Name;
-use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
 use super::{TopicAccess, read_all};
@@ -18,12 +17,12 @@
 use crate::store::{self, Error};
 
 /// Follows the operators' records: reads all, then waits for changes.
-pub(crate) async fn run(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+pub(crate) async fn run(shared: Arc<Shared>) {
     let mut next = None;
     let mut access = TopicAccess::new("operators' records");
     loop {
         next = match next {
-            Some(from) => follow(&shared, &socket, from, &mut access).await,
+            Some(from) => follow(&shared, from, &mut access).await,
             None => access.complete(read_operators(&shared).await, true).await,
         };
     }
@@ -32,13 +31,8 @@
 /// Learns from another node whether there are new records, or reads them from the store.
 ///
 /// Returns the next position; `None` if records are missing and all must be read again.
-async fn follow(
-    shared: &Shared,
-    socket: &UdpSocket,
-    from: Position,
-    access: &mut TopicAccess,
-) -> Option<Position> {
-    let reply = relay::query(shared, socket, RelayedTopic::Operators, from, access.is_lost()).await;
+async fn follow(shared: &Shared, from: Position, access: &mut TopicAccess) -> Option<Position> {
+    let reply = relay::query(shared, RelayedTopic::Operators, from, access.is_lost()).await;
     let is_confirmed = reply.as_ref().is_some_and(|it| it.next == from);
     if let Some(reply) = reply.filter(|it| it.next == from) {
         confirm(shared, from, reply.current_at);
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -61,14 +61,14 @@
     let incarnation = Incarnation::from_bits(rand::rng().random());
     let table = table(&settings, incarnation);
     let addresses = settings.listen.clone();
-    let shared = Arc::new(Shared::new(settings, protocol, table, incarnation));
-    runtime.block_on(async {
+    let shared = runtime.block_on(async {
         let socket = UdpSocket::bind(addresses.gossip).await;
-        let socket = Arc::new(socket.map_err(|cause| bind_error(addresses.gossip, cause))?);
-        tokio::spawn(datagrams::run(shared.clone(), socket.clone()));
-        tokio::spawn(follow::operators::run(shared.clone(), socket.clone()));
-        tokio::spawn(follow::engines::run(shared.clone(), socket.clone()));
-        tokio::spawn(releases::run(shared.clone(), socket));
+        let socket = socket.map_err(|cause| bind_error(addresses.gossip, cause))?;
+        let shared = Arc::new(Shared::new(settings, protocol, table, incarnation, socket));
+        tokio::spawn(datagrams::run(shared.clone()));
+        tokio::spawn(follow::operators::run(shared.clone()));
+        tokio::spawn(follow::engines::run(shared.clone()));
+        tokio::spawn(releases::run(shared.clone()));
         let sockets = [
             (addresses.entry, Role::Entry),
             (addresses.ready, Role::Control),
@@ -79,7 +79,7 @@
             let listener = listener::listen(address).map_err(|cause| bind_error(address, cause))?;
             tokio::spawn(listener::accept(shared.clone(), listener, role));
         }
-        Ok(())
+        Ok(shared)
     })?;
     Ok(Handle { runtime, shared })
 }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -15,7 +15,6 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
@@ -168,7 +167,6 @@
 /// queries more of them.
 pub(crate) async fn query(
     shared: &Shared,
-    socket: &UdpSocket,
     topic: RelayedTopic,
     from: Position,
     is_lost: bool,
@@ -178,7 +176,7 @@
         let sent_at = clock::now();
         let own = lock(topic.journal(&shared.relay)).newest(sent_at);
         let age = own.map_or(Duration::MAX, |(_, age)| age);
-        let Some(reply) = query_reader(shared, socket, reader, topic, from).await else {
+        let Some(reply) = query_reader(shared, reader, topic, from).await else {
             continue;
         };
         let query = Query { from, age, sent_at };
@@ -231,7 +229,6 @@
 
 async fn query_reader(
     shared: &Shared,
-    socket: &UdpSocket,
     reader: SocketAddr,
     topic: RelayedTopic,
     from: Position,
@@ -245,7 +242,7 @@
         from: from.offset,
         era: from.era,
     };
-    datagrams::send_query(socket, &message, reader);
+    datagrams::send_query(&shared.socket, &message, reader);
     let reply = timeout(REPLY_TIMEOUT, receiver).await;
     lock(&shared.relay.pending).remove(&number);
     let Ok(Ok(reply)) = reply else {
--- a/crates/entry/src/releases.rs
+++ b/crates/entry/src/releases.rs
@@ -50,7 +50,7 @@
 }
 
 /// Exchanges evidence and drives releases until the process ends.
-pub(crate) async fn run(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+pub(crate) async fn run(shared: Arc<Shared>) {
     let mut round_states: BTreeMap<Name, RoundState> = BTreeMap::new();
     loop {
         sleep(ROUND_INTERVAL).await;
@@ -63,20 +63,20 @@
         round_states.retain(|service, _| is_open(service));
         for release in in_progress {
             let round_state = round_states.entry(release.order().service.clone()).or_default();
-            advance(&shared, &socket, &release, round_state).await;
+            advance(&shared, &release, round_state).await;
         }
     }
 }
 
-async fn advance(shared: &Shared, socket: &Arc<UdpSocket>, release: &Release, round_state: &mut RoundState) {
+async fn advance(shared: &Shared, release: &Release, round_state: &mut RoundState) {
     let evaluators = evaluators(shared, &release.order().service);
     let position = evaluators.iter().position(Option::is_none);
     let notices = notices(shared, release, position.is_some());
     match position {
-        Some(_) => _ = tokio::spawn(send_notices(socket.clone(), notices, other_nodes(shared))),
+        Some(_) => _ = tokio::spawn(send_notices(shared.socket.clone(), notices, other_nodes(shared))),
         None => {
             let to = evaluators.into_iter().flatten().collect();
-            send_notices(socket.clone(), notices, to).await;
+            send_notices(shared.socket.clone(), notices, to).await;
         }
     }
     let decision = release.decide(clock::now());
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -20,6 +20,7 @@
 use forward::work::{Work, WorkDistribution};
 use membership::Table;
 use model::{Incarnation, Name};
+use tokio::net::UdpSocket;
 use tokio::sync::watch;
 
 use crate::clock;
@@ -34,6 +35,8 @@
     settings: RwLock<Arc<Settings>>,
     pub protocol: Arc<dyn Protocol>,
     pub incarnation: Incarnation,
+    /// Socket for datagrams to other nodes.
+    pub socket: Arc<UdpSocket>,
     pub configuration: Mutex<Cached<Configuration>>,
     pub directory: Mutex<Directory>,
     pub loads: Mutex<Loads>,
@@ -76,12 +79,14 @@
         protocol: Arc<dyn Protocol>,
         members: Table,
         incarnation: Incarnation,
+        socket: UdpSocket,
     ) -> Self {
         let outage = settings.store.heartbeat * Self::OUTAGE_HEARTBEATS;
         Self {
             settings: RwLock::new(Arc::new(settings)),
             protocol,
             incarnation,
+            socket: Arc::new(socket),
             configuration: Mutex::new(Cached::empty()),
             directory: Mutex::new(Directory::new(outage)),
             loads: Mutex::default(),
