forward, entry: keep the request limits of engines together

- One node, found by rendezvous hashing, issues the permits for an engine; the others ask it by a datagram (forward::permit, entry::permit).
A new issuer waits before its first permit, and issues only the share of the hosts that it can reach while others were lost in the last minute.
- A node that learns of a limit tells all others, and known limits are exchanged with random nodes for those that start later (forward::request_limit, entry::request_limit).
- Without a permit the next best engine is used; if all engines are limited, the request waits for a permit that is in time, or is refused with 503 (not run) and the time until the next permit.
- An answer is only dropped, or a silent attempt abandoned, if an engine without a limit is left for the next attempt.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -8,7 +8,6 @@
 use forward::BootTime;
 use forward::configuration::RouteKind;
 use forward::directory::Engine;
-use forward::placement::{self, PlacementRequest};
 use forward::release::{Arm, ResponseGrade, SLOW_RATIO};
 use forward::retry::Failure;
 use forward::urgency::{self, Urgency};
@@ -28,6 +27,7 @@
 use crate::request::RequestContext;
 use crate::request_limit;
 use crate::response::{ResponseBody, strip_connection_headers};
+use crate::selection::{self, Selection};
 use crate::shared::{Shared, lock};
 
 /// Timeout for connecting to an engine. The failure domains of a region are a few milliseconds apart; a lost
@@ -71,6 +71,8 @@
     },
     /// There is no engine left to try.
     NoEngine,
+    /// The engines left take no further requests for now; the next permit is free after this time.
+    Limited(Duration),
 }
 
 impl AttemptOutcome {
@@ -121,8 +123,10 @@
 pub(crate) async fn attempt(context: &mut RequestContext, last_event_id: Option<u64>) -> AttemptOutcome {
     context.retry_state.begin_attempt();
     let work = context.work();
-    let Some((engine, arm)) = choose_engine(context, work) else {
-        return AttemptOutcome::NoEngine;
+    let (engine, arm) = match selection::select(context, work).await {
+        Selection::Engine(engine, arm) => (engine, arm),
+        Selection::Limited(wait) => return AttemptOutcome::Limited(wait),
+        Selection::None => return AttemptOutcome::NoEngine,
     };
     log_attempt(context, &engine, arm);
     context.arm = Some(arm);
@@ -199,34 +203,6 @@
     );
 }
 
-fn choose_engine(context: &RequestContext, work: Option<Work>) -> Option<(Arc<Engine>, Arm)> {
-    let now = clock::now();
-    let (engines, arm) = context.shared.engines(&context.service, context.session(), now);
-    let domain = &context.shared.settings().node.failure_domain;
-    if let Some(work) = work.filter(|_| context.tried.is_empty()) {
-        context.shared.record_work(&context.service, work);
-    }
-    let request = PlacementRequest {
-        domain,
-        affinity: context.affinity(),
-        model: context.model.as_ref(),
-        mean_work: context.shared.mean_work(&context.service),
-        max_in_flight: max_in_flight(context),
-        tried: &context.tried,
-    };
-    let loads = lock(&context.shared.loads);
-    let engine = placement::choose(&engines, &loads, &request, now, &mut rand::rng())?;
-    Some((engine, arm))
-}
-
-/// This node's share of the connections that an engine of the service accepts.
-fn max_in_flight(context: &RequestContext) -> u32 {
-    let configuration = lock(&context.shared.configuration).value().cloned();
-    let service = configuration.as_ref().and_then(|it| it.service(&context.service));
-    let nodes = u32::try_from(context.shared.node_count()).unwrap_or(u32::MAX);
-    service.map_or(u32::MAX, |it| (it.max_connections / nodes).max(1))
-}
-
 fn build_request(
     context: &RequestContext,
     engine: &Engine,
@@ -316,7 +292,7 @@
     let now = clock::now();
     let change = lock(&context.shared.request_limits).record_response(engine, rate, sent_at, now);
     if let Some(change) = change {
-        request_limit::log_change(&context.shared, &engine.id, change, &context.id);
+        request_limit::announce(&context.shared, &engine.id, change, &context.id);
     }
 }
 
--- a/crates/entry/src/datagrams.rs
+++ b/crates/entry/src/datagrams.rs
@@ -1,4 +1,5 @@
-//! Datagrams between nodes: membership, queries about the store's topics, and notices about releases.
+//! Datagrams between nodes: membership, queries about the store's topics, notices about releases, request limits
+//! and permits.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -6,13 +7,17 @@
 
 use membership::{Action, Event, Readiness, Seed, State, Status};
 use prost::Message as _;
+use rand::seq::SliceRandom;
+use serde::Serialize;
 use tokio::net::UdpSocket;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 use wire::peer;
 
 use crate::clock;
 use crate::notice::{self, Notice};
+use crate::permit::{self, PermitQuery, PermitReply};
 use crate::relay::{self, QueryMessage, ReplyMessage};
+use crate::request_limit::{self, LimitNotice};
 use crate::shared::{Shared, lock};
 
 /// Tick interval of the failure detector; a fraction of its acknowledgement timeout.
@@ -29,6 +34,14 @@
 const NOTICE: u8 = b'n';
 const QUERY: u8 = b'q';
 const REPLY: u8 = b'a';
+const LIMITS: u8 = b'l';
+const PERMIT_QUERY: u8 = b'p';
+const PERMIT_REPLY: u8 = b'g';
+
+/// Datagrams that are sent at once to many nodes, and the pause after them. The slowest links have 10 Mbit/s and
+/// short queues; a burst to the whole fleet would always lose its end.
+const BURST_SIZE: usize = 8;
+const BURST_PAUSE: Duration = Duration::from_millis(20);
 
 /// Sends and receives datagrams until the process ends.
 pub(crate) async fn run(shared: Arc<Shared>) {
@@ -115,6 +128,23 @@
             Ok(reply) => relay::deliver_reply(shared, reply),
             Err(err) => log::debug!("cannot decode a reply: {err}"),
         },
+        LIMITS => match serde_json::from_slice::<LimitNotice>(content) {
+            Ok(notice) => request_limit::apply_notice(shared, &notice),
+            Err(err) => log::debug!("cannot decode request limits: {err}"),
+        },
+        PERMIT_QUERY => match serde_json::from_slice::<PermitQuery>(content) {
+            Ok(query) => send_json(
+                &shared.socket,
+                PERMIT_REPLY,
+                &permit::reply_to(shared, &query),
+                [from],
+            ),
+            Err(err) => log::debug!("cannot decode a permit query: {err}"),
+        },
+        PERMIT_REPLY => match serde_json::from_slice::<PermitReply>(content) {
+            Ok(reply) => permit::deliver_reply(shared, reply),
+            Err(err) => log::debug!("cannot decode a permit reply: {err}"),
+        },
         _ => log::debug!("datagram of unknown kind"),
     }
 }
@@ -141,17 +171,50 @@
 
 /// Sends a notice about a release to nodes.
 pub(crate) fn send_notice(socket: &UdpSocket, notice: &Notice, to: impl Iterator<Item = SocketAddr>) {
-    match serde_json::to_vec(notice) {
-        Ok(content) => to.for_each(|it| send_content(socket, NOTICE, &content, it)),
-        Err(err) => log::error!("cannot encode a notice: {err}"),
-    }
+    send_json(socket, NOTICE, notice, to);
 }
 
 /// Sends a query about a topic to a node.
 pub(crate) fn send_query(socket: &UdpSocket, query: &QueryMessage, to: SocketAddr) {
-    match serde_json::to_vec(query) {
-        Ok(content) => send_content(socket, QUERY, &content, to),
-        Err(err) => log::error!("cannot encode a query: {err}"),
+    send_json(socket, QUERY, query, [to]);
+}
+
+/// Sends request limits to nodes.
+pub(crate) fn send_limits(
+    socket: &UdpSocket,
+    notice: &LimitNotice,
+    to: impl IntoIterator<Item = SocketAddr>,
+) {
+    send_json(socket, LIMITS, notice, to);
+}
+
+/// Asks a node for a permit.
+pub(crate) fn send_permit_query(socket: &UdpSocket, query: &PermitQuery, to: SocketAddr) {
+    send_json(socket, PERMIT_QUERY, query, [to]);
+}
+
+/// Calls `send` for nodes in random order, in bursts with pauses between them.
+pub(crate) async fn in_bursts(mut to: Vec<SocketAddr>, send: impl Fn(&[SocketAddr])) {
+    to.shuffle(&mut rand::rng());
+    for (index, chunk) in to.chunks(BURST_SIZE).enumerate() {
+        if index > 0 {
+            sleep(BURST_PAUSE).await;
+        }
+        send(chunk);
+    }
+}
+
+fn send_json(
+    socket: &UdpSocket,
+    kind: u8,
+    content: &impl Serialize,
+    to: impl IntoIterator<Item = SocketAddr>,
+) {
+    match serde_json::to_vec(content) {
+        Ok(content) => to
+            .into_iter()
+            .for_each(|it| send_content(socket, kind, &content, it)),
+        Err(err) => log::error!("cannot encode a datagram: {err}"),
     }
 }
 
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -30,6 +30,8 @@
     pub streams_broken: Counter,
     /// Changes of the request limits that engines state, by change.
     pub request_limit_changes: Family<Label, Counter>,
+    /// Questions for permits to engines with a request limit, by result.
+    pub permits: Family<Label, Counter>,
     /// Requests to the store.
     pub store_calls: Counter,
     /// Requests to the store without a usable response.
@@ -54,6 +56,7 @@
             streams_resumed: Counter::default(),
             streams_broken: Counter::default(),
             request_limit_changes: Family::default(),
+            permits: Family::default(),
             store_calls: Counter::default(),
             store_failures: Counter::default(),
             relayed: Family::default(),
@@ -111,6 +114,11 @@
             "Changes of the request limits that engines state, by change",
             self.request_limit_changes.clone(),
         );
+        registry.register(
+            "permits",
+            "Questions for permits to engines with a request limit, by result",
+            self.permits.clone(),
+        );
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
         registry.register(
             "store_failures",
--- a/crates/entry/src/model_choice.rs
+++ b/crates/entry/src/model_choice.rs
@@ -13,6 +13,7 @@
 use crate::attempt::EngineResponse;
 use crate::clock;
 use crate::request::RequestContext;
+use crate::selection;
 use crate::shared::lock;
 
 /// Share of the requests that start on the smallest model although another one is expected to be better: its
@@ -80,7 +81,7 @@
             return false;
         };
         let value = self.record_confidence(model, confidence);
-        if !self.retry_state.may_run_again(now) {
+        if !self.retry_state.may_run_again(now) || !selection::has_unlimited(self, &[]) {
             return false;
         }
         let answer = Answer {
--- /dev/null
+++ b/crates/entry/src/permit.rs
@@ -0,0 +1,186 @@
+//! Permits for requests to engines that limit the requests of all nodes together.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use forward::directory::Engine;
+use forward::permit::{Decision, Issuer, interval};
+use forward::request_limit::{Rate, Report};
+use membership::Member;
+use model::hash;
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use crate::request_limit::{self, LimitReport};
+use crate::shared::{Shared, lock};
+use crate::{clock, datagrams};
+
+/// Timeout of a reply: some times the round trip between two failure domains. The request meanwhile waits.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// Time for which an engine gets no requests of this node after its issuer did not reply, or did not consider
+/// itself the issuer.
+const NO_ISSUER_BACKOFF: Duration = Duration::from_millis(300);
+
+/// Questions to an issuer for each permit, by all nodes together. A denied node asks again after a random time
+/// that grows with the number of nodes.
+const QUESTIONS_PER_PERMIT: f64 = 4.0;
+
+/// State of the exchange of permits.
+#[derive(Debug, Default)]
+pub(crate) struct Permits {
+    issuer: Mutex<Issuer>,
+    pending: Mutex<HashMap<u64, oneshot::Sender<PermitReply>>>,
+}
+
+/// Asks the issuer of an engine's permits for one.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct PermitQuery {
+    number: u64,
+    /// What the asking node knows about the limit.
+    limit: LimitReport,
+    max_wait_ms: u64,
+}
+
+/// The reply to a [`PermitQuery`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct PermitReply {
+    number: u64,
+    granted: bool,
+    wait_ms: u64,
+    /// What the issuer knows about the limit.
+    limit: Option<LimitReport>,
+}
+
+/// The node that issues the permits for an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum IssuerNode {
+    Local,
+    Remote(SocketAddr),
+}
+
+/// Asks for a permit for a request to an engine, which may wait for up to `max_wait`.
+///
+/// After a denial, this node asks for no permit for the engine for a while.
+pub(crate) async fn acquire(shared: &Shared, engine: &Engine, max_wait: Duration) -> Decision {
+    let asked_at = clock::now();
+    let report = lock(&shared.request_limits).report(&engine.id, asked_at);
+    let Some((report, rate)) = report.and_then(|it| Some((it.clone(), it.rate?))) else {
+        return Decision::Granted(Duration::ZERO);
+    };
+    let decision = match issuer_node(shared, &engine.id) {
+        IssuerNode::Local => Some(issue(shared, &report, rate, max_wait)),
+        IssuerNode::Remote(address) => query(shared, &report, max_wait, address).await,
+    };
+    let label = match decision {
+        Some(Decision::Granted(_)) => "granted",
+        Some(Decision::Denied(_)) => "denied",
+        None => "no_reply",
+    };
+    shared.metrics.permits.get_or_create(&[("result", label)]).inc();
+    let denied = match decision {
+        Some(Decision::Granted(wait)) => return Decision::Granted(wait),
+        Some(Decision::Denied(wait)) => wait,
+        None => NO_ISSUER_BACKOFF,
+    };
+    let until = clock::now() + denied + spread(shared, rate);
+    lock(&shared.request_limits).record_denial(engine, until);
+    Decision::Denied(denied)
+}
+
+/// Random time that keeps denied nodes from asking together.
+fn spread(shared: &Shared, rate: Rate) -> Duration {
+    let longest = interval(rate).mul_f64(shared.node_count() as f64 / QUESTIONS_PER_PERMIT);
+    longest.mul_f64(rand::rng().random_range(0.0..1.0))
+}
+
+/// The reply to a query of another node.
+pub(crate) fn reply_to(shared: &Shared, query: &PermitQuery) -> PermitReply {
+    let engine = query.limit.engine();
+    request_limit::apply(shared, &query.limit, "permit query");
+    let report = lock(&shared.request_limits).report(engine, clock::now());
+    let max_wait = Duration::from_millis(query.max_wait_ms);
+    let decision = match report.as_ref().map(|it| (it, it.rate)) {
+        _ if issuer_node(shared, engine) != IssuerNode::Local => Decision::Denied(NO_ISSUER_BACKOFF),
+        Some((report, Some(rate))) => issue(shared, report, rate, max_wait),
+        Some((_, None)) => Decision::Granted(Duration::ZERO),
+        None => Decision::Denied(NO_ISSUER_BACKOFF),
+    };
+    let (granted, wait) = match decision {
+        Decision::Granted(wait) => (true, wait),
+        Decision::Denied(wait) => (false, wait),
+    };
+    PermitReply {
+        number: query.number,
+        granted,
+        // Rounded up, so that no permit is used early.
+        wait_ms: wait.as_micros().div_ceil(1000) as u64,
+        limit: report.as_ref().map(LimitReport::new),
+    }
+}
+
+/// Passes a reply to the request that waits for it; a late one is dropped, and its permit is not used.
+pub(crate) fn deliver_reply(shared: &Shared, reply: PermitReply) {
+    if let Some(pending) = lock(&shared.permits.pending).remove(&reply.number) {
+        // The request may have timed out at this moment.
+        let _ = pending.send(reply);
+    }
+}
+
+/// Forgets engines for which another node has become the issuer.
+pub(crate) fn forget_others(shared: &Shared) {
+    lock(&shared.permits.issuer).retain(|it| issuer_node(shared, it) == IssuerNode::Local);
+}
+
+fn issue(shared: &Shared, report: &Report, rate: Rate, max_wait: Duration) -> Decision {
+    let fleet = shared.fleet();
+    lock(&shared.permits.issuer).request(&report.engine, rate, report.since, fleet, max_wait, clock::now())
+}
+
+async fn query(shared: &Shared, report: &Report, max_wait: Duration, issuer: SocketAddr) -> Option<Decision> {
+    let number = rand::rng().random();
+    let (sender, receiver) = oneshot::channel();
+    lock(&shared.permits.pending).insert(number, sender);
+    let message = PermitQuery {
+        number,
+        limit: LimitReport::new(report),
+        max_wait_ms: max_wait.as_millis() as u64,
+    };
+    datagrams::send_permit_query(&shared.socket, &message, issuer);
+    let reply = timeout(REPLY_TIMEOUT, receiver).await;
+    lock(&shared.permits.pending).remove(&number);
+    let Ok(Ok(reply)) = reply else {
+        log::info!(engine = *report.engine, issuer:%; "no reply to a permit query");
+        return None;
+    };
+    if let Some(limit) = &reply.limit {
+        request_limit::apply(shared, limit, "permit reply");
+    }
+    let wait = Duration::from_millis(reply.wait_ms);
+    Some(match reply.granted {
+        true => Decision::Granted(wait),
+        false => Decision::Denied(wait),
+    })
+}
+
+/// The node that issues the permits for an engine. A node that is about to stop issues none.
+fn issuer_node(shared: &Shared, engine: &str) -> IssuerNode {
+    let table = lock(&shared.members);
+    let own = Some(&*table.local().host).filter(|_| !shared.is_leaving());
+    let others: Vec<&Member> = table.present().collect();
+    let hosts = others.iter().map(|it| &*it.host).chain(own);
+    let chosen = hash::highest(engine, hosts, 1);
+    let Some(host) = chosen.first().filter(|it| Some(**it) != own) else {
+        return IssuerNode::Local;
+    };
+    // A process that was replaced may still be listed as suspected.
+    let member = others
+        .iter()
+        .filter(|it| *it.host == **host)
+        .min_by_key(|it| it.state);
+    member.map_or(IssuerNode::Local, |it| IssuerNode::Remote(it.addresses.gossip))
+}
--- a/crates/entry/src/releases.rs
+++ b/crates/entry/src/releases.rs
@@ -12,7 +12,6 @@
 use forward::relay::Position;
 use forward::release::{Decision, Release, Stage};
 use model::{Name, hash};
-use rand::seq::SliceRandom;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
@@ -32,11 +31,6 @@
 /// from the store while other nodes still receive its notices.
 const TAKE_OVER_ROUNDS: u32 = 4;
 
-/// Notices that an evaluator sends at once, and the pause after them. The slowest links have 10 Mbit/s and
-/// short queues; a burst to the whole fleet would always lose its end.
-const BURST_SIZE: usize = 8;
-const BURST_PAUSE: Duration = Duration::from_millis(20);
-
 /// Nodes that evaluate evidence; the first drives the release, and the next one takes over if it does not.
 const EVALUATORS_PER_RELEASE: usize = 2;
 
@@ -166,15 +160,10 @@
     live.map(|it| it.addresses.gossip).collect()
 }
 
-/// Sends notices to nodes in random order, in bursts with pauses between them.
-async fn send_notices(socket: Arc<UdpSocket>, notices: Vec<Notice>, mut to: Vec<SocketAddr>) {
-    to.shuffle(&mut rand::rng());
+/// Sends notices to nodes.
+async fn send_notices(socket: Arc<UdpSocket>, notices: Vec<Notice>, to: Vec<SocketAddr>) {
     for notice in &notices {
-        for (index, chunk) in to.chunks(BURST_SIZE).enumerate() {
-            if index > 0 {
-                sleep(BURST_PAUSE).await;
-            }
-            datagrams::send_notice(&socket, notice, chunk.iter().copied());
-        }
+        let send = |chunk: &[SocketAddr]| datagrams::send_notice(&socket, notice, chunk.iter().copied());
+        datagrams::in_bursts(to.clone(), send).await;
     }
 }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -23,6 +23,7 @@
 use crate::attempt::{AttemptOutcome, attempt};
 use crate::protocol::RequestMetadata;
 use crate::response::{Refusal, ResponseBody, strip_connection_headers};
+use crate::selection;
 use crate::shared::{Shared, lock};
 use crate::{clock, stream};
 
@@ -53,6 +54,8 @@
     pub arm: Option<Arm>,
     /// Model whose answer was dropped last, and its confidence.
     pub dropped_answer: Option<(usize, Confidence)>,
+    /// Time until the next permit, if the last attempt failed because engines limit their requests.
+    limited_for: Option<Duration>,
     /// Whether a retry is already reserved for the next attempt.
     retry_reserved: bool,
     _active: ActiveGuard,
@@ -155,6 +158,7 @@
         model,
         arm: None,
         dropped_answer: None,
+        limited_for: None,
         retry_reserved: false,
         _active: active,
     })
@@ -221,6 +225,11 @@
                 let response = context.retry_state.response_without_engine(clock::now());
                 return context.finish(response, None);
             }
+            AttemptOutcome::Limited(wait) => {
+                let response = context.retry_state.response_without_engine(clock::now());
+                context.limited_for = Some(wait);
+                return context.finish(response, None);
+            }
             AttemptOutcome::Failed { failure, response } => match context.handle_failure(failure, response) {
                 Some(response) => return response,
                 None => {
@@ -328,7 +337,10 @@
     /// Reserves a retry before a silent attempt is abandoned; without it the request must keep waiting.
     pub(crate) fn reserve_retry(&mut self) -> bool {
         let now = clock::now();
-        if !self.retry_reserved && self.retry_state.may_run_again(now) {
+        if !self.retry_reserved
+            && self.retry_state.may_run_again(now)
+            && selection::has_unlimited(self, &self.tried)
+        {
             self.retry_reserved = self.try_reserve_retry(RetryReason::Failure, now);
         }
         self.retry_reserved
@@ -362,8 +374,11 @@
             (FinalResponse::Engine, Some(response)) => return self.forward_response(response),
             (FinalResponse::Engine | FinalResponse::Unknown, _) => Refusal::Unknown,
             (FinalResponse::TimedOut, _) => Refusal::TimedOut,
-            (FinalResponse::NotRun, _) if self.tried.is_empty() => Refusal::NoEngine,
-            (FinalResponse::NotRun, _) => Refusal::NotRun,
+            (FinalResponse::NotRun, _) => match self.limited_for {
+                Some(wait) => Refusal::Limited(wait),
+                None if self.tried.is_empty() => Refusal::NoEngine,
+                None => Refusal::NotRun,
+            },
         };
         let label = [("reason", refusal.code())];
         self.shared.metrics.refusals.get_or_create(&label).inc();
--- a/crates/entry/src/response.rs
+++ b/crates/entry/src/response.rs
@@ -79,6 +79,8 @@
     Leaving,
     /// No engine can currently take the request.
     NoEngine,
+    /// All engines limit the requests that they take; the next permit is free after this time.
+    Limited(Duration),
     /// Engines refused the request, or it reached none.
     NotRun,
     /// No engine responded, and the request may have run.
@@ -99,6 +101,7 @@
             | Self::StaleConfiguration
             | Self::Leaving
             | Self::NoEngine
+            | Self::Limited(_)
             | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -116,6 +119,7 @@
             Self::BodyBroken => "body_broken",
             Self::Leaving => "leaving",
             Self::NoEngine => "no_engine",
+            Self::Limited(_) => "engine_limit",
             Self::NotRun => "not_run",
             Self::Unknown => "outcome_unknown",
             Self::TimedOut => "timed_out",
@@ -127,6 +131,7 @@
         match self {
             // Another node may already have the configuration, or may not be stopping.
             Self::NotConfigured | Self::StaleConfiguration | Self::Leaving => Some(Duration::from_millis(50)),
+            Self::Limited(wait) => Some(wait),
             // About the time in which an engine's queue advances.
             Self::NoEngine | Self::NotRun => Some(Duration::from_millis(150)),
             _ => None,
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,6 +1,6 @@
 //! State shared by the tasks of a node; each part has its own lock.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
@@ -14,6 +14,7 @@
 use forward::drain::Drain;
 use forward::first_byte::FirstByteTimes;
 use forward::load::Loads;
+use forward::permit::Fleet;
 use forward::release::{Arm, Release, ResponseGrade, Stage};
 use forward::request_limit::Limits;
 use forward::retry_budget::{RetryBudget, RetryLimit, RetryReason};
@@ -26,6 +27,7 @@
 use crate::clock;
 use crate::metrics::Metrics;
 use crate::model_choice::RouteModels;
+use crate::permit::Permits;
 use crate::protocol::Protocol;
 use crate::relay::Relay;
 
@@ -41,6 +43,7 @@
     pub directory: Mutex<Directory>,
     pub loads: Mutex<Loads>,
     pub request_limits: Mutex<Limits>,
+    pub permits: Permits,
     pub releases: Mutex<BTreeMap<Name, Release>>,
     pub members: Mutex<Table>,
     retry_budgets: Mutex<HashMap<Name, RetryBudget>>,
@@ -71,6 +74,9 @@
     /// Number of entry lifetimes for which some callers cache entry addresses, as specified by the platform.
     const CACHED_LIFETIMES: u32 = 3;
 
+    /// Time for which a host that was lost counts towards the fleet: it may only be cut off, and serve callers.
+    const LOST_RETENTION: Duration = Duration::from_secs(60);
+
     /// Margin before the end of the grace period, for the exit of the process.
     const EXIT_MARGIN: Duration = Duration::from_millis(400);
 
@@ -91,6 +97,7 @@
             directory: Mutex::new(Directory::new(outage)),
             loads: Mutex::default(),
             request_limits: Mutex::default(),
+            permits: Permits::default(),
             releases: Mutex::default(),
             members: Mutex::new(members),
             retry_budgets: Mutex::default(),
@@ -159,6 +166,17 @@
         1 + members.members().filter(|it| it.is_live()).count()
     }
 
+    /// Hosts of the fleet, for limits that hold for all of them together.
+    pub(crate) fn fleet(&self) -> Fleet {
+        let members = lock(&self.members);
+        let local = members.local();
+        let hosts: HashSet<_> = members.present().chain([local]).map(|it| &it.host).collect();
+        Fleet {
+            present: hosts.len(),
+            lost: members.lost_hosts(Self::LOST_RETENTION, clock::now()),
+        }
+    }
+
     /// Counts a request to a service towards its retry budget.
     pub(crate) fn count_request(&self, service: &Name, now: BootTime) {
         self.with_retry_budget(service, |it| it.record_request(now));
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -161,7 +161,7 @@
             }
             AttemptOutcome::Responded(_) => Failure::Failed,
             AttemptOutcome::Failed { failure, .. } => failure,
-            AttemptOutcome::NoEngine => return None,
+            AttemptOutcome::NoEngine | AttemptOutcome::Limited(_) => return None,
         };
     }
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -11,7 +11,7 @@
 //! - [`escalation`] with [`adequacy`], [`answer_value`], [`congestion`], [`first_byte`]: which model answers a request
 //! - [`drain`]: which requests a node accepts during its planned stop
 //! - [`event_stream`]: event streams split at event boundaries and resumed without gaps or duplicates
-//! - [`request_limit`]: rates to which engines limit the requests of all nodes together
+//! - [`request_limit`], [`permit`]: rates to which engines limit the requests of all nodes together
 //! - [`retry_budget`]: the share of the fleet's retry budget that a node may use
 //! - [`relay`]: changes read from the store that nodes pass on to each other
 //! - [`evidence`], [`release`]: how much traffic a new version of a service gets
@@ -31,6 +31,7 @@
 pub mod first_byte;
 pub mod load;
 mod mean;
+pub mod permit;
 pub mod placement;
 pub mod relay;
 pub mod release;
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -191,6 +191,27 @@
             .collect()
     }
 
+    /// All members except the node itself that accept work and are not declared dead. Suspected ones are included:
+    /// most of them refute the suspicion.
+    pub fn present(&self) -> impl Iterator<Item = &Member> {
+        self.members()
+            .filter(|it| matches!(it.state, State::Alive | State::Suspect))
+    }
+
+    /// Number of hosts that have no member any more because it died less than `time` ago.
+    pub fn lost_hosts(&self, time: Duration, now: Duration) -> usize {
+        let remaining: HashSet<_> = self
+            .members()
+            .filter(|it| it.state != State::Dead)
+            .chain([self.local()])
+            .map(|it| &it.host)
+            .collect();
+        let is_recent = |it: &&Record| now.saturating_sub(it.state_since) < time;
+        let dead = self.members.values().filter(|it| it.member.state == State::Dead);
+        let lost: HashSet<_> = dead.filter(is_recent).map(|it| &it.member.host).collect();
+        lost.difference(&remaining).count()
+    }
+
     /// Returns the live member on a host, other than the node itself.
     pub fn find_live_by_host(&self, host: &str) -> Option<&Member> {
         self.members().find(|it| it.is_live() && *it.host == *host)
