--- a/crates/forward/src/request_limit.rs
+++ b/crates/forward/src/request_limit.rs
@@ -97,6 +97,10 @@
         sent_at: BootTime,
         now: BootTime,
     ) -> Option<Change> {
+        let is_earlier_run = |it: &Statement| it.started_ms > engine.started_ms;
+        if self.engines.get(&engine.id).is_some_and(is_earlier_run) {
+            return None;
+        }
         let known = self.statement(engine);
         let ends = known.is_some_and(|it| it.rate.is_some() && it.stated_at < sent_at);
         if stated.is_none() && !ends {
--- a/crates/membership/tests/detector.rs
+++ b/crates/membership/tests/detector.rs
@@ -146,3 +146,36 @@
     });
     assert!(bound.is_some());
 }
+
+/// Guards against a limit of the whole fleet that the rest of it spends as if the lost hosts sent nothing.
+#[test]
+fn lost_hosts_are_counted_until_they_return() {
+    let lost = |fleet: &Fleet, node: usize| fleet.nodes[node].table.lost_hosts(SECOND * 60, fleet.now);
+    let mut fleet = formed_fleet(8, 1);
+    fleet.run(SECOND * 60);
+    assert_eq!(lost(&fleet, 0), 0);
+    fleet.nodes[4].running = false;
+    fleet.nodes[5].running = false;
+    let time = fleet.run_until(SECOND * 20, |it| (0..4).all(|node| lost(it, node) == 2));
+    assert!(time.is_some());
+    fleet.restart(4);
+    let time = fleet.run_until(SECOND * 20, |it| (0..4).all(|node| lost(it, node) == 1));
+    assert!(time.is_some());
+    fleet.run(SECOND * 80);
+    assert_eq!(lost(&fleet, 0), 0);
+}
+
+/// Guards against a node that starts while it is cut off and takes itself for the whole fleet.
+#[test]
+fn seeds_that_were_not_met_are_counted_as_lost() {
+    let mut fleet = formed_fleet(8, 1);
+    fleet.groups.insert(7, 1);
+    fleet.restart(7);
+    fleet.run(SECOND * 2);
+    assert_eq!(fleet.nodes[7].table.lost_hosts(SECOND * 60, fleet.now), 3);
+    fleet.groups.clear();
+    let time = fleet.run_until(SECOND * 30, |it| {
+        it.nodes[7].table.lost_hosts(SECOND * 60, it.now) == 0
+    });
+    assert!(time.is_some());
+}
