forward: a changed limit takes effect with the next permit

The next permit was scheduled by the limit in force at the last one: after a limit of 0 had risen, an engine stayed unused for up to 10 s. Found by reading; limit_that_rises_takes_effect_at_once failed before.

--- a/crates/forward/src/permit.rs
+++ b/crates/forward/src/permit.rs
@@ -61,11 +61,19 @@
 /// Issues the permits for the engines of which this node is the issuer.
 #[derive(Debug, Clone)]
 pub struct Issuer {
-    /// When the next permit for each engine is free.
-    next: HashMap<Upstream, BootTime>,
+    engines: HashMap<Upstream, Issued>,
     started_at: BootTime,
 }
 
+/// Permits issued for one engine.
+#[derive(Debug, Clone, Copy)]
+struct Issued {
+    /// When the first permit is free.
+    begin: BootTime,
+    /// Start of the last permit, which may lie in the future.
+    last: Option<BootTime>,
+}
+
 impl Issuer {
     /// Wait of a new issuer before its first permit: the previous one may still issue until it learns of the
     /// change.
@@ -84,7 +92,7 @@
     /// The issuer of a node that started at a time.
     pub fn new(started_at: BootTime) -> Self {
         Self {
-            next: HashMap::new(),
+            engines: HashMap::new(),
             started_at,
         }
     }
@@ -106,18 +114,23 @@
             true => Self::PROPAGATION.saturating_sub(since),
             false => Self::TAKE_OVER,
         };
-        let next = self.next.entry(engine.clone()).or_insert(now + first_wait);
-        let wait = next.saturating_sub(now);
+        let issued = self.engines.entry(engine.clone()).or_insert(Issued {
+            begin: now + first_wait,
+            last: None,
+        });
+        let after_last = issued.last.map_or(BootTime::ZERO, |it| it + interval(rate));
+        let next = now.max(issued.begin).max(after_last);
+        let wait = next - now;
         if wait > max_wait {
             return Decision::Denied(wait);
         }
-        *next = now + wait + interval(rate);
+        issued.last = Some(next);
         Decision::Granted(wait)
     }
 
     /// Forgets engines of which this node is no longer the issuer.
     pub fn retain(&mut self, mut is_issuer: impl FnMut(&str) -> bool) {
-        self.next.retain(|engine, _| is_issuer(engine));
+        self.engines.retain(|engine, _| is_issuer(engine));
     }
 }
 
--- a/crates/forward/src/request_limit.rs
+++ b/crates/forward/src/request_limit.rs
@@ -174,7 +174,10 @@
             rate,
             since,
             stated_at,
-            denied_until: known.map_or(BootTime::ZERO, |it| it.denied_until),
+            // A permit may be free earlier under another limit.
+            denied_until: known
+                .filter(|it| it.rate == rate)
+                .map_or(BootTime::ZERO, |it| it.denied_until),
         };
         self.engines.insert(engine.clone(), statement);
         (before != rate).then_some(Change { before, after: rate })
