--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -132,8 +132,10 @@
             })
         })
         .collect();
+    let (reachable, known) = shared.host_counts(now);
     json!({
         "ready": shared.is_ready(),
+        "hosts": { "reachable": reachable, "known": known },
         "configuration": configuration,
         "readings": relay::state(shared, now),
         "engines": engines,
--- a/crates/entry/src/permit.rs
+++ b/crates/entry/src/permit.rs
@@ -108,7 +108,8 @@
 
 /// Random time that keeps denied nodes from asking together.
 fn spread(shared: &Shared, rate: Rate) -> Duration {
-    let longest = interval(rate).mul_f64(shared.node_count() as f64 / QUESTIONS_PER_PERMIT);
+    let (reachable, _) = shared.host_counts(clock::now());
+    let longest = interval(rate).mul_f64(reachable as f64 / QUESTIONS_PER_PERMIT);
     longest.mul_f64(rand::rng().random_range(0.0..1.0))
 }
 
@@ -153,8 +154,8 @@
 
 fn issue(shared: &Shared, report: &Report, rate: Rate, max_wait: Duration) -> Decision {
     let now = clock::now();
-    let (present, known) = shared.host_counts(now);
-    let rate = rate * lock(&shared.permits.fleet).share(present, known, now);
+    let (reachable, known) = shared.host_counts(now);
+    let rate = rate * lock(&shared.permits.fleet).share(reachable, known, now);
     lock(&shared.permits.issuer).request(&report.engine, rate, report.since, max_wait, now)
 }
 
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,6 +1,6 @@
 //! State shared by the tasks of a node; each part has its own lock.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
@@ -157,20 +157,15 @@
         }
     }
 
-    /// Number of live nodes, including this one.
-    pub(crate) fn node_count(&self) -> usize {
-        let members = lock(&self.members);
-        1 + members.members().filter(|it| it.is_live()).count()
-    }
-
     /// Number of hosts that this node can reach, including its own, and of all hosts that it knows, including those
-    /// that were lost recently.
+    /// that were lost recently and may only be cut off.
     pub(crate) fn host_counts(&self, now: BootTime) -> (usize, usize) {
         let members = lock(&self.members);
-        let local = members.local();
-        let present: HashSet<_> = members.present().chain([local]).map(|it| &it.host).collect();
-        let present = present.len();
-        (present, present + members.lost_hosts(Fleet::LOST_RETENTION, now))
+        let reachable = members.reachable_hosts().len();
+        (
+            reachable,
+            reachable + members.lost_hosts(Fleet::LOST_RETENTION, now),
+        )
     }
 
     /// Counts a request to a service towards its retry budget.
@@ -180,7 +175,7 @@
 
     /// Reserves one retry of a request to a service if the budget allows it.
     pub(crate) fn try_reserve_retry(&self, service: &Name, reason: RetryReason, now: BootTime) -> bool {
-        let nodes = self.node_count();
+        let (_, nodes) = self.host_counts(now);
         let reserved = self.with_retry_budget(service, |it| it.try_acquire(reason, nodes, now));
         if !reserved {
             self.metrics.retries_denied.inc();
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -198,15 +198,15 @@
             .filter(|it| matches!(it.state, State::Alive | State::Suspect))
     }
 
+    /// Hosts whose members are not declared dead, including that of the node itself.
+    pub fn reachable_hosts(&self) -> HashSet<&Host> {
+        let members = self.members().filter(|it| it.state != State::Dead);
+        members.chain([self.local()]).map(|it| &it.host).collect()
+    }
+
     /// Number of hosts that have no member any more because it died less than `time` ago, and of seeds that were
     /// not met if this node started less than `time` ago.
     pub fn lost_hosts(&self, time: Duration, now: Duration) -> usize {
-        let remaining: HashSet<_> = self
-            .members()
-            .filter(|it| it.state != State::Dead)
-            .chain([self.local()])
-            .map(|it| &it.host)
-            .collect();
         let is_recent = |it: &&Record| now.saturating_sub(it.state_since) < time;
         let dead = self.members.values().filter(|it| it.member.state == State::Dead);
         let lost: HashSet<_> = dead.filter(is_recent).map(|it| &it.member.host).collect();
@@ -214,7 +214,7 @@
             true => self.unmet_seeds(),
             false => 0,
         };
-        lost.difference(&remaining).count() + unmet
+        lost.difference(&self.reachable_hosts()).count() + unmet
     }
 
     /// Number of seeds with the address of no member.
