--- a/crates/entry/src/permit.rs
+++ b/crates/entry/src/permit.rs
@@ -70,6 +70,19 @@
     limit: Option<LimitReport>,
 }
 
+/// A query without a reply so far; forgotten when the request ends or its caller disconnects.
+#[derive(Debug)]
+struct Pending<'a> {
+    permits: &'a Permits,
+    number: u64,
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        lock(&self.permits.pending).remove(&self.number);
+    }
+}
+
 /// The node that issues the permits for an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum IssuerNode {
@@ -168,6 +181,10 @@
     let number = rand::rng().random();
     let (sender, receiver) = oneshot::channel();
     lock(&shared.permits.pending).insert(number, sender);
+    let _pending = Pending {
+        permits: &shared.permits,
+        number,
+    };
     let message = PermitQuery {
         number,
         limit: LimitReport::new(report),
@@ -176,7 +193,6 @@
     };
     datagrams::send_permit_query(&shared.socket, &message, issuer);
     let reply = timeout(REPLY_TIMEOUT, receiver).await;
-    lock(&shared.permits.pending).remove(&number);
     let Ok(Ok(reply)) = reply else {
         log::info!(engine = *report.engine, issuer:%; "no reply to a permit query");
         return None;
