--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 
 use crate::response::{ResponseBody, full_response};
-use crate::shared::{Shared, lock};
+use crate::shared::{HostCounts, Shared, lock};
 use crate::{clock, follow, relay};
 
 /// Number of members in the caller's failure domain from which on only these are returned. Traffic between
@@ -132,7 +132,7 @@
             })
         })
         .collect();
-    let (reachable, known) = shared.host_counts(now);
+    let HostCounts { reachable, known } = shared.host_counts();
     json!({
         "ready": shared.is_ready(),
         "hosts": { "reachable": reachable, "known": known },
--- a/crates/entry/src/datagrams.rs
+++ b/crates/entry/src/datagrams.rs
@@ -64,6 +64,7 @@
             _ = ticks.tick() => {
                 if count.is_multiple_of(STATUS_TICKS) {
                     handle(&shared, Event::Status(status(&shared)));
+                    shared.update_host_counts(clock::now());
                 }
                 count = count.wrapping_add(1);
                 handle(&shared, Event::Tick);
@@ -152,6 +153,9 @@
 fn handle(shared: &Shared, event: Event) {
     let now = clock::now();
     let actions = lock(&shared.members).handle(event, now, &mut rand::rng());
+    if actions.iter().any(|it| matches!(it, Action::Changed(_))) {
+        shared.update_host_counts(now);
+    }
     for action in actions {
         match action {
             Action::Send { to, datagram } => {
--- a/crates/entry/src/permit.rs
+++ b/crates/entry/src/permit.rs
@@ -17,7 +17,7 @@
 use tokio::time::timeout;
 
 use crate::request_limit::{self, LimitReport};
-use crate::shared::{Shared, lock};
+use crate::shared::{HostCounts, Shared, lock};
 use crate::{clock, datagrams};
 
 /// Timeout of a reply: some times the round trip between two failure domains. The request meanwhile waits.
@@ -121,8 +121,8 @@
 
 /// Random time that keeps denied nodes from asking together.
 fn spread(shared: &Shared, rate: Rate) -> Duration {
-    let (reachable, _) = shared.host_counts(clock::now());
-    let longest = interval(rate).mul_f64(reachable as f64 / QUESTIONS_PER_PERMIT);
+    let hosts = shared.host_counts().reachable;
+    let longest = interval(rate).mul_f64(hosts as f64 / QUESTIONS_PER_PERMIT);
     longest.mul_f64(rand::rng().random_range(0.0..1.0))
 }
 
@@ -167,7 +167,7 @@
 
 fn issue(shared: &Shared, report: &Report, rate: Rate, max_wait: Duration) -> Decision {
     let now = clock::now();
-    let (reachable, known) = shared.host_counts(now);
+    let HostCounts { reachable, known } = shared.host_counts();
     let rate = rate * lock(&shared.permits.fleet).share(reachable, known, now);
     lock(&shared.permits.issuer).request(&report.engine, rate, report.since, max_wait, now)
 }
@@ -189,7 +189,7 @@
         number,
         limit: LimitReport::new(report),
         max_wait_ms: max_wait.as_millis() as u64,
-        hosts: shared.host_counts(clock::now()).1,
+        hosts: shared.host_counts().known,
     };
     datagrams::send_permit_query(&shared.socket, &message, issuer);
     let reply = timeout(REPLY_TIMEOUT, receiver).await;
--- a/crates/entry/src/request_limit.rs
+++ b/crates/entry/src/request_limit.rs
@@ -132,7 +132,7 @@
 fn notice(shared: &Shared, reports: &[Report]) -> LimitNotice {
     LimitNotice {
         sender: shared.settings().node.host.to_string(),
-        hosts: shared.host_counts(clock::now()).1,
+        hosts: shared.host_counts().known,
         limits: reports.iter().map(LimitReport::new).collect(),
     }
 }
--- a/crates/entry/src/selection.rs
+++ b/crates/entry/src/selection.rs
@@ -135,8 +135,7 @@
 fn max_in_flight(context: &RequestContext) -> u32 {
     let configuration = lock(&context.shared.configuration).value().cloned();
     let service = configuration.as_ref().and_then(|it| it.service(&context.service));
-    let (_, hosts) = context.shared.host_counts(clock::now());
-    let nodes = u32::try_from(hosts).unwrap_or(u32::MAX);
+    let nodes = u32::try_from(context.shared.host_counts().known).unwrap_or(u32::MAX);
     service.map_or(u32::MAX, |it| (it.max_connections / nodes).max(1))
 }
 
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -46,6 +46,7 @@
     pub permits: Permits,
     pub releases: Mutex<BTreeMap<Name, Release>>,
     pub members: Mutex<Table>,
+    host_counts: Mutex<HostCounts>,
     retry_budgets: Mutex<HashMap<Name, RetryBudget>>,
     pub first_byte_times: Mutex<FirstByteTimes>,
     route_models: Mutex<HashMap<Name, RouteModels>>,
@@ -61,6 +62,25 @@
     pub leaving: watch::Sender<Option<BootTime>>,
 }
 
+/// Number of hosts of the fleet, as known to this node.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct HostCounts {
+    /// Hosts that are not declared dead, including the node's own.
+    pub reachable: usize,
+    /// These, and those that were lost recently and may only be cut off.
+    pub known: usize,
+}
+
+impl HostCounts {
+    fn of(members: &Table, now: BootTime) -> Self {
+        let reachable = members.reachable_hosts().len();
+        Self {
+            reachable,
+            known: reachable + members.lost_hosts(Fleet::LOST_RETENTION, now),
+        }
+    }
+}
+
 /// Locks a mutex; a panic in another task does not make the state unusable.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -96,6 +116,7 @@
             request_limits: Mutex::default(),
             permits: Permits::new(clock::now()),
             releases: Mutex::default(),
+            host_counts: Mutex::new(HostCounts::of(&members, clock::now())),
             members: Mutex::new(members),
             retry_budgets: Mutex::default(),
             first_byte_times: Mutex::default(),
@@ -157,15 +178,15 @@
         }
     }
 
-    /// Number of hosts that this node can reach, including its own, and of all hosts that it knows, including those
-    /// that were lost recently and may only be cut off.
-    pub(crate) fn host_counts(&self, now: BootTime) -> (usize, usize) {
-        let members = lock(&self.members);
-        let reachable = members.reachable_hosts().len();
-        (
-            reachable,
-            reachable + members.lost_hosts(Fleet::LOST_RETENTION, now),
-        )
+    /// Hosts of the fleet, as of the last change of a member or the last status update.
+    pub(crate) fn host_counts(&self) -> HostCounts {
+        *lock(&self.host_counts)
+    }
+
+    /// Counts the hosts again.
+    pub(crate) fn update_host_counts(&self, now: BootTime) {
+        let counts = HostCounts::of(&lock(&self.members), now);
+        *lock(&self.host_counts) = counts;
     }
 
     /// Counts a request to a service towards its retry budget.
@@ -175,7 +196,7 @@
 
     /// Reserves one retry of a request to a service if the budget allows it.
     pub(crate) fn try_reserve_retry(&self, service: &Name, reason: RetryReason, now: BootTime) -> bool {
-        let (_, nodes) = self.host_counts(now);
+        let nodes = self.host_counts().known;
         let reserved = self.with_retry_budget(service, |it| it.try_acquire(reason, nodes, now));
         if !reserved {
             self.metrics.retries_denied.inc();
