--- a/crates/entry/src/selection.rs
+++ b/crates/entry/src/selection.rs
@@ -95,9 +95,10 @@
         sleep(wait).await;
     }
     let (engines, arm) = untried(context);
-    match engines.contains(&engine) {
-        true => Selection::Engine(engine, arm),
-        false => Selection::Limited(wait),
+    let is_same_run = |it: &Arc<Engine>| it.id == engine.id && it.started_ms == engine.started_ms;
+    match engines.into_iter().find(is_same_run) {
+        Some(engine) => Selection::Engine(engine, arm),
+        None => Selection::Limited(wait),
     }
 }
 
