forward: failing test of a slow version that a release advances

The release goes on to Trial(1), Trial(2) and Complete. At 45% slow the latency test rises by 0.12 a response (0.63 for a slow one, -0.30 for another), so it takes 64 responses to its alarm at 7.5; advancing asks only that no alarm stands (hypotheses 2 and 3 of the issue). Listed in KNOWN-RED.txt.

--- a/crates/forward/tests/release.rs
+++ b/crates/forward/tests/release.rs
@@ -93,6 +93,32 @@
     assert!(part < 0.15, "{part}");
 }
 
+/// Guards against a slow version that gets more traffic, because no alarm stands yet, although almost half of its
+/// responses are slow. The counts are those of a day with such a version.
+#[test]
+#[ignore = "KNOWN-RED.txt"]
+fn version_with_many_slow_responses_gets_no_more_traffic() {
+    let mut release = release();
+    let route = Name::from("drafts");
+    // Records `count` responses, of which `slow` are slow, evenly spread.
+    let mut record = |arm, count: u32, slow: u32| {
+        for it in 0..count {
+            let grade = match (it + 1) * slow / count > it * slow / count {
+                true => ResponseGrade::Slow,
+                false => ResponseGrade::Good,
+            };
+            release.record_response(own(), &route, arm, grade);
+        }
+    };
+    record(Arm::Old, 420, 17);
+    record(Arm::New, 53, 24);
+    let stages = drive(&mut release, order().duration);
+    let advanced = stages
+        .iter()
+        .any(|it| matches!(it, Stage::Trial(1..) | Stage::Complete));
+    assert!(!advanced, "{stages:?}");
+}
+
 #[test]
 fn version_without_responses_gets_no_more_traffic() {
     let mut release = release();
