entry: send known limits to one node a round

Two notices of eight reports each half second would take more than the 3 KB/s of a node as soon as many engines limit their requests (arithmetic). One notice of four reports; a change still goes to all nodes at once.

--- a/crates/entry/src/request_limit.rs
+++ b/crates/entry/src/request_limit.rs
@@ -1,7 +1,7 @@
 //! Request limits that engines state in their responses, and their exchange between nodes.
 //!
 //! A node tells all others at once when it learns of a change. In addition, each node that knows of limits sends
-//! some of them to random nodes, for nodes that started later and for datagrams that were lost.
+//! some of them to a random node in each round, for nodes that started later and for datagrams that were lost.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -17,15 +17,11 @@
 use crate::shared::{Shared, lock};
 use crate::{clock, datagrams, permit};
 
-/// Interval at which known limits are sent to random nodes.
+/// Interval at which known limits are sent to a random node.
 const ROUND_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Nodes that get them. Each node then gets as many datagrams on average, so that a node that has started knows
-/// the limits within a second.
-const RECEIVERS_PER_ROUND: usize = 2;
-
-/// Maximum number of reports in a datagram, so that it fits into one packet.
-const MAX_REPORTS: usize = 8;
+/// Maximum number of reports in a datagram. With about 90 bytes each, a node sends less than 1 KB a second.
+const MAX_REPORTS: usize = 4;
 
 /// Reports of limits from one node to another.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -73,7 +69,7 @@
     }
 }
 
-/// Exchanges limits with random nodes until the process ends.
+/// Sends limits to random nodes until the process ends.
 pub(crate) async fn run(shared: Arc<Shared>) {
     loop {
         sleep(ROUND_INTERVAL).await;
@@ -88,9 +84,8 @@
         }
         reports.shuffle(&mut rand::rng());
         reports.truncate(MAX_REPORTS);
-        let receivers = other_nodes(&shared).into_iter();
-        let receivers = receivers.choose_multiple(&mut rand::rng(), RECEIVERS_PER_ROUND);
-        datagrams::send_limits(&shared.socket, &notice(&shared, &reports), receivers);
+        let receiver = other_nodes(&shared).into_iter().choose(&mut rand::rng());
+        datagrams::send_limits(&shared.socket, &notice(&shared, &reports), receiver);
     }
 }
 
--- a/crates/forward/tests/permit_schedules.rs
+++ b/crates/forward/tests/permit_schedules.rs
@@ -26,7 +26,7 @@
 const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Window over which the platform counts requests, its tolerance, and the time for which it does not count those
-/// of a node after that was stopped or cut off.
+/// of a node that was stopped or cut off.
 const WINDOW: Duration = Duration::from_secs(4);
 const TOLERATED_FACTOR: f64 = 1.5;
 const TOLERATED_EXCESS: f64 = 5.0;
