--- a/crates/forward/tests/permit_schedules.rs
+++ b/crates/forward/tests/permit_schedules.rs
@@ -20,7 +20,7 @@
 const SEEDS: std::ops::Range<usize> = 0..3;
 
 /// Minimum number of schedules for each test.
-const CASES: u32 = 200;
+const CASES: u32 = 1500;
 
 /// Time between two requests of a node.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
