--- a/crates/entry/src/follow/engines.rs
+++ b/crates/entry/src/follow/engines.rs
@@ -7,7 +7,7 @@
 use forward::BootTime;
 use forward::directory::{Directory, Engine};
 use forward::relay::{AcceptedReply, Position};
-use model::Upstream;
+use model::{Name, Upstream};
 use tokio::time::sleep;
 
 use super::{TopicAccess, read_all};
@@ -120,12 +120,12 @@
     let mut relayed = vec![];
     let mut changed = false;
     for (id, engine) in entries {
-        let draining = engine.as_ref().is_some_and(|it| it.draining);
         let listed = engine.is_some();
+        let description = engine.as_ref().map(|it| (it.version.clone(), it.draining));
         let is_new = directory.apply(&id, engine, at);
         if is_new {
             changed = true;
-            log_engine(&id, listed, draining);
+            log_engine(&id, description);
         }
         // Other nodes may still list an engine that was removed and that this node no longer knows.
         if is_new || !listed {
@@ -145,8 +145,11 @@
     lock(&shared.request_limits).retain(directory.engines());
 }
 
-fn log_engine(id: &Upstream, listed: bool, draining: bool) {
-    log::info!(engine = **id, listed, draining; "engine changed");
+/// Logs a change of an engine, of which the version and whether it drains are known if it is listed.
+fn log_engine(id: &Upstream, description: Option<(Name, bool)>) {
+    let listed = description.is_some();
+    let (version, draining) = description.unwrap_or_default();
+    log::info!(engine = **id, listed, version = *version, draining; "engine changed");
 }
 
 /// Listed engines, for operators.
--- a/crates/entry/src/releases.rs
+++ b/crates/entry/src/releases.rs
@@ -84,7 +84,7 @@
         && is_driver
     {
         let result = record(shared, release, stage).await;
-        return log_record(release, &result);
+        return log_record(release, stage, &result);
     }
     round_state.silent_rounds = if release.has_evaluator_notice_within(clock::now(), ROUND_INTERVAL * 2) {
         0
@@ -99,14 +99,21 @@
     }
 }
 
-fn log_record(release: &Release, result: &Result<AppendOutcome, Error>) {
+/// Logs a decision with the responses that it is based on.
+fn log_record(release: &Release, stage: Stage, result: &Result<AppendOutcome, Error>) {
     let (service, target) = (&*release.order().service, &*release.order().target);
+    let elapsed_ms = release.elapsed(clock::now()).as_millis() as u64;
+    let evidence = release.evidence();
     match result {
-        Ok(AppendOutcome::Appended) => log::info!(service, target; "release status recorded"),
+        Ok(AppendOutcome::Appended) => {
+            log::info!(service, target, stage:?, elapsed_ms, evidence:?; "release status recorded");
+        }
         Ok(AppendOutcome::Conflict) => {
-            log::info!(service, target; "another node recorded a release status first");
+            log::info!(service, target, stage:?; "another node recorded a release status first");
+        }
+        Err(err) => {
+            log::warn!(service, target, stage:?, evidence:?, error:% = err; "release status not recorded");
         }
-        Err(err) => log::warn!(service, target, error:% = err; "release status not recorded"),
     }
 }
 
--- a/crates/forward/src/evidence.rs
+++ b/crates/forward/src/evidence.rs
@@ -186,6 +186,12 @@
         total
     }
 
+    /// Totals of all known responses by route.
+    pub(crate) fn totals(&self) -> BTreeMap<&Name, Tally> {
+        let routes = self.tests.keys();
+        routes.map(|route| (route, self.total(route))).collect()
+    }
+
     fn update(&mut self, route: &Name) {
         let total = self.total(route);
         let tests = self.tests.entry(route.clone()).or_default();
--- a/crates/forward/src/release.rs
+++ b/crates/forward/src/release.rs
@@ -5,7 +5,7 @@
 //! fails or is slow on one route gets no more traffic from any node that knows this, and the driver records
 //! that it was reverted.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use model::{Incarnation, Name, hash};
@@ -365,6 +365,11 @@
         Some((route, self.evidence.total(route)))
     }
 
+    /// All known responses by route.
+    pub fn evidence(&self) -> BTreeMap<&Name, Tally> {
+        self.evidence.totals()
+    }
+
     /// Merges the counters of another process.
     pub fn merge_counters(&mut self, of: Incarnation, counters: Counters) {
         self.evidence.merge(of, counters);
