--- a/crates/forward/tests/release.rs
+++ b/crates/forward/tests/release.rs
@@ -119,6 +119,28 @@
     assert!(!advanced, "{stages:?}");
 }
 
+/// Guards against several stages on the same responses: the times of the stages have passed while the first
+/// responses were waited for, as with a plain service that gets few requests.
+#[test]
+#[ignore = "KNOWN-RED.txt"]
+fn release_takes_one_step_on_the_responses_of_one_stage() {
+    let mut release = release();
+    record(&mut release, Arm::Old, false, 300);
+    let late = order().duration.mul_f64(0.85);
+    drive(&mut release, late);
+    record(&mut release, Arm::New, false, 24);
+    let (mut now, mut trials) = (late, vec![]);
+    while now < order().duration {
+        if let Decision::Record(stage) = release.decide(now) {
+            release.apply_status(&release.status_for(stage, now), now);
+            trials.push(stage);
+        }
+        now += Duration::from_millis(500);
+    }
+    trials.retain(|it| matches!(it, Stage::Trial(_) | Stage::Complete));
+    assert!(trials.len() <= 1, "{trials:?}");
+}
+
 #[test]
 fn version_without_responses_gets_no_more_traffic() {
     let mut release = release();
