release: nodes tell each other the order and the end

Cause: a node that has not read the order takes the engines of the new version, which it lists from other nodes, for engines like all others; notices about an unknown release were dropped. After the end was recorded nobody sent notices any more, so nodes that had missed it learned it up to 5 s later from the store, or never.

Now a notice carries the order and its age. Evaluators tell the end for 10 s, and any node replies with it to a later notice. What must not wait for a round (a halt, a recorded stage) is sent to all nodes at once. Notices no longer wait for calls to the store. Three nodes get all evidence rather than two, and if the store turns the drivers away, the other nodes take over one after another: each of them knows at least that the release is halted.

--- a/crates/entry/src/datagrams.rs
+++ b/crates/entry/src/datagrams.rs
@@ -114,7 +114,7 @@
             }
         }
         NOTICE => match serde_json::from_slice::<Notice>(content) {
-            Ok(notice) => notice::apply(shared, notice),
+            Ok(notice) => notice::apply(shared, notice, from),
             Err(err) => log::debug!("cannot decode a notice: {err}"),
         },
         QUERY => match serde_json::from_slice::<QueryMessage>(content) {
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -68,7 +68,8 @@
         tokio::spawn(datagrams::run(shared.clone()));
         tokio::spawn(follow::operators::run(shared.clone()));
         tokio::spawn(follow::engines::run(shared.clone()));
-        tokio::spawn(releases::run(shared.clone()));
+        tokio::spawn(releases::exchange(shared.clone()));
+        tokio::spawn(releases::drive(shared.clone()));
         tokio::spawn(request_limit::run(shared.clone()));
         let sockets = [
             (addresses.entry, Role::Entry),
--- a/crates/entry/src/notice.rs
+++ b/crates/entry/src/notice.rs
@@ -1,18 +1,25 @@
-//! Notices that nodes exchange about a release in progress: counts of responses, sessions pinned to the old
+//! Notices that nodes exchange about a release: its order, counts of responses, sessions pinned to the old
 //! version, and the recorded status.
+//!
+//! A node that the store turns away, or that has just started, knows the order from them: without it, the engines
+//! of the new version look like any others.
 
 use std::collections::BTreeMap;
+use std::iter;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD_NO_PAD;
 use forward::BootTime;
-use forward::release::{Counters, Release, ReleaseStatus, SessionHash, Stage, Tally};
+use forward::relay::Position;
+use forward::release::{Counters, Release, ReleaseOrder, ReleaseStatus, SessionHash, Stage, Tally};
 use model::{Incarnation, Name};
 use serde::{Deserialize, Serialize};
 
-use crate::clock;
+use crate::follow::operators::begin_release;
 use crate::shared::{Shared, lock, log_halt};
+use crate::{clock, datagrams};
 
 /// Maximum age of a pinned session in a notice, so that some rounds may be lost. A receiver keeps what it
 /// got, and requests of a session renew it.
@@ -30,6 +37,9 @@
     service: String,
     order: u64,
     sender: String,
+    /// The order itself; nodes of earlier versions do not send it.
+    #[serde(default)]
+    details: Option<OrderDetails>,
     /// Whether the sender is an evaluator, which sends its notices to all nodes.
     #[serde(rename = "judge")]
     is_evaluator: bool,
@@ -44,6 +54,15 @@
     status: Option<RecordedStatus>,
 }
 
+/// Order of a release, and its age.
+#[derive(Debug, Serialize, Deserialize)]
+struct OrderDetails {
+    target: String,
+    duration_ms: u64,
+    era: u64,
+    elapsed_ms: u64,
+}
+
 /// A recorded release status.
 #[derive(Debug, Serialize, Deserialize)]
 struct RecordedStatus {
@@ -69,10 +88,17 @@
     let now = clock::now();
     let counters = release.counters(shared.incarnation).into_iter().flatten();
     let named = |(route, it): (&Name, &Tally)| (route.to_string(), to_row(it));
+    let order = release.order();
     Notice {
-        service: release.order().service.to_string(),
-        order: release.order().position.offset,
+        service: order.service.to_string(),
+        order: order.position.offset,
         sender: shared.incarnation.to_string(),
+        details: Some(OrderDetails {
+            target: order.target.to_string(),
+            duration_ms: order.duration.as_millis() as u64,
+            era: order.position.era,
+            elapsed_ms: release.elapsed(now).as_millis() as u64,
+        }),
         is_evaluator,
         counters: counters.map(named).collect(),
         halted: release.is_halted(),
@@ -119,8 +145,27 @@
     bytes.as_chunks::<5>().0.iter().map(record).collect()
 }
 
-/// Applies a notice of another node.
-pub(crate) fn apply(shared: &Shared, notice: Notice) {
+impl Notice {
+    /// The order that the notice is about; `None` if it does not contain it.
+    fn release_order(&self) -> Option<ReleaseOrder> {
+        let details = self.details.as_ref()?;
+        Some(ReleaseOrder {
+            service: (&*self.service).into(),
+            target: (&*details.target).into(),
+            duration: Duration::from_millis(details.duration_ms),
+            position: Position {
+                era: details.era,
+                offset: self.order,
+            },
+        })
+    }
+}
+
+/// Applies a notice that the node at `from` sent.
+pub(crate) fn apply(shared: &Shared, notice: Notice, from: SocketAddr) {
+    if let Some(order) = notice.release_order() {
+        begin_release(shared, order);
+    }
     let mut releases = lock(&shared.releases);
     let Some(release) = releases.get_mut(&*notice.service) else {
         return;
@@ -128,6 +173,10 @@
     if release.order().position.offset != notice.order {
         return;
     }
+    let now = clock::now();
+    if let Some(details) = &notice.details {
+        release.record_age(Duration::from_millis(details.elapsed_ms), now);
+    }
     if notice.halted && !release.is_halted() {
         log::warn!(service = notice.service, sender = notice.sender; "release halted by another node");
         release.halt();
@@ -137,15 +186,20 @@
         release.merge_counters(sender, from_rows(notice.counters));
         if release.is_halted() && !was_halted {
             log_halt(release);
+            shared.release_changed.notify_one();
         }
     }
-    let now = clock::now();
     if notice.is_evaluator {
         release.record_evaluator_notice(now);
     }
     for (session, age) in decode_sessions(&notice.pinned_sessions) {
         release.pin_session(session, age, now);
     }
+    let known = notice.status.as_ref().map(|it| Stage::from_code(it.stage));
+    if release.has_ended() && known < Some(release.stage()) {
+        let end = self::notice(shared, release, false, String::new());
+        datagrams::send_notice(&shared.socket, &end, iter::once(from));
+    }
     if let Some(recorded) = notice.status {
         let status = ReleaseStatus {
             order_offset: notice.order,
--- a/crates/entry/src/releases.rs
+++ b/crates/entry/src/releases.rs
@@ -13,7 +13,7 @@
 use forward::release::{Decision, Release, Stage};
 use model::{Name, hash};
 use tokio::net::UdpSocket;
-use tokio::time::sleep;
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::notice::{Notice, notices};
 use crate::protocol::{AppendOutcome, Topic};
@@ -27,12 +27,17 @@
 /// Rounds without a notice of an evaluator after which a node reads the recorded status itself.
 const SILENT_ROUNDS: u32 = 6;
 
-/// Rounds for which a decision must be due before the next evaluator takes over: the first one may be cut off
-/// from the store while other nodes still receive its notices.
-const TAKE_OVER_ROUNDS: u32 = 4;
+/// Rounds for which a decision must be due before the next node takes over: the store may turn away those before it
+/// while other nodes still receive their notices.
+const TAKE_OVER_ROUNDS: u32 = 2;
 
-/// Nodes that evaluate evidence; the first drives the release, and the next one takes over if it does not.
-const EVALUATORS_PER_RELEASE: usize = 2;
+/// Nodes that get the evidence of all others. The first drives the release, and the next ones take over if it does
+/// not; after them the other nodes, which know at least whether the release is halted.
+const EVALUATORS_PER_RELEASE: usize = 3;
+
+/// Time for which evaluators tell other nodes the end of a release. Later, a node that still sends notices gets
+/// the end in reply.
+const END_NOTICE_TIME: Duration = Duration::from_secs(10);
 
 /// State of a release between rounds.
 #[derive(Debug, Default)]
@@ -43,8 +48,41 @@
     silent_rounds: u32,
 }
 
-/// Exchanges evidence and drives releases until the process ends.
-pub(crate) async fn run(shared: Arc<Shared>) {
+/// Exchanges notices with other nodes in rounds, and tells all of them at once what must not wait for the next one,
+/// until the process ends. It does not wait for the store.
+pub(crate) async fn exchange(shared: Arc<Shared>) {
+    let mut rounds = interval(ROUND_INTERVAL);
+    rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        let is_round = tokio::select! {
+            _ = rounds.tick() => true,
+            () = shared.release_changed.notified() => false,
+        };
+        let now = clock::now();
+        let hosts = shared.host_counts().known;
+        let current: Vec<_> = {
+            let mut releases = lock(&shared.releases);
+            releases.values_mut().for_each(|it| it.set_hosts(hosts));
+            let current = releases
+                .values()
+                .filter(|it| !it.has_ended() || it.has_ended_within(now, END_NOTICE_TIME));
+            current.cloned().collect()
+        };
+        for release in current {
+            let evaluators = ranking(&shared, &release.order().service, EVALUATORS_PER_RELEASE);
+            let is_evaluator = evaluators.contains(&None);
+            let to = match is_evaluator || !is_round {
+                true => other_nodes(&shared),
+                false => evaluators.into_iter().flatten().collect(),
+            };
+            let notices = notices(&shared, &release, is_evaluator);
+            tokio::spawn(send_notices(shared.socket.clone(), notices, to));
+        }
+    }
+}
+
+/// Decides about releases in progress and records the decisions until the process ends.
+pub(crate) async fn drive(shared: Arc<Shared>) {
     let mut round_states: BTreeMap<Name, RoundState> = BTreeMap::new();
     loop {
         sleep(ROUND_INTERVAL).await;
@@ -63,16 +101,8 @@
 }
 
 async fn advance(shared: &Shared, release: &Release, round_state: &mut RoundState) {
-    let evaluators = evaluators(shared, &release.order().service);
-    let position = evaluators.iter().position(Option::is_none);
-    let notices = notices(shared, release, position.is_some());
-    match position {
-        Some(_) => _ = tokio::spawn(send_notices(shared.socket.clone(), notices, other_nodes(shared))),
-        None => {
-            let to = evaluators.into_iter().flatten().collect();
-            send_notices(shared.socket.clone(), notices, to).await;
-        }
-    }
+    let nodes = ranking(shared, &release.order().service, usize::MAX);
+    let position = nodes.iter().position(Option::is_none);
     let decision = release.decide(clock::now());
     round_state.due_rounds = if decision == Decision::Hold {
         0
@@ -112,7 +142,7 @@
             log::info!(service, target, stage:?; "another node recorded a release status first");
         }
         Err(err) => {
-            log::warn!(service, target, stage:?, evidence:?, error:% = err; "release status not recorded");
+            log::warn!(service, target, stage:?, error:% = err; "release status not recorded");
         }
     }
 }
@@ -132,6 +162,7 @@
     let result = store::append_status(shared, service, &status, end).await?;
     if result == AppendOutcome::Appended {
         follow::operators::apply_status(shared, service, &status);
+        shared.release_changed.notify_one();
     }
     Ok(result)
 }
@@ -143,12 +174,12 @@
     Ok(page.end)
 }
 
-/// Addresses of the evaluators of a release; `None` for this node.
-fn evaluators(shared: &Shared, service: &Name) -> Vec<Option<SocketAddr>> {
+/// Addresses of the first `count` nodes in the order in which they drive the releases of a service; `None` for this node.
+fn ranking(shared: &Shared, service: &Name, count: usize) -> Vec<Option<SocketAddr>> {
     let table = lock(&shared.members);
     let live = table.live(clock::now());
     let hosts = live.iter().map(|it| &*it.host);
-    let chosen = hash::highest(service, hosts, EVALUATORS_PER_RELEASE);
+    let chosen = hash::highest(service, hosts, count);
     let own = &*table.local().host;
     let address = |host: &str| {
         live.iter()
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -22,7 +22,7 @@
 use membership::Table;
 use model::{Incarnation, Name};
 use tokio::net::UdpSocket;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::clock;
 use crate::metrics::Metrics;
@@ -45,6 +45,8 @@
     pub request_limits: Mutex<Limits>,
     pub permits: Permits,
     pub releases: Mutex<BTreeMap<Name, Release>>,
+    /// Wakes the exchange of notices about releases, if something must not wait for its next round.
+    pub release_changed: Notify,
     pub members: Mutex<Table>,
     host_counts: Mutex<HostCounts>,
     retry_budgets: Mutex<HashMap<Name, RetryBudget>>,
@@ -116,6 +118,7 @@
             request_limits: Mutex::default(),
             permits: Permits::new(clock::now()),
             releases: Mutex::default(),
+            release_changed: Notify::new(),
             host_counts: Mutex::new(HostCounts::of(&members, clock::now())),
             members: Mutex::new(members),
             retry_budgets: Mutex::default(),
@@ -301,6 +304,7 @@
             release.record_response(self.incarnation, route, arm, grade);
             if release.is_halted() && !was_halted {
                 log_halt(release);
+                self.release_changed.notify_one();
             }
         }
     }
