release: the pace of a stream counts as its latency

Cause: only the time to the first byte was graded.

Now the mean gap of the first events is compared with the usual one of the route and model. A response that is dropped before its grade is known counts as slow if it already was, and as nothing otherwise.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -8,7 +8,7 @@
 use forward::BootTime;
 use forward::configuration::RouteKind;
 use forward::directory::Engine;
-use forward::release::{Arm, ResponseGrade, SLOW_RATIO};
+use forward::release::Arm;
 use forward::retry::Failure;
 use forward::urgency::{self, Urgency};
 use forward::work::Work;
@@ -23,6 +23,7 @@
 
 use crate::client::{self, Connection};
 use crate::clock;
+use crate::grading::Grading;
 use crate::protocol::{ForwardMetadata, ResponseMetadata, StatedLimit};
 use crate::request::RequestContext;
 use crate::request_limit;
@@ -53,6 +54,7 @@
     pub head: response::Parts,
     pub metadata: ResponseMetadata,
     pub body: Incoming,
+    pub grading: Option<Grading>,
     _connection: Connection,
     _in_flight: InFlight,
 }
@@ -150,9 +152,11 @@
     };
     context.retry_state.mark_sent();
     let sent_at = clock::now();
+    let grading = Grading::begin(context, arm);
     let (response, connection) = match wait_for_head(context, connection.send(request)).await {
         Ok(Ok(it)) => it,
         Ok(Err(err)) => {
+            grading.discard();
             log::info!(id = context.id, engine = *engine.id, error:% = err; "no answer");
             record_failure(context, &engine, Failure::Lost);
             return AttemptOutcome::failed(Failure::Lost);
@@ -178,10 +182,11 @@
         head,
         metadata,
         body,
+        grading: None,
         _connection: connection,
         _in_flight: in_flight,
     };
-    evaluate(context, &engine, arm, engine_response, elapsed).await
+    evaluate(context, &engine, grading, engine_response, elapsed).await
 }
 
 /// Logs the chosen engine and the state that led to the choice.
@@ -304,21 +309,24 @@
 async fn evaluate(
     context: &RequestContext,
     engine: &Arc<Engine>,
-    arm: Arm,
-    engine_response: EngineResponse,
+    mut grading: Grading,
+    mut engine_response: EngineResponse,
     elapsed: Duration,
 ) -> AttemptOutcome {
     let status = engine_response.head.status;
     if status == StatusCode::MISDIRECTED_REQUEST {
+        grading.discard();
         lock(&context.shared.directory).evict(&engine.id, engine.started_ms, clock::now());
         return AttemptOutcome::failed(Failure::Misdirected);
     }
     if engine_response.metadata.not_run {
+        grading.discard();
         record_failure(context, engine, Failure::Refused);
         return AttemptOutcome::failed(Failure::Refused);
     }
     let is_foreign = engine_response.metadata.id.as_deref() != Some(&*context.id);
     if is_foreign || (status.is_success() && !engine_response.metadata.is_signed) {
+        grading.discard();
         let got = engine_response.metadata.id.as_deref().unwrap_or_default();
         log::warn!(
             id = context.id, engine = *engine.id, got, status = status.as_u16();
@@ -327,9 +335,8 @@
         record_failure(context, engine, Failure::Lost);
         return AttemptOutcome::failed(Failure::Lost);
     }
-    let (shared, route) = (&context.shared, &context.route.name);
     if status.is_server_error() {
-        shared.record_response(&context.service, route, arm, ResponseGrade::Bad);
+        grading.record_failure();
         // Plain services fail some requests on every engine, which says nothing about the health of this one.
         if matches!(context.route.kind, RouteKind::Stream { .. }) {
             record_failure(context, engine, Failure::Failed);
@@ -342,22 +349,12 @@
             response: response.filter(|_| !promises_not_run),
         };
     }
+    let shared = &context.shared;
     shared.metrics.first_byte_seconds.observe(elapsed.as_secs_f64());
-    let (model, tokens) = (context.model.as_ref(), context.prompt_tokens());
-    let usual = lock(&shared.first_byte_times)
-        .expected(route, model, tokens)
-        .unwrap_or(elapsed);
-    let ratio = elapsed.as_secs_f64() / usual.as_secs_f64().max(0.001);
+    let is_stream = matches!(context.route.kind, RouteKind::Stream { .. }) && status.is_success();
+    let ratio = grading.record_first_byte(elapsed, is_stream).unwrap_or(1.0);
+    engine_response.grading = Some(grading);
     lock(&shared.loads).record_success(engine, ratio, clock::now());
-    if arm == Arm::Old {
-        lock(&shared.first_byte_times).record(route, model, tokens, elapsed);
-    }
-    let grade = if ratio > SLOW_RATIO {
-        ResponseGrade::Slow
-    } else {
-        ResponseGrade::Good
-    };
-    shared.record_response(&context.service, route, arm, grade);
     AttemptOutcome::Responded(engine_response)
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,7 +5,8 @@
 //! stores nothing itself: configuration, engines and releases are read from the platform's store, and other
 //! nodes are found by gossip.
 
-pub mod handle;
+pub mod grading;
+mod handle;
 pub mod protocol;
 
 mod attempt;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -14,6 +14,7 @@
 use forward::drain::Drain;
 use forward::first_byte::FirstByteTimes;
 use forward::load::Loads;
+use forward::pace::UsualGaps;
 use forward::permit::Fleet;
 use forward::release::{Arm, Release, ResponseGrade, Stage, Subject};
 use forward::request_limit::Limits;
@@ -51,6 +52,7 @@
     host_counts: Mutex<HostCounts>,
     retry_budgets: Mutex<HashMap<Name, RetryBudget>>,
     pub first_byte_times: Mutex<FirstByteTimes>,
+    pub usual_gaps: Mutex<UsualGaps>,
     route_models: Mutex<HashMap<Name, RouteModels>>,
     congestions: Mutex<HashMap<Name, Congestion>>,
     work_distributions: Mutex<HashMap<Name, WorkDistribution>>,
@@ -123,6 +125,7 @@
             members: Mutex::new(members),
             retry_budgets: Mutex::default(),
             first_byte_times: Mutex::default(),
+            usual_gaps: Mutex::default(),
             route_models: Mutex::default(),
             congestions: Mutex::default(),
             work_distributions: Mutex::default(),
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -104,15 +104,23 @@
             }
             Err(_) => continue,
             Ok(Some(Err(_))) => return ReadEnd::Failed(Failure::Lost),
-            Ok(None) if splitter.partial_event().is_empty() => return ReadEnd::Complete,
+            Ok(None) if splitter.partial_event().is_empty() => {
+                if let Some(grading) = &mut engine_response.grading {
+                    grading.record_end();
+                }
+                return ReadEnd::Complete;
+            }
             Ok(None) => return ReadEnd::Failed(Failure::Lost),
             Ok(Some(Ok(frame))) => {
                 let Ok(data) = frame.into_data() else { continue };
                 splitter.push(&data);
             }
         }
-        let (events, is_contiguous) = take_events(&mut splitter, cursor);
-        if !events.is_empty() && sender.send(Ok(events)).await.is_err() {
+        let (batch, is_contiguous) = take_events(&mut splitter, cursor);
+        if let Some(grading) = &mut engine_response.grading {
+            grading.record_events(batch.count);
+        }
+        if !batch.bytes.is_empty() && sender.send(Ok(batch.bytes.freeze())).await.is_err() {
             return ReadEnd::Disconnected;
         }
         if !is_contiguous || splitter.is_overlong() {
@@ -121,17 +129,27 @@
     }
 }
 
+/// Complete events that the caller lacks.
+#[derive(Debug, Default)]
+struct Batch {
+    bytes: BytesMut,
+    count: u32,
+}
+
 /// Takes all complete events that the caller lacks; `false` if events before the next one are missing.
-fn take_events(splitter: &mut Splitter, cursor: &mut Cursor) -> (Bytes, bool) {
-    let mut events = BytesMut::new();
+fn take_events(splitter: &mut Splitter, cursor: &mut Cursor) -> (Batch, bool) {
+    let mut batch = Batch::default();
     while let Some(event) = splitter.next_event() {
         match cursor.advance(event.id) {
-            Delivery::Deliver => events.extend_from_slice(&event.bytes),
+            Delivery::Deliver => {
+                batch.bytes.extend_from_slice(&event.bytes);
+                batch.count += 1;
+            }
             Delivery::Duplicate => {}
-            Delivery::Gap => return (events.freeze(), false),
+            Delivery::Gap => return (batch, false),
         }
     }
-    (events.freeze(), true)
+    (batch, true)
 }
 
 /// Resumes the stream on another engine if the retry policy and the caller allow it.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod first_byte;
 pub mod load;
 mod mean;
+pub mod pace;
 pub mod permit;
 pub mod placement;
 pub mod relay;
