--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -14,15 +14,16 @@
 use forward::drain::Drain;
 use forward::first_byte::FirstByteTimes;
 use forward::load::Loads;
+use forward::pace::UsualGaps;
 use forward::permit::Fleet;
-use forward::release::{Arm, Release, ResponseGrade, Stage};
+use forward::release::{Arm, Release, ResponseGrade, Stage, Subject};
 use forward::request_limit::Limits;
 use forward::retry_budget::{RetryBudget, RetryLimit, RetryReason};
 use forward::work::{Work, WorkDistribution};
 use membership::Table;
 use model::{Incarnation, Name};
 use tokio::net::UdpSocket;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::clock;
 use crate::metrics::Metrics;
@@ -45,10 +46,13 @@
     pub request_limits: Mutex<Limits>,
     pub permits: Permits,
     pub releases: Mutex<BTreeMap<Name, Release>>,
+    /// Wakes the exchange of notices about releases, if something must not wait for its next round.
+    pub release_changed: Notify,
     pub members: Mutex<Table>,
     host_counts: Mutex<HostCounts>,
     retry_budgets: Mutex<HashMap<Name, RetryBudget>>,
     pub first_byte_times: Mutex<FirstByteTimes>,
+    pub usual_gaps: Mutex<UsualGaps>,
     route_models: Mutex<HashMap<Name, RouteModels>>,
     congestions: Mutex<HashMap<Name, Congestion>>,
     work_distributions: Mutex<HashMap<Name, WorkDistribution>>,
@@ -116,10 +120,12 @@
             request_limits: Mutex::default(),
             permits: Permits::new(clock::now()),
             releases: Mutex::default(),
+            release_changed: Notify::new(),
             host_counts: Mutex::new(HostCounts::of(&members, clock::now())),
             members: Mutex::new(members),
             retry_budgets: Mutex::default(),
             first_byte_times: Mutex::default(),
+            usual_gaps: Mutex::default(),
             route_models: Mutex::default(),
             congestions: Mutex::default(),
             work_distributions: Mutex::default(),
@@ -219,8 +225,12 @@
 
     /// Engines of a service that may serve a request, and the version of the release that they belong to.
     ///
-    /// `key` is the same for requests that should be served by one version.
-    pub(crate) fn engines(&self, service: &Name, key: &[u8], now: BootTime) -> (Vec<Arc<Engine>>, Arm) {
+    pub(crate) fn engines(
+        &self,
+        service: &Name,
+        subject: Subject<'_>,
+        now: BootTime,
+    ) -> (Vec<Arc<Engine>>, Arm) {
         let all: Vec<_> = lock(&self.directory).available(service, now).cloned().collect();
         let mut releases = lock(&self.releases);
         let Some(release) = releases.get_mut(service) else {
@@ -228,7 +238,7 @@
         };
         let target = release.order().target.clone();
         let (new, old): (Vec<_>, Vec<_>) = all.into_iter().partition(|it| it.version == target);
-        match release.assign_arm(key, now) {
+        match release.assign_arm(subject, now) {
             Arm::New if !new.is_empty() => (new, Arm::New),
             // Without old engines, the new ones serve all requests unless the new version was detected to be
             // bad.
@@ -297,6 +307,7 @@
             release.record_response(self.incarnation, route, arm, grade);
             if release.is_halted() && !was_halted {
                 log_halt(release);
+                self.release_changed.notify_one();
             }
         }
     }
