entry: log each request that the exit of a planned stop cuts off

The exit only counted the requests that it cut, so the logs could not tell a call that was accepted too late from a long stream. What is accepted is unchanged.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -131,6 +131,7 @@
     log_attempt(context, &engine, arm);
     context.arm = Some(arm);
     context.tried.push(engine.clone());
+    context.open.record_attempt(&engine);
     let mut in_flight = InFlight::start(&context.shared, &engine, work.unwrap_or_default());
     let limit = CONNECT_TIMEOUT.min(context.remaining());
     let connection = match client::connect(engine.address, limit).await {
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -3,7 +3,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use config::settings::entry::Settings;
@@ -157,8 +156,9 @@
     let serve_time = plan.addresses_expired + Duration::from_millis(500);
     loop {
         let elapsed = clock::now().saturating_sub(began);
-        let active = shared.active_requests.load(Ordering::SeqCst);
+        let active = shared.open_requests.len();
         if (elapsed >= serve_time && active == 0) || elapsed >= plan.exit {
+            shared.open_requests.log_cut();
             return active;
         }
         sleep(DRAIN_POLL).await;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,6 +18,7 @@
 mod metrics;
 mod model_choice;
 mod notice;
+mod open_requests;
 mod permit;
 mod relay;
 mod releases;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -1,7 +1,6 @@
 //! A caller's request from its head to the final response.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -21,6 +20,7 @@
 use model::Name;
 
 use crate::attempt::{AttemptOutcome, attempt};
+use crate::open_requests::OpenRequest;
 use crate::protocol::RequestMetadata;
 use crate::response::{Refusal, ResponseBody, strip_connection_headers};
 use crate::selection;
@@ -58,7 +58,7 @@
     limited_for: Option<Duration>,
     /// Whether a retry is already reserved for the next attempt.
     retry_reserved: bool,
-    _active: ActiveGuard,
+    pub open: OpenRequest,
 }
 
 impl Drop for RequestContext {
@@ -69,23 +69,6 @@
     }
 }
 
-/// Counts a request while it is in progress.
-#[derive(Debug)]
-struct ActiveGuard(Arc<Shared>);
-
-impl ActiveGuard {
-    fn begin(shared: &Arc<Shared>) -> Self {
-        shared.active_requests.fetch_add(1, Ordering::SeqCst);
-        Self(shared.clone())
-    }
-}
-
-impl Drop for ActiveGuard {
-    fn drop(&mut self) {
-        self.0.active_requests.fetch_sub(1, Ordering::SeqCst);
-    }
-}
-
 /// Serves a request.
 pub(crate) async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Response<ResponseBody> {
     let arrived = clock::now();
@@ -121,7 +104,8 @@
     metadata: RequestMetadata,
     arrived: BootTime,
 ) -> Result<RequestContext, Refusal> {
-    let active = ActiveGuard::begin(shared);
+    let id = metadata.id.clone().unwrap_or_default();
+    let open = OpenRequest::begin(shared, id, arrived);
     let limits = lock(&shared.configuration).value().map(|it| it.limits);
     let body = read_body(body, limits).await?;
     let now = clock::now();
@@ -136,7 +120,9 @@
     let timeout = metadata
         .deadline
         .map_or(route.timeout, |it| it.min(route.timeout));
-    let retry_state = RetryState::new(route.kind.repeat(), route.max_attempts, arrived + timeout);
+    let deadline = arrived + timeout;
+    open.accept(&route.name, deadline);
+    let retry_state = RetryState::new(route.kind.repeat(), route.max_attempts, deadline);
     let model = route.models.first().filter(|_| metadata.any_model).cloned();
     let mut headers = head.headers;
     strip_connection_headers(&mut headers);
@@ -160,7 +146,7 @@
         dropped_answer: None,
         limited_for: None,
         retry_reserved: false,
-        _active: active,
+        open,
     })
 }
 
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,7 +1,7 @@
 //! State shared by the tasks of a node; each part has its own lock.
 
 use std::collections::{BTreeMap, HashMap};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
@@ -27,6 +27,7 @@
 use crate::clock;
 use crate::metrics::Metrics;
 use crate::model_choice::RouteModels;
+use crate::open_requests::OpenRequests;
 use crate::permit::Permits;
 use crate::protocol::Protocol;
 use crate::relay::Relay;
@@ -56,8 +57,7 @@
     pub metrics: Metrics,
     /// Whether the list of engines was read since the start.
     pub engines_known: AtomicBool,
-    /// Number of requests in progress.
-    pub active_requests: AtomicUsize,
+    pub open_requests: OpenRequests,
     /// When the planned stop began.
     pub leaving: watch::Sender<Option<BootTime>>,
 }
@@ -126,7 +126,7 @@
             relay: Relay::default(),
             metrics: Metrics::new(),
             engines_known: AtomicBool::new(false),
-            active_requests: AtomicUsize::new(0),
+            open_requests: OpenRequests::default(),
             leaving: watch::Sender::new(None),
         }
     }
