entry: exit only after the responses are written

Callers that read slowly got a part of their response when the node stopped: the count of open requests ended when the response was handed to the connection, and the process exited while it was still being written. A request now stays open until its body is taken, and a node whose requests have ended closes in order: it serves the connections that wait in the listener's queue, takes no more, closes each connection after its last response, and exits when none is left or the grace period ends.

--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -21,6 +21,9 @@
 /// Interval at which a stopping node checks whether all requests have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
+/// Interval at which a stopping node checks whether all responses are written.
+const CLOSE_POLL: Duration = Duration::from_millis(5);
+
 /// Maximum number of addresses in a response; the platform's callers accept up to 64.
 const MAX_ENTRIES: usize = 64;
 
@@ -140,7 +143,7 @@
     /// Stops the node: callers are directed to other nodes, and requests in progress may finish within the
     /// grace period.
     ///
-    /// Returns the number of aborted requests.
+    /// Returns the number of requests that were aborted, or whose response was not written to its end.
     pub fn stop(self) -> usize {
         let aborted = self.runtime.block_on(drain(&self.shared));
         self.runtime.shutdown_background();
@@ -151,16 +154,19 @@
 async fn drain(shared: &Shared) -> usize {
     let began = clock::now();
     shared.leaving.send_replace(Some(began));
-    // A caller may have received this node's address just before the stop.
     let plan = shared.drain();
+    let elapsed = || clock::now().saturating_sub(began);
+    let open = &shared.open_requests;
+    // A caller may have received this node's address just before the stop.
     let serve_time = plan.addresses_expired + Duration::from_millis(500);
-    loop {
-        let elapsed = clock::now().saturating_sub(began);
-        let active = shared.open_requests.len();
-        if (elapsed >= serve_time && active == 0) || elapsed >= plan.exit {
-            shared.open_requests.log_cut();
-            return active;
-        }
+    while elapsed() < plan.exit && (elapsed() < serve_time || open.len() > 0) {
         sleep(DRAIN_POLL).await;
     }
+    // A connection closes when its last response is written.
+    shared.closing.send_replace(true);
+    while elapsed() < plan.exit && open.connections() > 0 {
+        sleep(CLOSE_POLL).await;
+    }
+    open.log_cut();
+    open.connections()
 }
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -1,6 +1,7 @@
 //! Listening sockets and connections of callers.
 
 use std::convert::Infallible;
+use std::future::pending;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -16,7 +17,8 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::sleep;
 
-use crate::response::ResponseBody;
+use crate::open_requests::OpenConnection;
+use crate::response::TrackedBody;
 use crate::shared::{Shared, lock};
 use crate::{control, request};
 
@@ -53,10 +55,22 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts connections until the process ends.
+/// Accepts connections, those of callers until the node closes, and others until the process ends.
 pub(crate) async fn accept(shared: Arc<Shared>, listener: TcpListener, role: Role) {
+    let mut closes = pin!(async {
+        match role {
+            Role::Entry => shared.closes().await,
+            Role::Control => pending().await,
+        }
+    });
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            // Connections that already wait are served.
+            it = listener.accept() => it,
+            () = closes.as_mut() => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 tokio::spawn(serve(shared.clone(), stream, role));
             }
@@ -79,7 +93,8 @@
     let max_head = limits
         .map_or(DEFAULT_MAX_HEAD_BYTES, |it| it.max_header_bytes)
         .max(MIN_MAX_HEAD_BYTES);
-    let mut leaving = shared.leaving.subscribe();
+    let _open = (role == Role::Entry).then(|| OpenConnection::begin(&shared));
+    let is_leaving = shared.is_leaving();
     let service = service_fn(|request| respond(shared.clone(), role, request));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -87,12 +102,13 @@
         .header_read_timeout(idle_timeout)
         .max_buf_size(max_head)
         // A connection that is accepted while the node is stopping serves one request.
-        .keep_alive(leaving.borrow_and_update().is_none())
+        .keep_alive(!is_leaving)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let result = tokio::select! {
+        biased;
         it = connection.as_mut() => it,
-        _ = leaving.changed() => {
+        () = last_use(&shared, role, is_leaving) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -103,14 +119,26 @@
     shared.metrics.connections.dec();
 }
 
+/// Completes when a connection is closed unless a request is in progress on it.
+async fn last_use(shared: &Shared, role: Role, accepted_while_leaving: bool) {
+    match (role, accepted_while_leaving) {
+        (Role::Entry | Role::Control, false) => shared.stop_reaches(|_| Duration::ZERO).await,
+        (Role::Entry, true) => shared.closes().await,
+        (Role::Control, true) => pending().await,
+    }
+}
+
 async fn respond(
     shared: Arc<Shared>,
     role: Role,
     request: Request<Incoming>,
-) -> Result<Response<ResponseBody>, Infallible> {
+) -> Result<Response<TrackedBody>, Infallible> {
     let mut response = match role {
         Role::Entry => request::handle(shared.clone(), request).await,
-        Role::Control => control::handle(&shared, &request.into_parts().0),
+        Role::Control => {
+            let response = control::handle(&shared, &request.into_parts().0);
+            response.map(TrackedBody::untracked)
+        }
     };
     if shared.is_leaving() {
         let close = HeaderValue::from_static("close");
--- a/crates/entry/src/open_requests.rs
+++ b/crates/entry/src/open_requests.rs
@@ -1,7 +1,7 @@
-//! Requests that have arrived and whose responses are not complete.
+//! Requests that have arrived and whose responses are not complete, and the connections that they came on.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 use forward::BootTime;
@@ -30,6 +30,7 @@
 pub(crate) struct OpenRequests {
     last_number: AtomicU64,
     progress: Mutex<HashMap<u64, Progress>>,
+    connections: AtomicUsize,
 }
 
 impl OpenRequests {
@@ -38,6 +39,11 @@
         lock(&self.progress).len()
     }
 
+    /// Number of open connections of callers.
+    pub(crate) fn connections(&self) -> usize {
+        self.connections.load(Ordering::SeqCst)
+    }
+
     /// Logs the open requests, which the exit of the process cuts off.
     pub(crate) fn log_cut(&self) {
         let now = clock::now();
@@ -103,3 +109,20 @@
         lock(&self.shared.open_requests.progress).remove(&self.number);
     }
 }
+
+/// A connection of a caller that is open until this is dropped, after the last response was written.
+#[derive(Debug)]
+pub(crate) struct OpenConnection(Arc<Shared>);
+
+impl OpenConnection {
+    pub(crate) fn begin(shared: &Arc<Shared>) -> Self {
+        shared.open_requests.connections.fetch_add(1, Ordering::SeqCst);
+        Self(shared.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.open_requests.connections.fetch_sub(1, Ordering::SeqCst);
+    }
+}
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -22,7 +22,7 @@
 use crate::attempt::{AttemptOutcome, attempt};
 use crate::open_requests::OpenRequest;
 use crate::protocol::RequestMetadata;
-use crate::response::{Refusal, ResponseBody, strip_connection_headers};
+use crate::response::{Refusal, ResponseBody, TrackedBody, strip_connection_headers};
 use crate::selection;
 use crate::shared::{Shared, lock};
 use crate::{clock, stream};
@@ -58,7 +58,7 @@
     limited_for: Option<Duration>,
     /// Whether a retry is already reserved for the next attempt.
     retry_reserved: bool,
-    pub open: OpenRequest,
+    pub open: Arc<OpenRequest>,
 }
 
 impl Drop for RequestContext {
@@ -70,15 +70,17 @@
 }
 
 /// Serves a request.
-pub(crate) async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Response<ResponseBody> {
+pub(crate) async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Response<TrackedBody> {
     let arrived = clock::now();
     let (head, body) = request.into_parts();
     let metadata = shared.protocol.request_metadata(&head);
     let id = metadata.id.clone().unwrap_or_default();
-    match admit(&shared, head, body, metadata, arrived).await {
+    let open = Arc::new(OpenRequest::begin(&shared, id.clone(), arrived));
+    let response = match admit(&shared, head, body, metadata, arrived, &open).await {
         Ok(context) => serve(context).await,
         Err(refusal) => refuse(&shared, &id, refusal, arrived),
-    }
+    };
+    response.map(|it| TrackedBody::new(it, open))
 }
 
 fn refuse(shared: &Shared, id: &str, refusal: Refusal, arrived: BootTime) -> Response<ResponseBody> {
@@ -103,13 +105,16 @@
     body: Incoming,
     metadata: RequestMetadata,
     arrived: BootTime,
+    open: &Arc<OpenRequest>,
 ) -> Result<RequestContext, Refusal> {
-    let id = metadata.id.clone().unwrap_or_default();
-    let open = OpenRequest::begin(shared, id, arrived);
     let limits = lock(&shared.configuration).value().map(|it| it.limits);
     let body = read_body(body, limits).await?;
     let now = clock::now();
     let (route, organisation) = authorise(shared, &head, &metadata, now)?;
+    let timeout = metadata
+        .deadline
+        .map_or(route.timeout, |it| it.min(route.timeout));
+    let deadline = arrived + timeout;
     if !shared.accepts(route.kind, now) {
         return Err(Refusal::Leaving);
     }
@@ -117,10 +122,6 @@
         .choose_service(&mut rand::rng())
         .cloned()
         .ok_or(Refusal::NoEngine)?;
-    let timeout = metadata
-        .deadline
-        .map_or(route.timeout, |it| it.min(route.timeout));
-    let deadline = arrived + timeout;
     open.accept(&route.name, deadline);
     let retry_state = RetryState::new(route.kind.repeat(), route.max_attempts, deadline);
     let model = route.models.first().filter(|_| metadata.any_model).cloned();
@@ -146,7 +147,7 @@
         dropped_answer: None,
         limited_for: None,
         retry_reserved: false,
-        open,
+        open: open.clone(),
     })
 }
 
--- a/crates/entry/src/response.rs
+++ b/crates/entry/src/response.rs
@@ -1,6 +1,7 @@
 //! Responses made by the node itself, and response bodies.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -12,6 +13,8 @@
 use rand::Rng;
 use tokio::sync::mpsc;
 
+use crate::open_requests::OpenRequest;
+
 /// A stream ended early; the caller must not take it as complete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("the stream broke off")]
@@ -60,6 +63,47 @@
     }
 }
 
+/// Body of a response that keeps its request open until it is written or dropped.
+#[derive(Debug)]
+pub(crate) struct TrackedBody {
+    body: ResponseBody,
+    _open: Option<Arc<OpenRequest>>,
+}
+
+impl TrackedBody {
+    pub(crate) fn new(body: ResponseBody, open: Arc<OpenRequest>) -> Self {
+        Self {
+            body,
+            _open: Some(open),
+        }
+    }
+
+    /// Body of a response to a request that a stopping node doesn't wait for.
+    pub(crate) fn untracked(body: ResponseBody) -> Self {
+        Self { body, _open: None }
+    }
+}
+
+impl Body for TrackedBody {
+    type Data = Bytes;
+    type Error = StreamBroken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, StreamBroken>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Why the node itself rejects or ends a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Refusal {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,6 +1,7 @@
 //! State shared by the tasks of a node; each part has its own lock.
 
 use std::collections::{BTreeMap, HashMap};
+use std::future::pending;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
@@ -23,6 +24,7 @@
 use model::{Incarnation, Name};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
+use tokio::time::sleep;
 
 use crate::clock;
 use crate::metrics::Metrics;
@@ -60,6 +62,8 @@
     pub open_requests: OpenRequests,
     /// When the planned stop began.
     pub leaving: watch::Sender<Option<BootTime>>,
+    /// Whether a stopping node takes no further connections.
+    pub closing: watch::Sender<bool>,
 }
 
 /// Number of hosts of the fleet, as known to this node.
@@ -128,6 +132,7 @@
             engines_known: AtomicBool::new(false),
             open_requests: OpenRequests::default(),
             leaving: watch::Sender::new(None),
+            closing: watch::Sender::new(false),
         }
     }
 
@@ -163,6 +168,26 @@
         began.is_none_or(|it| self.drain().accepts(kind, now.saturating_sub(it)))
     }
 
+    /// Completes at a time of the planned stop.
+    pub(crate) async fn stop_reaches(&self, time: impl Fn(&Drain) -> Duration) {
+        let mut leaving = self.leaving.subscribe();
+        let began = leaving.wait_for(Option::is_some).await.map(|it| *it);
+        // The sender is dropped with the node only.
+        let Ok(Some(began)) = began else {
+            return pending().await;
+        };
+        let elapsed = clock::now().saturating_sub(began);
+        sleep(time(&self.drain()).saturating_sub(elapsed)).await;
+    }
+
+    /// Completes when a stopping node takes no further connections.
+    pub(crate) async fn closes(&self) {
+        let mut closing = self.closing.subscribe();
+        if closing.wait_for(|it| *it).await.is_err() {
+            pending().await
+        }
+    }
+
     /// Whether callers may be directed to this node.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_leaving() && self.engines_known.load(Ordering::Relaxed) && self.is_current(clock::now())
