entry: a planned stop answers every call that it accepted

Calls that came late in a planned stop, to engines that were slow or hung, were closed without a response: they were accepted until 1 s before the exit whatever time they had, and the exit cut what was still running. Once the entry addresses have expired, a request is now accepted only if its deadline and its route's time-out end before the exit, and refused with 503 otherwise. 200 ms before the exit, each request without a response gets one: 503 if it has not been sent to an engine, or if its body is not there yet, else 502. Streams that have begun go on until the exit, as nothing else can end them.

Long requests are refused 200 ms earlier than before, since the signal may reach the node later than the caller's view of the stop begins.

--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -159,7 +159,7 @@
     let open = &shared.open_requests;
     // A caller may have received this node's address just before the stop.
     let serve_time = plan.addresses_expired + Duration::from_millis(500);
-    while elapsed() < plan.exit && (elapsed() < serve_time || open.len() > 0) {
+    while elapsed() < plan.final_responses && (elapsed() < serve_time || open.len() > 0) {
         sleep(DRAIN_POLL).await;
     }
     // A connection closes when its last response is written.
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -1,5 +1,6 @@
 //! A caller's request from its head to the final response.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,7 +10,7 @@
 use forward::directory::Engine;
 use forward::escalation::Confidence;
 use forward::release::Arm;
-use forward::retry::{Failure, FinalResponse, RetryDecision, RetryState};
+use forward::retry::{Execution, Failure, FinalResponse, RetryDecision, RetryState};
 use forward::retry_budget::RetryReason;
 use forward::work::Work;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -19,7 +20,7 @@
 use hyper::{Method, Request, Response};
 use model::Name;
 
-use crate::attempt::{AttemptOutcome, attempt};
+use crate::attempt::{AttemptOutcome, EngineResponse, attempt};
 use crate::open_requests::OpenRequest;
 use crate::protocol::RequestMetadata;
 use crate::response::{Refusal, ResponseBody, TrackedBody, strip_connection_headers};
@@ -76,8 +77,24 @@
     let metadata = shared.protocol.request_metadata(&head);
     let id = metadata.id.clone().unwrap_or_default();
     let open = Arc::new(OpenRequest::begin(&shared, id.clone(), arrived));
-    let response = match admit(&shared, head, body, metadata, arrived, &open).await {
-        Ok(context) => serve(context).await,
+    let mut final_responses = pin!(shared.stop_reaches(|it| it.final_responses));
+    let admitted = tokio::select! {
+        biased;
+        it = admit(&shared, head, body, metadata, arrived, &open) => it,
+        () = final_responses.as_mut() => Err(Refusal::Leaving),
+    };
+    let response = match admitted {
+        Ok(mut context) => {
+            let served = tokio::select! {
+                biased;
+                it = serve(&mut context) => it,
+                () = final_responses => Served::Response(context.finish_before_exit()),
+            };
+            match served {
+                Served::Response(response) => response,
+                Served::Stream(engine_response) => stream::start(context, engine_response),
+            }
+        }
         Err(refusal) => refuse(&shared, &id, refusal, arrived),
     };
     response.map(|it| TrackedBody::new(it, open))
@@ -115,7 +132,7 @@
         .deadline
         .map_or(route.timeout, |it| it.min(route.timeout));
     let deadline = arrived + timeout;
-    if !shared.accepts(route.kind, now) {
+    if !shared.accepts(deadline, now) {
         return Err(Refusal::Leaving);
     }
     let service = route
@@ -202,23 +219,31 @@
     configuration.route(host, head.uri.path())
 }
 
-/// Sends a request to engines until there is a final response.
-async fn serve(mut context: RequestContext) -> Response<ResponseBody> {
+/// How a request was served.
+enum Served {
+    /// With a final response.
+    Response(Response<ResponseBody>),
+    /// With a stream that an engine has begun.
+    Stream(EngineResponse),
+}
+
+/// Sends a request to engines until there is a final response or the begin of a stream.
+async fn serve(context: &mut RequestContext) -> Served {
     context.choose_model();
     loop {
-        let engine_response = match attempt(&mut context, None).await {
+        let engine_response = match attempt(context, None).await {
             AttemptOutcome::Responded(engine_response) => engine_response,
             AttemptOutcome::NoEngine => {
                 let response = context.retry_state.response_without_engine(clock::now());
-                return context.finish(response, None);
+                return Served::Response(context.finish(response, None));
             }
             AttemptOutcome::Limited(wait) => {
                 let response = context.retry_state.response_without_engine(clock::now());
                 context.limited_for = Some(wait);
-                return context.finish(response, None);
+                return Served::Response(context.finish(response, None));
             }
             AttemptOutcome::Failed { failure, response } => match context.handle_failure(failure, response) {
-                Some(response) => return response,
+                Some(response) => return Served::Response(response),
                 None => {
                     context.fall_back(failure);
                     continue;
@@ -230,13 +255,13 @@
             if context.try_escalate(&engine_response) {
                 continue;
             }
-            return stream::start(context, engine_response);
+            return Served::Stream(engine_response);
         }
         match engine_response.collect(context.remaining()).await {
-            Ok(response) => return context.forward_response(response),
+            Ok(response) => return Served::Response(context.forward_response(response)),
             Err(failure) => {
                 if let Some(response) = context.handle_failure(failure, None) {
-                    return response;
+                    return Served::Response(response);
                 }
             }
         }
@@ -357,7 +382,7 @@
         response: FinalResponse,
         engine: Option<Response<ResponseBody>>,
     ) -> Response<ResponseBody> {
-        let refusal = match (response, engine) {
+        self.refuse(match (response, engine) {
             (FinalResponse::Engine, Some(response)) => return self.forward_response(response),
             (FinalResponse::Engine | FinalResponse::Unknown, _) => Refusal::Unknown,
             (FinalResponse::TimedOut, _) => Refusal::TimedOut,
@@ -366,7 +391,18 @@
                 None if self.tried.is_empty() => Refusal::NoEngine,
                 None => Refusal::NotRun,
             },
-        };
+        })
+    }
+
+    /// The final response to a request that is still running shortly before the exit of the process.
+    fn finish_before_exit(&self) -> Response<ResponseBody> {
+        self.refuse(match self.retry_state.execution() {
+            Execution::NotRun => Refusal::Leaving,
+            Execution::MayHaveRun => Refusal::Unknown,
+        })
+    }
+
+    fn refuse(&self, refusal: Refusal) -> Response<ResponseBody> {
         let label = [("reason", refusal.code())];
         self.shared.metrics.refusals.get_or_create(&label).inc();
         self.log_end(refusal.status().as_u16(), refusal.code());
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -9,7 +9,7 @@
 use config::settings::entry::Settings;
 use forward::BootTime;
 use forward::cached::Cached;
-use forward::configuration::{Configuration, Route, RouteKind};
+use forward::configuration::{Configuration, Route};
 use forward::congestion::Congestion;
 use forward::directory::{Directory, Engine};
 use forward::drain::Drain;
@@ -156,16 +156,17 @@
     /// Course of a planned stop.
     pub(crate) fn drain(&self) -> Drain {
         let bounds = &self.settings().bounds;
-        Drain {
-            addresses_expired: bounds.entry_lifetime * Self::CACHED_LIFETIMES,
-            exit: bounds.grace.saturating_sub(Self::EXIT_MARGIN),
-        }
+        Drain::new(
+            bounds.entry_lifetime * Self::CACHED_LIFETIMES,
+            bounds.grace.saturating_sub(Self::EXIT_MARGIN),
+        )
     }
 
     /// Whether a new request is served, or refused because the node is about to stop.
-    pub(crate) fn accepts(&self, kind: RouteKind, now: BootTime) -> bool {
+    pub(crate) fn accepts(&self, deadline: BootTime, now: BootTime) -> bool {
         let began = *self.leaving.borrow();
-        began.is_none_or(|it| self.drain().accepts(kind, now.saturating_sub(it)))
+        let time_left = deadline.saturating_sub(now);
+        began.is_none_or(|it| self.drain().accepts(time_left, now.saturating_sub(it)))
     }
 
     /// Completes at a time of the planned stop.
--- a/crates/forward/src/drain.rs
+++ b/crates/forward/src/drain.rs
@@ -1,31 +1,42 @@
-//! Which new requests a node accepts during a planned stop.
+//! Which new requests a node accepts during a planned stop, and when the others end.
 //!
 //! Callers use addresses for some time after they got them, so a stopping node goes on serving. It refuses what it could
-//! not finish: a refusal is true and quick, while an answer that the exit cuts off is lost.
+//! not finish: a refusal is true and quick, while a response that the exit cuts off is lost.
 
 use std::time::Duration;
 
-use crate::configuration::RouteKind;
+/// Time between the exit and the responses to the requests that are still running, in which these are written.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(200);
 
-/// Time within which almost all calls end.
-const CALL_TIME: Duration = Duration::from_secs(1);
+/// Time that a signal takes to reach the node, by which its stop is older than the node knows.
+const SIGNAL_DELAY: Duration = Duration::from_millis(200);
 
 /// Course of a planned stop, as times since its begin.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Drain {
     /// When all responses that name this node's entry address have expired.
     pub addresses_expired: Duration,
+    /// When requests that are still running get a final response.
+    pub final_responses: Duration,
     /// When the process ends even if requests are in progress.
     pub exit: Duration,
 }
 
 impl Drain {
-    /// Whether a request that arrives at a time of the stop is served.
-    pub fn accepts(&self, kind: RouteKind, elapsed: Duration) -> bool {
-        match kind {
-            // A stream may last as long as all that is left.
-            RouteKind::Stream { .. } => elapsed < self.addresses_expired,
-            RouteKind::Call(_) => elapsed + CALL_TIME < self.exit,
+    /// A stop that ends at `exit`, on a node whose address callers use until `addresses_expired`.
+    pub fn new(addresses_expired: Duration, exit: Duration) -> Self {
+        let final_responses = exit.saturating_sub(RESPONSE_MARGIN);
+        Self {
+            addresses_expired: addresses_expired.min(final_responses),
+            final_responses,
+            exit,
         }
     }
+
+    /// Whether a request that arrives at a time of the stop, and may take `time_left`, is served.
+    pub fn accepts(&self, time_left: Duration, elapsed: Duration) -> bool {
+        // Few requests take all of their time, so callers with a cached address are not turned away.
+        let is_cached = elapsed + SIGNAL_DELAY < self.addresses_expired;
+        is_cached || elapsed + time_left <= self.final_responses
+    }
 }
