entry: a stopping node serves the next request on a kept connection

Callers whose next request was on its way, or sent in part, found their connection closed without a response when a node began to stop: idle connections were closed at once. They now stay open until the entry addresses have expired, like the node's listener for new connections, and the next response closes them. A connection that is idle then is closed as before.

--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -122,8 +122,10 @@
 /// Completes when a connection is closed unless a request is in progress on it.
 async fn last_use(shared: &Shared, role: Role, accepted_while_leaving: bool) {
     match (role, accepted_while_leaving) {
-        (Role::Entry | Role::Control, false) => shared.stop_reaches(|_| Duration::ZERO).await,
+        // Callers use an open connection until a response or the end of the connection tells them of the stop.
+        (Role::Entry, false) => shared.stop_reaches(|it| it.addresses_expired).await,
         (Role::Entry, true) => shared.closes().await,
+        (Role::Control, false) => shared.stop_reaches(|_| Duration::ZERO).await,
         (Role::Control, true) => pending().await,
     }
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -185,7 +185,7 @@
     pub(crate) async fn closes(&self) {
         let mut closing = self.closing.subscribe();
         if closing.wait_for(|it| *it).await.is_err() {
-            pending().await
+            pending::<()>().await;
         }
     }
 
