entry: keep a silent engine until another one is connected

Callers saw streams break off with most of their time left. A node gives up an engine that is silent for 0.7 of the event gap if it has reserved a retry, and closed that connection first. If then no other engine could be reached, the stream ended, although the engine might have gone on.

The response of the silent engine is now dropped only when another engine is connected, before the request is sent to that one, so two engines still never work on it together. If none can be reached, the stream goes on where it was, with the part of an event that had arrived.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -118,9 +118,17 @@
     }
 }
 
-/// Sends a request to an engine and waits for the head of the response; `last_event_id` resumes a stream
-/// after that event.
-pub(crate) async fn attempt(context: &mut RequestContext, last_event_id: Option<u64>) -> AttemptOutcome {
+/// What an attempt goes on from, if it isn't the first one to respond.
+#[derive(Debug, Default)]
+pub(crate) struct Resumption {
+    /// Last event that the caller has.
+    pub last_event_id: Option<u64>,
+    /// Response of a silent engine. It is dropped, which stops that engine, once another engine is connected.
+    pub replaced: Option<EngineResponse>,
+}
+
+/// Sends a request to an engine and waits for the head of the response.
+pub(crate) async fn attempt(context: &mut RequestContext, resumption: &mut Resumption) -> AttemptOutcome {
     context.retry_state.begin_attempt();
     let work = context.work();
     let (engine, arm) = match selection::select(context, work).await {
@@ -142,13 +150,14 @@
             return AttemptOutcome::failed(Failure::Unreachable);
         }
     };
-    let request = match build_request(context, &engine, work, last_event_id) {
+    let request = match build_request(context, &engine, work, resumption.last_event_id) {
         Ok(request) => request,
         Err(err) => {
             log::error!(id = context.id, error:% = err; "request cannot be built");
             return AttemptOutcome::failed(Failure::Unreachable);
         }
     };
+    drop(resumption.replaced.take());
     context.retry_state.mark_sent();
     let sent_at = clock::now();
     let (response, connection) = match wait_for_head(context, connection.send(request)).await {
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -10,7 +10,7 @@
 use tokio::sync::mpsc::{self, Sender};
 use tokio::time::timeout;
 
-use crate::attempt::{AttemptOutcome, EngineResponse, attempt};
+use crate::attempt::{AttemptOutcome, EngineResponse, Resumption, attempt};
 use crate::clock;
 use crate::request::RequestContext;
 use crate::response::{ResponseBody, StreamBroken, strip_connection_headers};
@@ -50,18 +50,41 @@
     sender: Sender<Result<Bytes, StreamBroken>>,
 ) {
     let mut cursor = Cursor::after(context.metadata.last_event_id);
+    let mut splitter = Splitter::default();
     loop {
-        match forward_events(&mut context, &mut engine_response, &mut cursor, &sender).await {
+        let end = forward_events(
+            &mut context,
+            &mut engine_response,
+            &mut splitter,
+            &mut cursor,
+            &sender,
+        );
+        let failure = match end.await {
             ReadEnd::Complete => return context.log_end(200, "streamed"),
             ReadEnd::Disconnected => return context.log_end(499, "caller left"),
-            ReadEnd::Failed(failure) => {
-                // Closing the connection first stops the engine before another one resumes the stream.
-                drop(engine_response);
-                match resume(&mut context, failure, cursor, &sender).await {
-                    Some(it) => engine_response = it,
-                    None => break,
-                }
+            ReadEnd::Failed(failure) => failure,
+        };
+        // An engine that is only silent may go on. Any other failure ends its response, and its connection is
+        // closed before another engine resumes the stream.
+        let is_alive = failure == Failure::Silent && !context.remaining().is_zero();
+        let mut resumption = Resumption {
+            last_event_id: cursor.last(),
+            replaced: Some(engine_response).filter(|_| is_alive),
+        };
+        let arm = context.arm;
+        match resume(&mut context, failure, cursor, &mut resumption, &sender).await {
+            Some(it) => {
+                engine_response = it;
+                splitter = Splitter::default();
             }
+            None => match resumption.replaced {
+                Some(it) if !sender.is_closed() => {
+                    log::info!(id = context.id; "silent engine kept: no other could be reached");
+                    context.arm = arm;
+                    engine_response = it;
+                }
+                _ => break,
+            },
         }
     }
     if sender.is_closed() {
@@ -79,10 +102,10 @@
 async fn forward_events(
     context: &mut RequestContext,
     engine_response: &mut EngineResponse,
+    splitter: &mut Splitter,
     cursor: &mut Cursor,
     sender: &Sender<Result<Bytes, StreamBroken>>,
 ) -> ReadEnd {
-    let mut splitter = Splitter::default();
     let max_gap = context
         .route
         .max_event_gap
@@ -111,7 +134,7 @@
                 splitter.push(&data);
             }
         }
-        let (events, is_contiguous) = take_events(&mut splitter, cursor);
+        let (events, is_contiguous) = take_events(splitter, cursor);
         if !events.is_empty() && sender.send(Ok(events)).await.is_err() {
             return ReadEnd::Disconnected;
         }
@@ -139,6 +162,7 @@
     context: &mut RequestContext,
     failure: Failure,
     cursor: Cursor,
+    resumption: &mut Resumption,
     sender: &Sender<Result<Bytes, StreamBroken>>,
 ) -> Option<EngineResponse> {
     let mut failure = failure;
@@ -151,7 +175,7 @@
             return None;
         }
         let outcome = tokio::select! {
-            it = attempt(context, cursor.last()) => it,
+            it = attempt(context, resumption) => it,
             () = sender.closed() => return None,
         };
         failure = match outcome {
