--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,6 +19,7 @@
 mod metrics;
 mod model_choice;
 mod notice;
+mod open_requests;
 mod permit;
 mod relay;
 mod releases;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -1,7 +1,7 @@
 //! A caller's request from its head to the final response.
 
+use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,7 +10,7 @@
 use forward::directory::Engine;
 use forward::escalation::Confidence;
 use forward::release::{Arm, Subject};
-use forward::retry::{Failure, FinalResponse, RetryDecision, RetryState};
+use forward::retry::{Execution, Failure, FinalResponse, RetryDecision, RetryState};
 use forward::retry_budget::RetryReason;
 use forward::work::Work;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -20,9 +20,10 @@
 use hyper::{Method, Request, Response};
 use model::Name;
 
-use crate::attempt::{AttemptOutcome, attempt};
+use crate::attempt::{AttemptOutcome, EngineResponse, Resumption, attempt};
+use crate::open_requests::OpenRequest;
 use crate::protocol::RequestMetadata;
-use crate::response::{Refusal, ResponseBody, strip_connection_headers};
+use crate::response::{Refusal, ResponseBody, TrackedBody, strip_connection_headers};
 use crate::selection;
 use crate::shared::{Shared, lock};
 use crate::{clock, stream};
@@ -58,7 +59,7 @@
     limited_for: Option<Duration>,
     /// Whether a retry is already reserved for the next attempt.
     retry_reserved: bool,
-    _active: ActiveGuard,
+    pub open: Arc<OpenRequest>,
 }
 
 impl Drop for RequestContext {
@@ -71,33 +72,34 @@
     }
 }
 
-/// Counts a request while it is in progress.
-#[derive(Debug)]
-struct ActiveGuard(Arc<Shared>);
-
-impl ActiveGuard {
-    fn begin(shared: &Arc<Shared>) -> Self {
-        shared.active_requests.fetch_add(1, Ordering::SeqCst);
-        Self(shared.clone())
-    }
-}
-
-impl Drop for ActiveGuard {
-    fn drop(&mut self) {
-        self.0.active_requests.fetch_sub(1, Ordering::SeqCst);
-    }
-}
-
 /// Serves a request.
-pub(crate) async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Response<ResponseBody> {
+pub(crate) async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Response<TrackedBody> {
     let arrived = clock::now();
     let (head, body) = request.into_parts();
     let metadata = shared.protocol.request_metadata(&head);
     let id = metadata.id.clone().unwrap_or_default();
-    match admit(&shared, head, body, metadata, arrived).await {
-        Ok(context) => serve(context).await,
+    let open = Arc::new(OpenRequest::begin(&shared, id.clone(), arrived));
+    let mut final_responses = pin!(shared.stop_reaches(|it| it.final_responses));
+    let admitted = tokio::select! {
+        biased;
+        it = admit(&shared, head, body, metadata, arrived, &open) => it,
+        () = final_responses.as_mut() => Err(Refusal::Leaving),
+    };
+    let response = match admitted {
+        Ok(mut context) => {
+            let served = tokio::select! {
+                biased;
+                it = serve(&mut context) => it,
+                () = final_responses => Served::Response(context.finish_before_exit()),
+            };
+            match served {
+                Served::Response(response) => response,
+                Served::Stream(engine_response) => stream::start(context, engine_response),
+            }
+        }
         Err(refusal) => refuse(&shared, &id, refusal, arrived),
-    }
+    };
+    response.map(|it| TrackedBody::new(it, open))
 }
 
 fn refuse(shared: &Shared, id: &str, refusal: Refusal, arrived: BootTime) -> Response<ResponseBody> {
@@ -122,23 +124,25 @@
     body: Incoming,
     metadata: RequestMetadata,
     arrived: BootTime,
+    open: &Arc<OpenRequest>,
 ) -> Result<RequestContext, Refusal> {
-    let active = ActiveGuard::begin(shared);
     let limits = lock(&shared.configuration).value().map(|it| it.limits);
     let body = read_body(body, limits).await?;
     let now = clock::now();
     let (route, organisation) = authorise(shared, &head, &metadata, now)?;
-    if !shared.accepts(route.kind, now) {
+    let timeout = metadata
+        .deadline
+        .map_or(route.timeout, |it| it.min(route.timeout));
+    let deadline = arrived + timeout;
+    if !shared.accepts(deadline, now) {
         return Err(Refusal::Leaving);
     }
     let service = route
         .choose_service(&mut rand::rng())
         .cloned()
         .ok_or(Refusal::NoEngine)?;
-    let timeout = metadata
-        .deadline
-        .map_or(route.timeout, |it| it.min(route.timeout));
-    let retry_state = RetryState::new(route.kind.repeat(), route.max_attempts, arrived + timeout);
+    open.accept(&route.name, deadline);
+    let retry_state = RetryState::new(route.kind.repeat(), route.max_attempts, deadline);
     let model = route.models.first().filter(|_| metadata.any_model).cloned();
     let mut headers = head.headers;
     strip_connection_headers(&mut headers);
@@ -162,7 +166,7 @@
         dropped_answer: None,
         limited_for: None,
         retry_reserved: false,
-        _active: active,
+        open: open.clone(),
     })
 }
 
@@ -217,23 +221,31 @@
     configuration.route(host, head.uri.path())
 }
 
-/// Sends a request to engines until there is a final response.
-async fn serve(mut context: RequestContext) -> Response<ResponseBody> {
+/// How a request was served.
+enum Served {
+    /// With a final response.
+    Response(Response<ResponseBody>),
+    /// With a stream that an engine has begun.
+    Stream(EngineResponse),
+}
+
+/// Sends a request to engines until there is a final response or the begin of a stream.
+async fn serve(context: &mut RequestContext) -> Served {
     context.choose_model();
     loop {
-        let engine_response = match attempt(&mut context, None).await {
+        let engine_response = match attempt(context, &mut Resumption::default()).await {
             AttemptOutcome::Responded(engine_response) => engine_response,
             AttemptOutcome::NoEngine => {
                 let response = context.retry_state.response_without_engine(clock::now());
-                return context.finish(response, None);
+                return Served::Response(context.finish(response, None));
             }
             AttemptOutcome::Limited(wait) => {
                 let response = context.retry_state.response_without_engine(clock::now());
                 context.limited_for = Some(wait);
-                return context.finish(response, None);
+                return Served::Response(context.finish(response, None));
             }
             AttemptOutcome::Failed { failure, response } => match context.handle_failure(failure, response) {
-                Some(response) => return response,
+                Some(response) => return Served::Response(response),
                 None => {
                     context.fall_back(failure);
                     continue;
@@ -245,13 +257,13 @@
             if context.try_escalate(&engine_response) {
                 continue;
             }
-            return stream::start(context, engine_response);
+            return Served::Stream(engine_response);
         }
         match engine_response.collect(context.remaining()).await {
-            Ok(response) => return context.forward_response(response),
+            Ok(response) => return Served::Response(context.forward_response(response)),
             Err(failure) => {
                 if let Some(response) = context.handle_failure(failure, None) {
-                    return response;
+                    return Served::Response(response);
                 }
             }
         }
@@ -375,7 +387,7 @@
         response: FinalResponse,
         engine: Option<Response<ResponseBody>>,
     ) -> Response<ResponseBody> {
-        let refusal = match (response, engine) {
+        self.refuse(match (response, engine) {
             (FinalResponse::Engine, Some(response)) => return self.forward_response(response),
             (FinalResponse::Engine | FinalResponse::Unknown, _) => Refusal::Unknown,
             (FinalResponse::TimedOut, _) => Refusal::TimedOut,
@@ -384,7 +396,18 @@
                 None if self.tried.is_empty() => Refusal::NoEngine,
                 None => Refusal::NotRun,
             },
-        };
+        })
+    }
+
+    /// The final response to a request that is still running shortly before the exit of the process.
+    fn finish_before_exit(&self) -> Response<ResponseBody> {
+        self.refuse(match self.retry_state.execution() {
+            Execution::NotRun => Refusal::Leaving,
+            Execution::MayHaveRun => Refusal::Unknown,
+        })
+    }
+
+    fn refuse(&self, refusal: Refusal) -> Response<ResponseBody> {
         let label = [("reason", refusal.code())];
         self.shared.metrics.refusals.get_or_create(&label).inc();
         self.log_end(refusal.status().as_u16(), refusal.code());
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,14 +1,15 @@
 //! State shared by the tasks of a node; each part has its own lock.
 
 use std::collections::{BTreeMap, HashMap};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::future::pending;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
 use config::settings::entry::Settings;
 use forward::BootTime;
 use forward::cached::Cached;
-use forward::configuration::{Configuration, Route, RouteKind};
+use forward::configuration::{Configuration, Route};
 use forward::congestion::Congestion;
 use forward::directory::{Directory, Engine};
 use forward::drain::Drain;
@@ -24,10 +25,12 @@
 use model::{Incarnation, Name};
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, watch};
+use tokio::time::sleep;
 
 use crate::clock;
 use crate::metrics::Metrics;
 use crate::model_choice::RouteModels;
+use crate::open_requests::OpenRequests;
 use crate::permit::Permits;
 use crate::protocol::Protocol;
 use crate::relay::Relay;
@@ -60,10 +63,11 @@
     pub metrics: Metrics,
     /// Whether the list of engines was read since the start.
     pub engines_known: AtomicBool,
-    /// Number of requests in progress.
-    pub active_requests: AtomicUsize,
+    pub open_requests: OpenRequests,
     /// When the planned stop began.
     pub leaving: watch::Sender<Option<BootTime>>,
+    /// Whether a stopping node takes no further connections.
+    pub closing: watch::Sender<bool>,
 }
 
 /// Number of hosts of the fleet, as known to this node.
@@ -132,8 +136,9 @@
             relay: Relay::default(),
             metrics: Metrics::new(),
             engines_known: AtomicBool::new(false),
-            active_requests: AtomicUsize::new(0),
+            open_requests: OpenRequests::default(),
             leaving: watch::Sender::new(None),
+            closing: watch::Sender::new(false),
         }
     }
 
@@ -157,16 +162,37 @@
     /// Course of a planned stop.
     pub(crate) fn drain(&self) -> Drain {
         let bounds = &self.settings().bounds;
-        Drain {
-            addresses_expired: bounds.entry_lifetime * Self::CACHED_LIFETIMES,
-            exit: bounds.grace.saturating_sub(Self::EXIT_MARGIN),
-        }
+        Drain::new(
+            bounds.entry_lifetime * Self::CACHED_LIFETIMES,
+            bounds.grace.saturating_sub(Self::EXIT_MARGIN),
+        )
     }
 
     /// Whether a new request is served, or refused because the node is about to stop.
-    pub(crate) fn accepts(&self, kind: RouteKind, now: BootTime) -> bool {
+    pub(crate) fn accepts(&self, deadline: BootTime, now: BootTime) -> bool {
         let began = *self.leaving.borrow();
-        began.is_none_or(|it| self.drain().accepts(kind, now.saturating_sub(it)))
+        let time_left = deadline.saturating_sub(now);
+        began.is_none_or(|it| self.drain().accepts(time_left, now.saturating_sub(it)))
+    }
+
+    /// Completes at a time of the planned stop.
+    pub(crate) async fn stop_reaches(&self, time: impl Fn(&Drain) -> Duration) {
+        let mut leaving = self.leaving.subscribe();
+        let began = leaving.wait_for(Option::is_some).await.map(|it| *it);
+        // The sender is dropped with the node only.
+        let Ok(Some(began)) = began else {
+            return pending().await;
+        };
+        let elapsed = clock::now().saturating_sub(began);
+        sleep(time(&self.drain()).saturating_sub(elapsed)).await;
+    }
+
+    /// Completes when a stopping node takes no further connections.
+    pub(crate) async fn closes(&self) {
+        let mut closing = self.closing.subscribe();
+        if closing.wait_for(|it| *it).await.is_err() {
+            pending::<()>().await;
+        }
     }
 
     /// Whether callers may be directed to this node.
