entry: bound the memory of bodies, events and heads without end

What callers saw: a node whose engines or callers send without end exceeds the memory of its host and is killed, so that all of its connections close (LOST).

Cause: a body of up to 16 MiB was collected for each call, and one of up to max_body_bytes for each caller, without a bound on all of them together or on the time of a caller. Bodies were kept as the frames that they arrived in, each of which keeps the buffer of its connection: a body in chunks of a byte took about 40 bytes for each of them. Events for a caller that reads slowly were bounded by their number (16 batches), not their size, and an event without its blank line took up to 2 MiB for each stream. A response that never ends was no reason to avoid its engine, and an engine that always has a next frame never met the deadline. Interim responses, and digits and blanks of a chunk size, were not bounded at all.

Fix: two budgets, for requests and for responses with the events under way, each a fifth of the host's memory (`node.memory_mb`, from the platform's settings). What is reserved is returned when the last bytes were written to the socket. 16 KiB of each body and stream need no budget, so that large bodies cannot crowd out small ones. A body has at most 65,536 frames, and a peer can send 256 KiB without a head or a part of a body resulting from them. What exceeds a bound is cut off: a line `response cut off`, a counter, and `Failure::Overlong`, which may have run and after which the engine is avoided for 8 s. Callers are refused with 413, 408 (new: the body did not arrive within their deadline) or 503 `no_memory`, all before anything was sent, and a caller that reads nothing for the idle time-out loses its connection. The end of a stream is explicit: a stream whose task ends in any other way breaks off.

--- a/crates/config/src/settings/entry.rs
+++ b/crates/config/src/settings/entry.rs
@@ -19,6 +19,8 @@
     pub region: Name,
     /// Number of processor cores that the process may use.
     pub cores: usize,
+    /// Bytes of memory that the process may use.
+    pub memory: usize,
 }
 
 /// Addresses that the node listens on.
@@ -131,16 +133,23 @@
     })
 }
 
+/// Memory of the smallest host that nodes run on.
+const DEFAULT_MEMORY_MB: usize = 110;
+
+const BYTES_PER_MB: usize = 1_000_000;
+
 fn node(reader: &mut Reader<'_>) -> Option<Node> {
     let host = reader.name("node", "host");
     let failure_domain = reader.name("node", "failure_domain");
     let region = reader.name("node", "region");
     let cores = reader.count("node", "cores", 1..=256, 1);
+    let memory_mb = reader.count("node", "memory_mb", 32..=1_000_000, DEFAULT_MEMORY_MB);
     Some(Node {
         host: host?,
         failure_domain: failure_domain?,
         region: region?,
         cores: cores?,
+        memory: memory_mb? * BYTES_PER_MB,
     })
 }
 
--- /dev/null
+++ b/crates/daemon/tests/endless.rs
@@ -0,0 +1,183 @@
+//! Peak memory of a daemon process whose engines or callers send without end.
+
+#![allow(clippy::unwrap_used, reason = "a failed set-up ends the test")]
+
+#[path = "../../../platform/tests/common/mod.rs"]
+mod common;
+
+use std::fs;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::endless::{EndlessEngine, Part};
+use common::engine::Engine;
+use common::http::{Message, call, read};
+use common::node::request;
+use common::store::Store;
+use common::{engine, free_address, wait_until};
+
+/// Memory that an entry host of the smallest installation has.
+const HOST_MEMORY_KB: u64 = 110 * 1000;
+
+/// Engines or callers that misbehave at once.
+const PEERS: usize = 50;
+
+const CONFIG: &str = r#"{"version":1,"routes":[
+    {"name":"look","host":"shop.example","pathPrefix":"/look/","type":"safe",
+        "timeoutMs":6000,"goalMs":2000,"service":"desk","attempts":2,"public":true},
+    {"name":"draft","host":"shop.example","pathPrefix":"/draft/","type":"streaming","resumable":true,
+        "timeoutMs":6000,"goalMs":2000,"service":"pool","attempts":2,"public":true,"gapTargetMs":1000}],
+    "services":[{"name":"desk","maxConns":900},{"name":"pool","maxConns":900}],
+    "limits":{"maxHeaderBytes":16384,"maxBodyBytes":16000000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}"#;
+
+struct Daemon {
+    child: Child,
+    entry: SocketAddr,
+}
+
+impl Daemon {
+    fn spawn(name: &str, store: &Store) -> Self {
+        store.put("keyed.op", "config", CONFIG);
+        let (entry, ready) = (free_address(), free_address());
+        let text = format!(
+            "[node]\nhost = n1\nfailure_domain = a\nregion = r\n\
+             [listen]\nentry = {entry}\nready = {ready}\ndirectory = {}\ncontrol = {}\ngossip = {}\n\
+             [store]\naddress = {}\n\
+             [bounds]\nstrict_revocation = true\ngrace_seconds = 5\nretry_ratio = 0.9\nretry_slack = 56\n",
+            free_address(),
+            free_address(),
+            free_address(),
+            store.address
+        );
+        let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.ini"));
+        fs::write(&file, &text).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_bronzevaled"))
+            .arg("--config")
+            .arg(&file)
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        let is_ready = || {
+            let request = "GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+            TcpStream::connect(ready).is_ok() && call(ready, request).status() == 200
+        };
+        wait_until("the daemon to be ready", is_ready);
+        Self { child, entry }
+    }
+
+    /// A value in kB of `/proc/PID/status`.
+    fn memory_kb(&self, key: &str) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|it| it.starts_with(key)).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    }
+
+    fn assert_peak_below_host_memory(&self) {
+        let peak = self.memory_kb("VmHWM");
+        println!("peak memory: {peak} kB; limit: {HOST_MEMORY_KB} kB");
+        assert!(peak < HOST_MEMORY_KB, "peak memory: {peak} kB");
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        // The process may have exited already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Sends a request for each engine at once; returns the responses.
+fn call_all(entry: SocketAddr, path: &str) -> Vec<Message> {
+    let calls = (0..PEERS).map(|idx| {
+        let request = request(path, &format!("a{idx}"), "");
+        thread::spawn(move || call(entry, &request))
+    });
+    let calls: Vec<_> = calls.collect();
+    calls.into_iter().map(|it| it.join().unwrap()).collect()
+}
+
+macro_rules! endless_engines {
+    ($($name:ident: $part:ident of $path:literal at $service:literal;)*) => {
+        $(#[test]
+        fn $name() {
+            let store = Store::spawn();
+            let engines: Vec<_> = (0..PEERS).map(|_| EndlessEngine::spawn(Part::$part)).collect();
+            for (idx, engine) in engines.iter().enumerate() {
+                engine.register(&store, &format!("e{idx}"), $service);
+            }
+            let daemon = Daemon::spawn(stringify!($name), &store);
+            println!("after the start: {} kB", daemon.memory_kb("VmHWM"));
+            let responses = call_all(daemon.entry, $path);
+            let looks_complete = |it: &Message| it.status() == 200 && it.complete;
+            assert!(!responses.iter().any(looks_complete), "{responses:?}");
+            daemon.assert_peak_below_host_memory();
+            wait_until("all connections to be closed", || {
+                engines.iter().all(|it| it.open_connections() == 0)
+            });
+        })*
+    };
+}
+
+// Guards against a process that is killed for its memory while engines send without end.
+endless_engines! {
+    endless_bodies: Body of "/look/1" at "desk";
+    endless_bodies_of_failures: FailureBody of "/look/1" at "desk";
+    endless_small_chunks: SmallChunks of "/look/1" at "desk";
+    endless_headers: Header of "/look/1" at "desk";
+    endless_trailers: Trailers of "/look/1" at "desk";
+    endless_event: Event of "/draft/1" at "pool";
+}
+
+/// Guards against a process that is killed for its memory while many callers send a body without end.
+#[test]
+fn endless_bodies_of_callers() {
+    callers_without_end("callers", "xxxxxxxxxxxxxxxx", 16);
+}
+
+/// As above, for chunks of one byte: what is kept for each chunk must not exceed its bytes by much.
+#[test]
+fn endless_small_chunks_of_callers() {
+    callers_without_end("caller-chunks", "x", 1);
+}
+
+fn callers_without_end(name: &str, data: &str, length: usize) {
+    let store = Store::spawn();
+    let engine = Engine::spawn("e0", "desk", &[engine::Action::Answer]);
+    engine.register(&store, "ready");
+    let daemon = Daemon::spawn(name, &store);
+    println!("after the start: {} kB", daemon.memory_kb("VmHWM"));
+    let chunks = format!("{length:x}\r\n{data}\r\n").repeat(1000);
+    let begin = Instant::now();
+    let callers: Vec<_> = (0..PEERS)
+        .map(|idx| {
+            let (entry, chunks) = (daemon.entry, chunks.clone());
+            thread::spawn(move || {
+                let mut stream = TcpStream::connect(entry).unwrap();
+                let head = format!(
+                    "POST /look/1 HTTP/1.1\r\nHost: shop.example\r\nBronzevale-Attempt-Id: a{idx}\r\n\
+                     Bronzevale-Deadline-Ms: 4000\r\nTransfer-Encoding: chunked\r\n\r\n"
+                );
+                stream.write_all(head.as_bytes()).unwrap();
+                stream.set_write_timeout(Some(Duration::from_secs(8))).unwrap();
+                stream.set_read_timeout(Some(Duration::from_secs(8))).unwrap();
+                while stream.write_all(chunks.as_bytes()).is_ok() && begin.elapsed() < Duration::from_secs(8)
+                {
+                }
+                read(&stream).unwrap_or_default().status()
+            })
+        })
+        .collect();
+    let statuses: Vec<_> = callers.into_iter().map(|it| it.join().unwrap()).collect();
+    assert!(
+        statuses.iter().all(|it| [408, 413, 503].contains(it)),
+        "{statuses:?}"
+    );
+    daemon.assert_peak_below_host_memory();
+    assert_eq!(call(daemon.entry, &request("/look/1", "b1", "")).status(), 200);
+    assert_eq!(engine.executed().len(), 1, "a request without its whole body ran");
+}
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -12,8 +12,7 @@
 use forward::retry::Failure;
 use forward::urgency::{self, Urgency};
 use forward::work::Work;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::http::response;
 use hyper::{Request, Response, StatusCode};
@@ -22,20 +21,20 @@
 use tokio::time::timeout;
 
 use crate::client::{self, Connection};
-use crate::clock;
 use crate::protocol::{ForwardMetadata, ResponseMetadata, StatedLimit};
 use crate::request::RequestContext;
 use crate::request_limit;
 use crate::response::{ResponseBody, strip_connection_headers};
 use crate::selection::{self, Selection};
 use crate::shared::{Shared, lock};
+use crate::{body, clock};
 
 /// Timeout for connecting to an engine. The failure domains of a region are a few milliseconds apart; a lost
 /// packet costs about 200 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Maximum body size of a response that is not a stream.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
+pub(crate) const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
 /// Fraction of the latency goal after which a stream without a response is retried if the budget allows it;
 /// the rest is enough for the smallest model on an engine that is not busy.
@@ -52,9 +51,9 @@
 pub(crate) struct EngineResponse {
     pub head: response::Parts,
     pub metadata: ResponseMetadata,
-    pub body: Incoming,
+    pub body: client::Body,
     _connection: Connection,
-    _in_flight: InFlight,
+    in_flight: InFlight,
 }
 
 /// Result of an attempt.
@@ -152,6 +151,10 @@
     let sent_at = clock::now();
     let (response, connection) = match wait_for_head(context, connection.send(request)).await {
         Ok(Ok(it)) => it,
+        Ok(Err(err)) if err.is_overlong() => {
+            record_cut_off(&context.shared, &engine, &context.id, Bound::Head);
+            return AttemptOutcome::failed(Failure::Overlong);
+        }
         Ok(Err(err)) => {
             log::info!(id = context.id, engine = *engine.id, error:% = err; "no answer");
             record_failure(context, &engine, Failure::Lost);
@@ -179,7 +182,7 @@
         metadata,
         body,
         _connection: connection,
-        _in_flight: in_flight,
+        in_flight,
     };
     evaluate(context, &engine, arm, engine_response, elapsed).await
 }
@@ -335,7 +338,7 @@
             record_failure(context, engine, Failure::Failed);
         }
         let promises_not_run = status == StatusCode::SERVICE_UNAVAILABLE;
-        let response = engine_response.collect(context.remaining()).await.ok();
+        let response = engine_response.collect(context).await.ok();
         return AttemptOutcome::Failed {
             failure: Failure::Failed,
             // Status 503 promises that nothing ran, which this engine did not state.
@@ -361,15 +364,89 @@
     AttemptOutcome::Responded(engine_response)
 }
 
+/// Bound at which a response is cut off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Bound {
+    /// Size of the head.
+    Head,
+    /// Size of what surrounds the body: chunk sizes, chunk extensions, trailers.
+    Framing,
+    /// Size of a body, or its number of parts.
+    Body,
+    /// Size of one event.
+    Event,
+    /// Events that the caller already has.
+    Duplicates,
+    /// Memory for all bodies together.
+    Memory,
+}
+
+impl Bound {
+    /// Name in logs and metrics.
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Head => "head",
+            Self::Framing => "framing",
+            Self::Body => "body",
+            Self::Event => "event",
+            Self::Duplicates => "duplicates",
+            Self::Memory => "memory",
+        }
+    }
+
+    /// What the cut-off means for the attempt.
+    fn failure(self) -> Failure {
+        match self {
+            Self::Head | Self::Framing | Self::Body | Self::Event | Self::Duplicates => Failure::Overlong,
+            // Other responses may have used up the memory.
+            Self::Memory => Failure::Lost,
+        }
+    }
+}
+
+/// Logs and counts a response that is cut off; returns the failure.
+fn record_cut_off(shared: &Shared, engine: &Engine, id: &str, bound: Bound) -> Failure {
+    let label = [("bound", bound.as_str())];
+    shared.metrics.responses_cut_off.get_or_create(&label).inc();
+    log::warn!(id, engine = *engine.id, bound = bound.as_str(); "response cut off");
+    let failure = bound.failure();
+    if failure == Failure::Overlong {
+        lock(&shared.loads).record_failure(engine, failure, clock::now());
+    }
+    failure
+}
+
 impl EngineResponse {
-    /// Reads the whole body within `limit`.
-    pub(crate) async fn collect(self, limit: Duration) -> Result<Response<ResponseBody>, Failure> {
-        let Self { mut head, body, .. } = self;
-        let body = match timeout(limit, Limited::new(body, MAX_RESPONSE_BYTES).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(_)) => return Err(Failure::Lost),
+    /// Records that this response is cut off; returns the failure.
+    pub(crate) fn cut_off(&self, context: &RequestContext, bound: Bound) -> Failure {
+        record_cut_off(&context.shared, &self.in_flight.engine, &context.id, bound)
+    }
+
+    /// The failure that an error of the body means.
+    pub(crate) fn body_failure(&self, context: &RequestContext, err: &hyper::Error) -> Failure {
+        match client::is_overlong(err) {
+            true => self.cut_off(context, Bound::Framing),
+            false => Failure::Lost,
+        }
+    }
+
+    /// Reads the whole body before the deadline of the request.
+    pub(crate) async fn collect(
+        mut self,
+        context: &RequestContext,
+    ) -> Result<Response<ResponseBody>, Failure> {
+        let memory = &context.shared.response_memory;
+        let read = body::read(&mut self.body, MAX_RESPONSE_BYTES, memory);
+        let body = match timeout(context.remaining(), read).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(body::Error::TooLong(_) | body::Error::TooManyFrames)) => {
+                return Err(self.cut_off(context, Bound::Body));
+            }
+            Ok(Err(body::Error::NoMemory)) => return Err(self.cut_off(context, Bound::Memory)),
+            Ok(Err(body::Error::Broken(err))) => return Err(self.body_failure(context, &err)),
             Err(_) => return Err(Failure::Silent),
         };
+        let Self { mut head, .. } = self;
         strip_connection_headers(&mut head.headers);
         Ok(Response::from_parts(
             head,
--- a/crates/entry/src/client.rs
+++ b/crates/entry/src/client.rs
@@ -4,15 +4,22 @@
 //! never affect another request, and a request that failed before its connection was established is known not
 //! to have run.
 
+use std::error::Error as _;
+use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming, SizeHint};
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -20,6 +27,10 @@
 /// Maximum size of the head of a response.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// Maximum number of bytes that a peer may send without a head or a part of a body resulting from them: digits
+/// and blanks of a chunk size, or responses with status 1xx. hyper has read up to [`MAX_HEAD_BYTES`] ahead.
+const MAX_IDLE_BYTES: usize = 4 * MAX_HEAD_BYTES;
+
 /// Why there is no response.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum Error {
@@ -31,6 +42,110 @@
     Exchange(#[from] hyper::Error),
 }
 
+impl Error {
+    /// Whether the peer exceeded a limit on the size of a head or of the framing of a body.
+    pub(crate) fn is_overlong(&self) -> bool {
+        match self {
+            Self::Connect(_) => false,
+            Self::Exchange(err) => is_overlong(err),
+        }
+    }
+}
+
+/// Whether a peer exceeded a limit on the size of a head or of the framing of a body.
+pub(crate) fn is_overlong(err: &hyper::Error) -> bool {
+    let cause = err.source().and_then(|it| it.downcast_ref::<io::Error>());
+    // hyper reports chunk extensions and trailers over its limits as invalid data.
+    err.is_parse_too_large() || cause.is_some_and(|it| it.kind() == io::ErrorKind::InvalidData)
+}
+
+/// Bytes received since the last head or part of a body.
+type IdleBytes = Arc<AtomicUsize>;
+
+/// Socket that fails once a peer has sent [`MAX_IDLE_BYTES`] to no effect.
+#[derive(Debug)]
+struct BoundedStream {
+    stream: TcpStream,
+    idle_bytes: IdleBytes,
+}
+
+impl AsyncRead for BoundedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buf))?;
+        let received = buf.filled().len() - before;
+        let idle = self.idle_bytes.fetch_add(received, Ordering::Relaxed) + received;
+        if idle > MAX_IDLE_BYTES {
+            let message = "too many bytes without a head or a part of a body";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, message)));
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for BoundedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
+/// Body of a response.
+#[derive(Debug)]
+pub(crate) struct Body {
+    body: Incoming,
+    idle_bytes: IdleBytes,
+}
+
+impl hyper::body::Body for Body {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
+        self.idle_bytes.store(0, Ordering::Relaxed);
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// A connection; dropping it closes the socket, which cancels the peer's work.
 #[derive(Debug)]
 pub(crate) struct Connection(JoinHandle<()>);
@@ -46,6 +161,7 @@
 pub(crate) struct IdleConnection {
     sender: http1::SendRequest<Full<Bytes>>,
     connection: Connection,
+    idle_bytes: IdleBytes,
 }
 
 /// Connects within `limit`.
@@ -56,6 +172,11 @@
         Err(_) => return Err(Error::Connect("time-out".to_owned())),
     };
     stream.set_nodelay(true).ok();
+    let idle_bytes = IdleBytes::default();
+    let stream = BoundedStream {
+        stream,
+        idle_bytes: idle_bytes.clone(),
+    };
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(stream))
@@ -69,6 +190,7 @@
     Ok(IdleConnection {
         sender,
         connection: Connection(task),
+        idle_bytes,
     })
 }
 
@@ -77,8 +199,11 @@
     pub(crate) async fn send(
         mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<(Response<Incoming>, Connection), Error> {
+    ) -> Result<(Response<Body>, Connection), Error> {
         let response = self.sender.send_request(request).await?;
+        let idle_bytes = self.idle_bytes;
+        idle_bytes.store(0, Ordering::Relaxed);
+        let response = response.map(|body| Body { body, idle_bytes });
         Ok((response, self.connection))
     }
 }
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -135,6 +135,10 @@
     let HostCounts { reachable, known } = shared.host_counts();
     json!({
         "ready": shared.is_ready(),
+        "memory": {
+            "requests": shared.request_memory.used(),
+            "responses": shared.response_memory.used(),
+        },
         "hosts": { "reachable": reachable, "known": known },
         "configuration": configuration,
         "readings": relay::state(shared, now),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,12 +9,14 @@
 pub mod protocol;
 
 mod attempt;
+mod body;
 mod client;
 mod clock;
 mod control;
 mod datagrams;
 mod follow;
 mod listener;
+mod memory;
 mod metrics;
 mod model_choice;
 mod notice;
@@ -28,5 +30,6 @@
 mod shared;
 mod store;
 mod stream;
+mod write_timeout;
 
 pub use handle::{Error, Handle, spawn};
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -1,6 +1,7 @@
 //! Listening sockets and connections of callers.
 
 use std::convert::Infallible;
+use std::error::Error as _;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -18,6 +19,7 @@
 
 use crate::response::ResponseBody;
 use crate::shared::{Shared, lock};
+use crate::write_timeout::WriteTimeout;
 use crate::{control, request};
 
 /// Maximum number of connections waiting to be accepted.
@@ -79,6 +81,8 @@
     let max_head = limits
         .map_or(DEFAULT_MAX_HEAD_BYTES, |it| it.max_header_bytes)
         .max(MIN_MAX_HEAD_BYTES);
+    // A caller that reads nothing would otherwise hold its response and its connection for good.
+    let stream = WriteTimeout::new(stream, idle_timeout);
     let mut leaving = shared.leaving.subscribe();
     let service = service_fn(|request| respond(shared.clone(), role, request));
     let connection = http1::Builder::new()
@@ -98,11 +102,27 @@
         }
     };
     if let Err(err) = result {
-        log::debug!("connection of a caller: {err}");
+        record_error(&shared, &err);
     }
     shared.metrics.connections.dec();
 }
 
+/// Logs the error that ended a connection, and counts it if the caller exceeded a bound.
+fn record_error(shared: &Shared, err: &hyper::Error) {
+    let cause = err.source().and_then(|it| it.downcast_ref::<io::Error>());
+    let bound = match cause.map(io::Error::kind) {
+        _ if err.is_parse_too_large() => "head",
+        Some(io::ErrorKind::TimedOut) => "write_timeout",
+        _ => {
+            log::debug!("connection of a caller: {err}");
+            return;
+        }
+    };
+    let label = [("bound", bound)];
+    shared.metrics.connections_cut_off.get_or_create(&label).inc();
+    log::info!(bound, error:% = err; "connection of a caller cut off");
+}
+
 async fn respond(
     shared: Arc<Shared>,
     role: Role,
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -28,6 +28,10 @@
     pub streams_resumed: Counter,
     /// Streams that broke off.
     pub streams_broken: Counter,
+    /// Responses of engines that were cut off at a bound, by bound.
+    pub responses_cut_off: Family<Label, Counter>,
+    /// Connections of callers that were cut off at a bound, by bound.
+    pub connections_cut_off: Family<Label, Counter>,
     /// Changes of the request limits that engines state, by change.
     pub request_limit_changes: Family<Label, Counter>,
     /// Questions for permits to engines with a request limit, by result.
@@ -55,6 +59,8 @@
             retries_denied: Counter::default(),
             streams_resumed: Counter::default(),
             streams_broken: Counter::default(),
+            responses_cut_off: Family::default(),
+            connections_cut_off: Family::default(),
             request_limit_changes: Family::default(),
             permits: Family::default(),
             store_calls: Counter::default(),
@@ -109,6 +115,16 @@
             "Streams that broke off",
             self.streams_broken.clone(),
         );
+        registry.register(
+            "responses_cut_off",
+            "Responses of engines that were cut off, by bound",
+            self.responses_cut_off.clone(),
+        );
+        registry.register(
+            "connections_cut_off",
+            "Connections of callers that were cut off, by bound",
+            self.connections_cut_off.clone(),
+        );
         registry.register(
             "request_limit_changes",
             "Changes of the request limits that engines state, by change",
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -13,23 +13,32 @@
 use forward::retry::{Failure, FinalResponse, RetryDecision, RetryState};
 use forward::retry_budget::RetryReason;
 use forward::work::Work;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderMap};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response};
 use model::Name;
+use tokio::time::timeout;
 
 use crate::attempt::{AttemptOutcome, attempt};
 use crate::protocol::RequestMetadata;
 use crate::response::{Refusal, ResponseBody, strip_connection_headers};
 use crate::selection;
 use crate::shared::{Shared, lock};
-use crate::{clock, stream};
+use crate::{body, clock, stream};
 
 /// Maximum body size until a configuration is known.
 const DEFAULT_MAX_BODY_BYTES: usize = 4 << 20;
 
+/// Maximum time for the body of a caller that states no deadline.
+const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Bounds on what is read of a body after its refusal. A socket that is closed with unread bytes is reset, and
+/// the caller could lose the refusal.
+const MAX_DISCARDED_BYTES: usize = 1 << 20;
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// A request in progress.
 #[derive(Debug)]
 pub(crate) struct RequestContext {
@@ -123,7 +132,7 @@
 ) -> Result<RequestContext, Refusal> {
     let active = ActiveGuard::begin(shared);
     let limits = lock(&shared.configuration).value().map(|it| it.limits);
-    let body = read_body(body, limits).await?;
+    let body = read_body(shared, body, limits, metadata.deadline).await?;
     let now = clock::now();
     let (route, organisation) = authorise(shared, &head, &metadata, now)?;
     if !shared.accepts(route.kind, now) {
@@ -164,12 +173,33 @@
     })
 }
 
-async fn read_body(body: Incoming, limits: Option<Limits>) -> Result<Bytes, Refusal> {
+async fn read_body(
+    shared: &Shared,
+    mut body: Incoming,
+    limits: Option<Limits>,
+    deadline: Option<Duration>,
+) -> Result<Bytes, Refusal> {
     let max_bytes = limits.map_or(DEFAULT_MAX_BODY_BYTES, |it| it.max_body_bytes);
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(it) => Ok(it.to_bytes()),
-        Err(err) if err.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
-        Err(_) => Err(Refusal::BodyBroken),
+    let time_limit = deadline.unwrap_or(DEFAULT_BODY_TIMEOUT);
+    let read = body::read(&mut body, max_bytes, &shared.request_memory);
+    let refusal = match timeout(time_limit, read).await {
+        Ok(Ok(it)) => return Ok(it),
+        Ok(Err(body::Error::Broken(_))) => return Err(Refusal::BodyBroken),
+        Ok(Err(body::Error::TooLong(_) | body::Error::TooManyFrames)) => Refusal::BodyTooLarge,
+        Ok(Err(body::Error::NoMemory)) => Refusal::NoMemory,
+        Err(_) => Refusal::BodyTooSlow,
+    };
+    tokio::spawn(timeout(DISCARD_TIMEOUT, discard(body)));
+    Err(refusal)
+}
+
+async fn discard(mut body: Incoming) {
+    let mut discarded = 0;
+    while discarded < MAX_DISCARDED_BYTES {
+        let Some(Ok(frame)) = body.frame().await else {
+            return;
+        };
+        discarded += frame.data_ref().map_or(0, Bytes::len);
     }
 }
 
@@ -245,7 +275,7 @@
             }
             return stream::start(context, engine_response);
         }
-        match engine_response.collect(context.remaining()).await {
+        match engine_response.collect(&context).await {
             Ok(response) => return context.forward_response(response),
             Err(failure) => {
                 if let Some(response) = context.handle_failure(failure, None) {
--- a/crates/entry/src/response.rs
+++ b/crates/entry/src/response.rs
@@ -1,6 +1,8 @@
 //! Responses made by the node itself, and response bodies.
 
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -23,7 +25,12 @@
     /// A complete body.
     Complete(Full<Bytes>),
     /// Events, sent as they arrive.
-    Events(mpsc::Receiver<Result<Bytes, StreamBroken>>),
+    Events {
+        /// Batches of events.
+        receiver: mpsc::Receiver<Bytes>,
+        /// Whether the stream is complete if no further batch follows.
+        is_complete: Arc<AtomicBool>,
+    },
 }
 
 impl Body for ResponseBody {
@@ -41,21 +48,31 @@
                 Poll::Ready(None) => Poll::Ready(None),
                 Poll::Pending => Poll::Pending,
             },
-            Self::Events(it) => it.poll_recv(context).map(|it| it.map(|it| it.map(Frame::data))),
+            Self::Events {
+                receiver,
+                is_complete,
+            } => match receiver.poll_recv(context) {
+                Poll::Ready(Some(events)) => Poll::Ready(Some(Ok(Frame::data(events)))),
+                Poll::Ready(None) if is_complete.load(Ordering::Acquire) => Poll::Ready(None),
+                // The error closes the connection without the terminating chunk, so that the body does not
+                // look complete.
+                Poll::Ready(None) => Poll::Ready(Some(Err(StreamBroken))),
+                Poll::Pending => Poll::Pending,
+            },
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Complete(it) => it.is_end_stream(),
-            Self::Events(_) => false,
+            Self::Events { .. } => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Complete(it) => it.size_hint(),
-            Self::Events(_) => SizeHint::default(),
+            Self::Events { .. } => SizeHint::default(),
         }
     }
 }
@@ -75,6 +92,10 @@
     BodyTooLarge,
     /// The body was not received completely.
     BodyBroken,
+    /// The body did not arrive in time.
+    BodyTooSlow,
+    /// The bodies of other requests use up the memory for them.
+    NoMemory,
     /// The node is about to stop.
     Leaving,
     /// No engine can currently take the request.
@@ -97,8 +118,10 @@
             Self::BadKey => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyBroken => StatusCode::BAD_REQUEST,
+            Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::NotConfigured
             | Self::StaleConfiguration
+            | Self::NoMemory
             | Self::Leaving
             | Self::NoEngine
             | Self::Limited(_)
@@ -117,6 +140,8 @@
             Self::StaleConfiguration => "stale_configuration",
             Self::BodyTooLarge => "body_too_long",
             Self::BodyBroken => "body_broken",
+            Self::BodyTooSlow => "body_too_slow",
+            Self::NoMemory => "no_memory",
             Self::Leaving => "leaving",
             Self::NoEngine => "no_engine",
             Self::Limited(_) => "engine_limit",
@@ -133,7 +158,7 @@
             Self::NotConfigured | Self::StaleConfiguration | Self::Leaving => Some(Duration::from_millis(50)),
             Self::Limited(wait) => Some(wait),
             // About the time in which an engine's queue advances.
-            Self::NoEngine | Self::NotRun => Some(Duration::from_millis(150)),
+            Self::NoEngine | Self::NotRun | Self::NoMemory => Some(Duration::from_millis(150)),
             _ => None,
         }
     }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -25,6 +25,7 @@
 use tokio::sync::watch;
 
 use crate::clock;
+use crate::memory::Budget;
 use crate::metrics::Metrics;
 use crate::model_choice::RouteModels;
 use crate::permit::Permits;
@@ -54,6 +55,10 @@
     work_distributions: Mutex<HashMap<Name, WorkDistribution>>,
     pub relay: Relay,
     pub metrics: Metrics,
+    /// Memory for the bodies of requests.
+    pub request_memory: Arc<Budget>,
+    /// Memory for the bodies of responses and for events on their way to callers.
+    pub response_memory: Arc<Budget>,
     /// Whether the list of engines was read since the start.
     pub engines_known: AtomicBool,
     /// Number of requests in progress.
@@ -105,6 +110,7 @@
         socket: UdpSocket,
     ) -> Self {
         let outage = settings.store.heartbeat * Self::OUTAGE_HEARTBEATS;
+        let memory = settings.node.memory;
         Self {
             settings: RwLock::new(Arc::new(settings)),
             protocol,
@@ -125,6 +131,8 @@
             work_distributions: Mutex::default(),
             relay: Relay::default(),
             metrics: Metrics::new(),
+            request_memory: Budget::of_process(memory),
+            response_memory: Budget::of_process(memory),
             engines_known: AtomicBool::new(false),
             active_requests: AtomicUsize::new(0),
             leaving: watch::Sender::new(None),
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -1,23 +1,31 @@
 //! Forwards the events of an engine to a caller, and resumes the stream on another engine after a failure.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use forward::event_stream::{Cursor, Delivery, Splitter};
 use forward::retry::Failure;
 use http_body_util::BodyExt;
 use hyper::Response;
 use tokio::sync::mpsc::{self, Sender};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
 
-use crate::attempt::{AttemptOutcome, EngineResponse, attempt};
+use crate::attempt::{AttemptOutcome, Bound, EngineResponse, MAX_RESPONSE_BYTES, attempt};
 use crate::clock;
+use crate::memory::{self, FREE_BYTES, Reservation};
 use crate::request::RequestContext;
-use crate::response::{ResponseBody, StreamBroken, strip_connection_headers};
+use crate::response::{ResponseBody, strip_connection_headers};
 
-/// Batches of events buffered for a slow caller.
+/// Batches of events buffered for a slow caller. Their bytes are bounded by [`FREE_BYTES`], or one batch.
 const BUFFERED_BATCHES: usize = 16;
 
+/// Maximum number of bytes of events that the caller already has, sent by an engine that was asked to resume
+/// behind them.
+const MAX_DUPLICATE_BYTES: usize = MAX_RESPONSE_BYTES;
+
 /// Fraction of the maximum event gap after which a silent engine is abandoned; the rest is left for the next
 /// engine.
 const GAP_FRACTION: f64 = 0.7;
@@ -28,10 +36,63 @@
 /// Starts the response with the head received from the first engine.
 pub(crate) fn start(context: RequestContext, engine_response: EngineResponse) -> Response<ResponseBody> {
     let (sender, receiver) = mpsc::channel(BUFFERED_BATCHES);
+    let is_complete = Arc::new(AtomicBool::new(false));
+    let caller = Caller {
+        sender,
+        unsent: Arc::new(Semaphore::new(FREE_BYTES)),
+        is_complete: is_complete.clone(),
+    };
     let mut head = engine_response.head.clone();
     strip_connection_headers(&mut head.headers);
-    tokio::spawn(forward_stream(context, engine_response, sender));
-    Response::from_parts(head, ResponseBody::Events(receiver))
+    tokio::spawn(forward_stream(context, engine_response, caller));
+    let body = ResponseBody::Events {
+        receiver,
+        is_complete,
+    };
+    Response::from_parts(head, body)
+}
+
+/// The way to a caller. The stream breaks off when it is dropped before [`Self::complete`].
+#[derive(Debug)]
+struct Caller {
+    sender: Sender<Bytes>,
+    /// Bytes that may still be buffered until some are written to the socket.
+    unsent: Arc<Semaphore>,
+    is_complete: Arc<AtomicBool>,
+}
+
+/// What is kept until a batch of events was written to the socket.
+type BatchGuard = (Option<OwnedSemaphorePermit>, Reservation);
+
+impl Caller {
+    /// Waits until the caller has disconnected.
+    async fn disconnected(&self) {
+        self.sender.closed().await;
+    }
+
+    /// Buffers a batch of events, after waiting for a slow caller.
+    async fn send(&self, context: &RequestContext, events: Vec<u8>) -> Result<(), ReadEnd> {
+        let mut reservation = context.shared.response_memory.reservation();
+        if !reservation.try_resize(events.len()) {
+            return Err(ReadEnd::NoMemory);
+        }
+        let bytes = events.len().min(FREE_BYTES) as u32;
+        let send = async {
+            let permit = self.unsent.clone().acquire_many_owned(bytes).await.ok();
+            let guard: BatchGuard = (permit, reservation);
+            self.sender.send(memory::hold(events, guard)).await
+        };
+        match timeout(context.remaining(), send).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(ReadEnd::Disconnected),
+            Err(_) => Err(ReadEnd::CallerTooSlow),
+        }
+    }
+
+    /// Ends a stream that is complete.
+    fn complete(self) {
+        self.is_complete.store(true, Ordering::Release);
+    }
 }
 
 /// How reading from an engine ended.
@@ -40,39 +101,51 @@
     Complete,
     /// The caller disconnected.
     Disconnected,
+    /// The caller did not read the events before the deadline.
+    CallerTooSlow,
+    /// No memory is left for the next events.
+    NoMemory,
     /// The engine failed.
     Failed(Failure),
 }
 
-async fn forward_stream(
-    mut context: RequestContext,
-    mut engine_response: EngineResponse,
-    sender: Sender<Result<Bytes, StreamBroken>>,
-) {
+async fn forward_stream(mut context: RequestContext, mut engine_response: EngineResponse, caller: Caller) {
     let mut cursor = Cursor::after(context.metadata.last_event_id);
     loop {
-        match forward_events(&mut context, &mut engine_response, &mut cursor, &sender).await {
-            ReadEnd::Complete => return context.log_end(200, "streamed"),
+        let failure = match forward_events(&mut context, &mut engine_response, &mut cursor, &caller).await {
+            ReadEnd::Complete => {
+                caller.complete();
+                return context.log_end(200, "streamed");
+            }
             ReadEnd::Disconnected => return context.log_end(499, "caller left"),
-            ReadEnd::Failed(failure) => {
-                // Closing the connection first stops the engine before another one resumes the stream.
-                drop(engine_response);
-                match resume(&mut context, failure, cursor, &sender).await {
-                    Some(it) => engine_response = it,
-                    None => break,
-                }
+            ReadEnd::CallerTooSlow => {
+                let label = [("bound", "slow_stream")];
+                context
+                    .shared
+                    .metrics
+                    .connections_cut_off
+                    .get_or_create(&label)
+                    .inc();
+                return context.log_end(504, "caller too slow");
             }
+            ReadEnd::NoMemory => {
+                engine_response.cut_off(&context, Bound::Memory);
+                break;
+            }
+            ReadEnd::Failed(failure) => failure,
+        };
+        // Closing the connection first stops the engine before another one resumes the stream.
+        drop(engine_response);
+        match resume(&mut context, failure, cursor, &caller).await {
+            Some(it) => engine_response = it,
+            None => break,
         }
     }
-    if sender.is_closed() {
+    if caller.sender.is_closed() {
         return context.log_end(499, "caller left");
     }
     context.shared.metrics.streams_broken.inc();
     context.log_end(502, "stream broken");
-    // The error closes the connection without the terminating chunk, so that the body does not look complete.
-    if sender.send(Err(StreamBroken)).await.is_err() {
-        log::debug!("the caller disconnected before its stream broke off");
-    }
 }
 
 /// Forwards complete events until the engine's stream ends.
@@ -80,15 +153,21 @@
     context: &mut RequestContext,
     engine_response: &mut EngineResponse,
     cursor: &mut Cursor,
-    sender: &Sender<Result<Bytes, StreamBroken>>,
+    caller: &Caller,
 ) -> ReadEnd {
     let mut splitter = Splitter::default();
+    let mut reservation = context.shared.response_memory.reservation();
+    let mut duplicate_bytes = 0;
     let max_gap = context
         .route
         .max_event_gap
         .unwrap_or(DEFAULT_MAX_EVENT_GAP)
         .mul_f64(GAP_FRACTION);
     loop {
+        // An engine that always has a next frame never meets a time-out.
+        if context.remaining().is_zero() {
+            return ReadEnd::Failed(Failure::Silent);
+        }
         // A silent engine is no reason to end a response that no other engine can resume.
         let limit = match context.retry_state.may_run_again(clock::now()) {
             true => max_gap.min(context.remaining()),
@@ -96,14 +175,14 @@
         };
         let frame = tokio::select! {
             it = timeout(limit, engine_response.body.frame()) => it,
-            () = sender.closed() => return ReadEnd::Disconnected,
+            () = caller.disconnected() => return ReadEnd::Disconnected,
         };
         match frame {
             Err(_) if context.remaining().is_zero() || context.reserve_retry() => {
                 return ReadEnd::Failed(Failure::Silent);
             }
             Err(_) => continue,
-            Ok(Some(Err(_))) => return ReadEnd::Failed(Failure::Lost),
+            Ok(Some(Err(err))) => return ReadEnd::Failed(engine_response.body_failure(context, &err)),
             Ok(None) if splitter.partial_event().is_empty() => return ReadEnd::Complete,
             Ok(None) => return ReadEnd::Failed(Failure::Lost),
             Ok(Some(Ok(frame))) => {
@@ -111,27 +190,50 @@
                 splitter.push(&data);
             }
         }
-        let (events, is_contiguous) = take_events(&mut splitter, cursor);
-        if !events.is_empty() && sender.send(Ok(events)).await.is_err() {
-            return ReadEnd::Disconnected;
+        if !reservation.try_resize(splitter.memory()) {
+            return ReadEnd::NoMemory;
+        }
+        let batch = take_events(&mut splitter, cursor);
+        if !batch.events.is_empty()
+            && let Err(end) = caller.send(context, batch.events).await
+        {
+            return end;
         }
-        if !is_contiguous || splitter.is_overlong() {
+        if !batch.is_contiguous {
             return ReadEnd::Failed(Failure::Lost);
         }
+        duplicate_bytes += batch.duplicate_bytes;
+        let bound = match () {
+            () if splitter.is_overlong() => Bound::Event,
+            () if duplicate_bytes > MAX_DUPLICATE_BYTES => Bound::Duplicates,
+            () => continue,
+        };
+        return ReadEnd::Failed(engine_response.cut_off(context, bound));
     }
 }
 
-/// Takes all complete events that the caller lacks; `false` if events before the next one are missing.
-fn take_events(splitter: &mut Splitter, cursor: &mut Cursor) -> (Bytes, bool) {
-    let mut events = BytesMut::new();
+/// Complete events taken from a stream.
+#[derive(Debug, Default)]
+struct Batch {
+    /// Those that the caller lacks.
+    events: Vec<u8>,
+    /// Size of the others.
+    duplicate_bytes: usize,
+    /// Whether no event before the next one is missing.
+    is_contiguous: bool,
+}
+
+fn take_events(splitter: &mut Splitter, cursor: &mut Cursor) -> Batch {
+    let mut batch = Batch::default();
     while let Some(event) = splitter.next_event() {
         match cursor.advance(event.id) {
-            Delivery::Deliver => events.extend_from_slice(&event.bytes),
-            Delivery::Duplicate => {}
-            Delivery::Gap => return (events.freeze(), false),
+            Delivery::Deliver => batch.events.extend_from_slice(&event.bytes),
+            Delivery::Duplicate => batch.duplicate_bytes += event.bytes.len(),
+            Delivery::Gap => return batch,
         }
     }
-    (events.freeze(), true)
+    batch.is_contiguous = true;
+    batch
 }
 
 /// Resumes the stream on another engine if the retry policy and the caller allow it.
@@ -139,7 +241,7 @@
     context: &mut RequestContext,
     failure: Failure,
     cursor: Cursor,
-    sender: &Sender<Result<Bytes, StreamBroken>>,
+    caller: &Caller,
 ) -> Option<EngineResponse> {
     let mut failure = failure;
     loop {
@@ -152,7 +254,7 @@
         }
         let outcome = tokio::select! {
             it = attempt(context, cursor.last()) => it,
-            () = sender.closed() => return None,
+            () = caller.disconnected() => return None,
         };
         failure = match outcome {
             AttemptOutcome::Responded(engine_response) if engine_response.head.status.is_success() => {
--- a/crates/forward/src/event_stream.rs
+++ b/crates/forward/src/event_stream.rs
@@ -16,7 +16,9 @@
 #[derive(Debug, Clone, Default)]
 pub struct Splitter {
     buffer: Vec<u8>,
-    /// Length of the prefix of the buffer that contains no event boundary.
+    /// Start of the next event; the bytes before it are dropped by the next [`Self::push`].
+    start: usize,
+    /// End of the part of the buffer that contains no further event boundary.
     scanned: usize,
 }
 
@@ -26,15 +28,18 @@
 
     /// Appends received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.drain(..self.start);
+        self.scanned -= self.start;
+        self.start = 0;
         self.buffer.extend_from_slice(bytes);
     }
 
     /// Removes and returns the next complete event.
     pub fn next_event(&mut self) -> Option<Event> {
         let end = self.boundary()?;
-        let rest = self.buffer.split_off(end);
-        let bytes = std::mem::replace(&mut self.buffer, rest);
-        self.scanned = 0;
+        let bytes = self.buffer[self.start..end].to_vec();
+        self.start = end;
+        self.scanned = end;
         Some(Event {
             id: id(&bytes),
             bytes,
@@ -43,12 +48,17 @@
 
     /// Bytes of an event that is still incomplete.
     pub fn partial_event(&self) -> &[u8] {
-        &self.buffer
+        &self.buffer[self.start..]
+    }
+
+    /// Bytes of memory in use.
+    pub fn memory(&self) -> usize {
+        self.buffer.capacity()
     }
 
     /// Whether the current event exceeds [`Self::MAX_EVENT_BYTES`].
     pub fn is_overlong(&self) -> bool {
-        self.buffer.len() > Self::MAX_EVENT_BYTES
+        self.partial_event().len() > Self::MAX_EVENT_BYTES
     }
 
     /// End of the first blank line after a field.
@@ -58,7 +68,7 @@
             let next = start + offset + 1;
             let line = &self.buffer[start..next - 1];
             let blank = line.is_empty() || line == b"\r";
-            if blank && start > 0 {
+            if blank && start > self.start {
                 return Some(next);
             }
             start = next;
--- a/crates/forward/src/load.rs
+++ b/crates/forward/src/load.rs
@@ -130,6 +130,10 @@
     /// Time for which an engine that refused because it is full is avoided: about the delay of its reports.
     const REFUSAL_BACKOFF: Duration = Duration::from_millis(150);
 
+    /// Time for which an engine is avoided after a response without end: the longest one, because its head
+    /// counts as a success each time, and each such response costs the node as much as its limits allow.
+    const OVERLONG_BACKOFF: Duration = Duration::from_secs(8);
+
     /// The load of an engine; `None` if nothing was sent to this run of it.
     pub fn get(&self, engine: &Engine) -> Option<&Load> {
         self.engines
@@ -180,6 +184,7 @@
         let load = self.entry(engine);
         let backoff = match failure {
             Failure::Refused => Self::REFUSAL_BACKOFF,
+            Failure::Overlong => Self::OVERLONG_BACKOFF,
             Failure::Failed => {
                 load.error_rate = load.error_rate(now);
                 load.error_rate += Load::ERROR_GAIN * (1.0 - load.error_rate);
--- a/crates/forward/src/retry.rs
+++ b/crates/forward/src/retry.rs
@@ -30,6 +30,8 @@
     Misdirected,
     /// The connection broke, or the received data is not a response to this request.
     Lost,
+    /// The response exceeded a limit on its size, as one without end does.
+    Overlong,
     /// No response arrived in time.
     Silent,
     /// The engine ran the request and responded with a failure.
@@ -49,6 +51,7 @@
             Self::Refused => "refused",
             Self::Misdirected => "misdirected",
             Self::Lost => "lost",
+            Self::Overlong => "overlong",
             Self::Silent => "silent",
             Self::Failed => "failed",
         }
