entry: engines that leave or close get no more requests

What callers saw: an engine that stated with its answers that it leaves went on to get requests until the registry said so, and one that turned requests away with a time in which it wants none was asked again after 150 ms. If all engines did, callers waited for attempts that failed one after the other, and were told to come back after 150 to 450 ms.

Cause: the headers `Server-Leaving` and `Retry-After` of engines were not read.

`forward::statement` holds what an engine has stated (limit, leaving, closed until), and `selection::candidates` is the one place that asks it, for first attempts, retries, resumed streams, larger models and the checks before an answer is dropped. A leaving run is told to the other nodes as request limits are. A closing is known to the node that was turned away only; a request waits for the first engine that opens in time for its latency goal, and is otherwise refused at once with the time until then. A request that waits for a permit of an engine that leaves meanwhile goes to another one instead of being refused.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use forward::BootTime;
 use forward::configuration::RouteKind;
 use forward::directory::Engine;
 use forward::release::{Arm, ResponseGrade, SLOW_RATIO};
@@ -23,12 +22,12 @@
 
 use crate::client::{self, Connection};
 use crate::clock;
-use crate::protocol::{ForwardMetadata, ResponseMetadata, StatedLimit};
+use crate::protocol::{ForwardMetadata, ResponseMetadata};
 use crate::request::RequestContext;
-use crate::request_limit;
 use crate::response::{ResponseBody, strip_connection_headers};
 use crate::selection::{self, Selection};
 use crate::shared::{Shared, lock};
+use crate::statement;
 
 /// Timeout for connecting to an engine. The failure domains of a region are a few milliseconds apart; a lost
 /// packet costs about 200 ms.
@@ -69,10 +68,8 @@
         /// The engine's own error response, which may be forwarded.
         response: Option<Response<ResponseBody>>,
     },
-    /// There is no engine left to try.
+    /// No engine that is left takes the request in time.
     NoEngine,
-    /// The engines left take no further requests for now; the next permit is free after this time.
-    Limited(Duration),
 }
 
 impl AttemptOutcome {
@@ -123,23 +120,14 @@
 pub(crate) async fn attempt(context: &mut RequestContext, last_event_id: Option<u64>) -> AttemptOutcome {
     context.retry_state.begin_attempt();
     let work = context.work();
-    let (engine, arm) = match selection::select(context, work).await {
-        Selection::Engine(engine, arm) => (engine, arm),
-        Selection::Limited(wait) => return AttemptOutcome::Limited(wait),
-        Selection::None => return AttemptOutcome::NoEngine,
-    };
-    log_attempt(context, &engine, arm);
-    context.arm = Some(arm);
-    context.tried.push(engine.clone());
-    let mut in_flight = InFlight::start(&context.shared, &engine, work.unwrap_or_default());
-    let limit = CONNECT_TIMEOUT.min(context.remaining());
-    let connection = match client::connect(engine.address, limit).await {
-        Ok(connection) => connection,
-        Err(err) => {
-            log::info!(id = context.id, engine = *engine.id, error:% = err; "engine unreachable");
-            record_failure(context, &engine, Failure::Unreachable);
-            return AttemptOutcome::failed(Failure::Unreachable);
-        }
+    let (engine, arm, connection, mut in_flight) = match reach_engine(context, work).await {
+        Ok(Reached {
+            engine,
+            arm,
+            connection,
+            in_flight,
+        }) => (engine, arm, connection, in_flight),
+        Err(outcome) => return outcome,
     };
     let request = match build_request(context, &engine, work, last_event_id) {
         Ok(request) => request,
@@ -173,7 +161,11 @@
             .shared
             .record_waiting(&context.service, report.waiting, now);
     }
-    record_request_limit(context, &engine, head.status, &metadata, sent_at);
+    let (status, id) = (head.status, &context.id);
+    statement::record_response(&context.shared, &engine, status, &metadata, sent_at, id);
+    if metadata.not_run && !context.shared.access(&engine, clock::now()).may_send() {
+        context.tried.retain(|it| it.id != engine.id);
+    }
     let engine_response = EngineResponse {
         head,
         metadata,
@@ -184,6 +176,53 @@
     evaluate(context, &engine, arm, engine_response, elapsed).await
 }
 
+/// An engine to which the node is connected for a request.
+#[derive(Debug)]
+struct Reached {
+    engine: Arc<Engine>,
+    arm: Arm,
+    connection: client::IdleConnection,
+    in_flight: InFlight,
+}
+
+/// Selects an engine and connects to it.
+///
+/// Selects another one if the engine states in another response meanwhile that it takes no requests.
+async fn reach_engine(context: &mut RequestContext, work: Option<Work>) -> Result<Reached, AttemptOutcome> {
+    loop {
+        let (engine, arm) = match selection::select(context, work).await {
+            Selection::Engine(engine, arm) => (engine, arm),
+            Selection::None => return Err(AttemptOutcome::NoEngine),
+        };
+        log_attempt(context, &engine, arm);
+        context.arm = Some(arm);
+        context.engine = Some(engine.clone());
+        let in_flight = InFlight::start(&context.shared, &engine, work.unwrap_or_default());
+        let limit = CONNECT_TIMEOUT.min(context.remaining());
+        let result = client::connect(engine.address, limit).await;
+        if !context.shared.access(&engine, clock::now()).may_send() {
+            log::info!(id = context.id, engine = *engine.id; "engine takes no more requests, nothing was sent");
+            continue;
+        }
+        context.tried.push(engine.clone());
+        match result {
+            Ok(connection) => {
+                return Ok(Reached {
+                    engine,
+                    arm,
+                    connection,
+                    in_flight,
+                });
+            }
+            Err(err) => {
+                log::info!(id = context.id, engine = *engine.id, error:% = err; "engine unreachable");
+                record_failure(context, &engine, Failure::Unreachable);
+                return Err(AttemptOutcome::failed(Failure::Unreachable));
+            }
+        }
+    }
+}
+
 /// Logs the chosen engine and the state that led to the choice.
 fn log_attempt(context: &RequestContext, engine: &Engine, arm: Arm) {
     let now = clock::now();
@@ -196,7 +235,7 @@
     );
     let (model, version) = (context.model.as_deref().unwrap_or_default(), &*engine.version);
     let session = context.metadata.session.as_deref().unwrap_or_default();
-    let request_limit = lock(&context.shared.request_limits).rate(engine);
+    let request_limit = lock(&context.shared.statements).limits.rate(engine);
     log::info!(
         id = context.id, session, engine = *engine.id, version, arm:?, model, load, request_limit, run, waited_ms;
         "attempt"
@@ -269,33 +308,6 @@
     (limit - waited).min(remaining)
 }
 
-/// Records the request limit that a response states, or that it ended.
-fn record_request_limit(
-    context: &RequestContext,
-    engine: &Engine,
-    status: StatusCode,
-    metadata: &ResponseMetadata,
-    sent_at: BootTime,
-) {
-    let rate = match metadata.request_limit {
-        // Another engine sent the response.
-        _ if status == StatusCode::MISDIRECTED_REQUEST => return,
-        StatedLimit::Rate(rate) => Some(rate),
-        // Only a response of the engine itself shows that it states no limit.
-        StatedLimit::None if metadata.is_signed => None,
-        StatedLimit::None => return,
-        StatedLimit::Unreadable => {
-            log::warn!(id = context.id, engine = *engine.id; "request limit cannot be parsed");
-            return;
-        }
-    };
-    let now = clock::now();
-    let change = lock(&context.shared.request_limits).record_response(engine, rate, sent_at, now);
-    if let Some(change) = change {
-        request_limit::announce(&context.shared, &engine.id, change, &context.id);
-    }
-}
-
 fn record_failure(context: &RequestContext, engine: &Engine, failure: Failure) {
     lock(&context.shared.loads).record_failure(engine, failure, clock::now());
 }
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use forward::BootTime;
 use forward::directory::Engine;
+use forward::statement::Access;
 use hyper::http::request::Parts;
 use hyper::{Response, StatusCode};
 use model::Domain;
@@ -85,17 +86,25 @@
 }
 
 /// State of an engine as known to this node; `requests` is the estimated number of requests that it processes
-/// or has queued.
+/// or has queued, and `closed_ms` the time until it takes requests of this node again.
 fn engine(shared: &Shared, engine: &Engine, now: BootTime) -> serde_json::Value {
     let loads = lock(&shared.loads);
     let load = loads.get(engine);
+    let statements = lock(&shared.statements);
+    let access = statements.access(engine, now);
+    let closed_for = match access {
+        Access::Closed(wait) => Some(wait),
+        _ => None,
+    };
     json!({
         "id": *engine.id,
         "service": *engine.service,
         "version": *engine.version,
         "draining": engine.draining,
         "requests": load.map_or(0.0, |it| it.estimated_requests(now)),
-        "request_limit": lock(&shared.request_limits).rate(engine),
+        "request_limit": statements.limits.rate(engine),
+        "leaving": access == Access::Leaving,
+        "closed_ms": closed_for.map(|it| it.as_millis() as u64),
         "avoided": load.is_some_and(|it| it.is_avoided(now)),
     })
 }
--- a/crates/entry/src/datagrams.rs
+++ b/crates/entry/src/datagrams.rs
@@ -1,5 +1,5 @@
-//! Datagrams between nodes: membership, queries about the store's topics, notices about releases, request limits
-//! and permits.
+//! Datagrams between nodes: membership, queries about the store's topics, notices about releases, statements of
+//! engines and permits.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -17,8 +17,8 @@
 use crate::notice::{self, Notice};
 use crate::permit::{self, PermitQuery, PermitReply};
 use crate::relay::{self, QueryMessage, ReplyMessage};
-use crate::request_limit::{self, LimitNotice};
 use crate::shared::{Shared, lock};
+use crate::statement::{self, StatementNotice};
 
 /// Tick interval of the failure detector; a fraction of its acknowledgement timeout.
 const TICK: Duration = Duration::from_millis(100);
@@ -34,7 +34,7 @@
 const NOTICE: u8 = b'n';
 const QUERY: u8 = b'q';
 const REPLY: u8 = b'a';
-const LIMITS: u8 = b'l';
+const STATEMENTS: u8 = b'l';
 const PERMIT_QUERY: u8 = b'p';
 const PERMIT_REPLY: u8 = b'g';
 
@@ -129,9 +129,9 @@
             Ok(reply) => relay::deliver_reply(shared, reply),
             Err(err) => log::debug!("cannot decode a reply: {err}"),
         },
-        LIMITS => match serde_json::from_slice::<LimitNotice>(content) {
-            Ok(notice) => request_limit::apply_notice(shared, &notice),
-            Err(err) => log::debug!("cannot decode request limits: {err}"),
+        STATEMENTS => match serde_json::from_slice::<StatementNotice>(content) {
+            Ok(notice) => statement::apply_notice(shared, notice),
+            Err(err) => log::debug!("cannot decode statements of engines: {err}"),
         },
         PERMIT_QUERY => match serde_json::from_slice::<PermitQuery>(content) {
             Ok(query) => send_json(
@@ -183,13 +183,13 @@
     send_json(socket, QUERY, query, [to]);
 }
 
-/// Sends request limits to nodes.
-pub(crate) fn send_limits(
+/// Sends statements of engines to nodes.
+pub(crate) fn send_statements(
     socket: &UdpSocket,
-    notice: &LimitNotice,
+    notice: &StatementNotice,
     to: impl IntoIterator<Item = SocketAddr>,
 ) {
-    send_json(socket, LIMITS, notice, to);
+    send_json(socket, STATEMENTS, notice, to);
 }
 
 /// Asks a node for a permit.
--- a/crates/entry/src/follow/engines.rs
+++ b/crates/entry/src/follow/engines.rs
@@ -142,7 +142,7 @@
 /// Drops the state of engines that are no longer listed.
 fn forget_removed(shared: &Shared, directory: &Directory) {
     lock(&shared.loads).retain(directory.engines());
-    lock(&shared.request_limits).retain(directory.engines());
+    lock(&shared.statements).retain(directory.engines(), clock::now());
 }
 
 fn log_engine(id: &Upstream, listed: bool, draining: bool) {
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -17,7 +17,7 @@
 use crate::listener::{self, Role};
 use crate::protocol::Protocol;
 use crate::shared::Shared;
-use crate::{clock, datagrams, follow, releases, request_limit};
+use crate::{clock, datagrams, follow, releases, statement};
 
 /// Interval at which a stopping node checks whether all requests have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
@@ -69,7 +69,7 @@
         tokio::spawn(follow::operators::run(shared.clone()));
         tokio::spawn(follow::engines::run(shared.clone()));
         tokio::spawn(releases::run(shared.clone()));
-        tokio::spawn(request_limit::run(shared.clone()));
+        tokio::spawn(statement::run(shared.clone()));
         let sockets = [
             (addresses.entry, Role::Entry),
             (addresses.ready, Role::Control),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -26,6 +26,7 @@
 mod response;
 mod selection;
 mod shared;
+mod statement;
 mod store;
 mod stream;
 
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -30,6 +30,8 @@
     pub streams_broken: Counter,
     /// Changes of the request limits that engines state, by change.
     pub request_limit_changes: Family<Label, Counter>,
+    /// Statements of engines that leave, close or open again, and unreadable ones.
+    pub engine_statements: Family<Label, Counter>,
     /// Questions for permits to engines with a request limit, by result.
     pub permits: Family<Label, Counter>,
     /// Requests to the store.
@@ -56,6 +58,7 @@
             streams_resumed: Counter::default(),
             streams_broken: Counter::default(),
             request_limit_changes: Family::default(),
+            engine_statements: Family::default(),
             permits: Family::default(),
             store_calls: Counter::default(),
             store_failures: Counter::default(),
@@ -114,6 +117,11 @@
             "Changes of the request limits that engines state, by change",
             self.request_limit_changes.clone(),
         );
+        registry.register(
+            "engine_statements",
+            "Engines that leave, close or open again, by statement",
+            self.engine_statements.clone(),
+        );
         registry.register(
             "permits",
             "Questions for permits to engines with a request limit, by result",
--- a/crates/entry/src/permit.rs
+++ b/crates/entry/src/permit.rs
@@ -99,7 +99,7 @@
 /// After a denial, this node asks for no permit for the engine for a while.
 pub(crate) async fn acquire(shared: &Shared, engine: &Engine, max_wait: Duration) -> Decision {
     let asked_at = clock::now();
-    let report = lock(&shared.request_limits).report(&engine.id, asked_at);
+    let report = lock(&shared.statements).limits.report(&engine.id, asked_at);
     let Some((report, rate)) = report.and_then(|it| Some((it.clone(), it.rate?))) else {
         return Decision::Granted(Duration::ZERO);
     };
@@ -119,7 +119,7 @@
         None => NO_ISSUER_BACKOFF,
     };
     let until = clock::now() + denied + spread(shared, rate);
-    lock(&shared.request_limits).record_denial(engine, until);
+    lock(&shared.statements).limits.record_denial(engine, until);
     Decision::Denied(denied)
 }
 
@@ -135,7 +135,7 @@
     let engine = query.limit.engine();
     request_limit::apply(shared, &query.limit, "permit query");
     record_hosts(shared, query.hosts);
-    let report = lock(&shared.request_limits).report(engine, clock::now());
+    let report = lock(&shared.statements).limits.report(engine, clock::now());
     let max_wait = Duration::from_millis(query.max_wait_ms);
     let decision = match report.as_ref().map(|it| (it, it.rate)) {
         _ if issuer_node(shared, engine) != IssuerNode::Local => Decision::Denied(NO_ISSUER_BACKOFF),
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -16,6 +16,7 @@
 use forward::relay::Position;
 use forward::release::{ReleaseOrder, ReleaseStatus};
 use forward::request_limit::Rate;
+use forward::statement::Stated;
 use hyper::header::HeaderMap;
 use hyper::http::{request, response};
 use hyper::{Method, Response};
@@ -70,24 +71,16 @@
     pub not_run: bool,
     /// Load that the engine reports.
     pub load_report: Option<LoadReport>,
-    /// Rate to which the engine limits the requests of all nodes together.
-    pub request_limit: StatedLimit,
+    /// Rate to which the engine limits the requests of all nodes together, finite and not negative.
+    pub request_limit: Stated<Rate>,
+    /// Whether the engine states that it leaves and takes no further requests.
+    pub leaving: bool,
+    /// Time for which the engine wants no requests of this node, if it turned the request away.
+    pub retry_after: Stated<Duration>,
     /// Confidence of the model in its response.
     pub confidence: Option<Confidence>,
 }
 
-/// Request limit in the head of an engine's response.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub enum StatedLimit {
-    /// The response states none.
-    #[default]
-    None,
-    /// Requests per second, finite and not negative.
-    Rate(Rate),
-    /// The response states one that cannot be parsed.
-    Unreadable,
-}
-
 /// A topic of the platform's store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Topic {
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -23,7 +23,7 @@
 use crate::attempt::{AttemptOutcome, attempt};
 use crate::protocol::RequestMetadata;
 use crate::response::{Refusal, ResponseBody, strip_connection_headers};
-use crate::selection;
+use crate::selection::{self, Shortage};
 use crate::shared::{Shared, lock};
 use crate::{clock, stream};
 
@@ -46,16 +46,17 @@
     pub metadata: RequestMetadata,
     pub arrived: BootTime,
     pub retry_state: RetryState,
-    /// Engines that were tried with the current model.
+    /// Engines that were tried with the current model. One that turned the request away and closed for a time is not
+    /// among them: it may serve the request once it opens.
     pub tried: Vec<Arc<Engine>>,
+    /// Engine of the last attempt.
+    pub engine: Option<Arc<Engine>>,
     /// Model that the node chose.
     pub model: Option<Name>,
     /// Version that the last engine belongs to.
     pub arm: Option<Arm>,
     /// Model whose answer was dropped last, and its confidence.
     pub dropped_answer: Option<(usize, Confidence)>,
-    /// Time until the next permit, if the last attempt failed because engines limit their requests.
-    limited_for: Option<Duration>,
     /// Whether a retry is already reserved for the next attempt.
     retry_reserved: bool,
     _active: ActiveGuard,
@@ -155,10 +156,10 @@
         arrived,
         retry_state,
         tried: Vec::new(),
+        engine: None,
         model,
         arm: None,
         dropped_answer: None,
-        limited_for: None,
         retry_reserved: false,
         _active: active,
     })
@@ -225,11 +226,6 @@
                 let response = context.retry_state.response_without_engine(clock::now());
                 return context.finish(response, None);
             }
-            AttemptOutcome::Limited(wait) => {
-                let response = context.retry_state.response_without_engine(clock::now());
-                context.limited_for = Some(wait);
-                return context.finish(response, None);
-            }
             AttemptOutcome::Failed { failure, response } => match context.handle_failure(failure, response) {
                 Some(response) => return response,
                 None => {
@@ -319,7 +315,7 @@
         };
         let label = [("failure", failure.as_str())];
         self.shared.metrics.failures.get_or_create(&label).inc();
-        let engine = self.tried.last().map_or("", |it| &*it.id);
+        let engine = self.engine.as_ref().map_or("", |it| &*it.id);
         let (runs, left_ms) = (self.retry_state.runs(), self.remaining().as_millis() as u64);
         log::info!(id = self.id, engine, failure = failure.as_str(), runs, left_ms, retry; "attempt failed");
         if retry {
@@ -339,7 +335,7 @@
         let now = clock::now();
         if !self.retry_reserved
             && self.retry_state.may_run_again(now)
-            && selection::has_unlimited(self, &self.tried)
+            && selection::has_open(self, &self.tried)
         {
             self.retry_reserved = self.try_reserve_retry(RetryReason::Failure, now);
         }
@@ -374,9 +370,12 @@
             (FinalResponse::Engine, Some(response)) => return self.forward_response(response),
             (FinalResponse::Engine | FinalResponse::Unknown, _) => Refusal::Unknown,
             (FinalResponse::TimedOut, _) => Refusal::TimedOut,
-            (FinalResponse::NotRun, _) => match self.limited_for {
-                Some(wait) => Refusal::Limited(wait),
-                None if self.tried.is_empty() => Refusal::NoEngine,
+            (FinalResponse::NotRun, _) => match selection::shortage(self) {
+                Some(Shortage::Limited(wait)) => Refusal::Limited(wait),
+                Some(Shortage::Closed(wait)) => Refusal::EnginesClosed(wait),
+                Some(Shortage::Leaving) => Refusal::EnginesLeaving,
+                Some(Shortage::NoEngine) => Refusal::NoEngine,
+                None if self.engine.is_none() => Refusal::NoEngine,
                 None => Refusal::NotRun,
             },
         };
@@ -400,7 +399,7 @@
             .get_or_create(&[("status", class)])
             .inc();
         let elapsed_ms = clock::now().saturating_sub(self.arrived).as_millis() as u64;
-        let engine = self.tried.last().map_or("", |it| &*it.id);
+        let engine = self.engine.as_ref().map_or("", |it| &*it.id);
         let model = self.model.as_deref().unwrap_or_default();
         let (route, runs) = (&*self.route.name, self.retry_state.runs());
         log::info!(id = self.id, route, status, outcome, engine, model, runs, elapsed_ms; "request ended");
--- a/crates/entry/src/response.rs
+++ b/crates/entry/src/response.rs
@@ -60,6 +60,9 @@
     }
 }
 
+/// Time in which an engine that replaces one that leaves may be listed: some reads of the list of engines.
+const REPLACEMENT_DELAY: Duration = Duration::from_secs(1);
+
 /// Why the node itself rejects or ends a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Refusal {
@@ -81,6 +84,10 @@
     NoEngine,
     /// All engines limit the requests that they take; the next permit is free after this time.
     Limited(Duration),
+    /// All engines want no requests of this node for a time; the first opens after this time.
+    EnginesClosed(Duration),
+    /// All engines leave.
+    EnginesLeaving,
     /// Engines refused the request, or it reached none.
     NotRun,
     /// No engine responded, and the request may have run.
@@ -102,6 +109,8 @@
             | Self::Leaving
             | Self::NoEngine
             | Self::Limited(_)
+            | Self::EnginesClosed(_)
+            | Self::EnginesLeaving
             | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -120,6 +129,8 @@
             Self::Leaving => "leaving",
             Self::NoEngine => "no_engine",
             Self::Limited(_) => "engine_limit",
+            Self::EnginesClosed(_) => "engines_closed",
+            Self::EnginesLeaving => "engines_leaving",
             Self::NotRun => "not_run",
             Self::Unknown => "outcome_unknown",
             Self::TimedOut => "timed_out",
@@ -131,7 +142,8 @@
         match self {
             // Another node may already have the configuration, or may not be stopping.
             Self::NotConfigured | Self::StaleConfiguration | Self::Leaving => Some(Duration::from_millis(50)),
-            Self::Limited(wait) => Some(wait),
+            Self::Limited(wait) | Self::EnginesClosed(wait) => Some(wait),
+            Self::EnginesLeaving => Some(REPLACEMENT_DELAY),
             // About the time in which an engine's queue advances.
             Self::NoEngine | Self::NotRun => Some(Duration::from_millis(150)),
             _ => None,
@@ -144,8 +156,15 @@
         let body = serde_json::json!({ "code": self.code(), "ran": ran });
         let mut response = full_response(self.status(), "application/json", body.to_string().into());
         if let Some(min_delay) = self.retry_after() {
-            let delay = min_delay.mul_f64(rand::rng().random_range(1.0..3.0));
-            let value = HeaderValue::from_str(&format!("{:.2}", delay.as_secs_f64()));
+            let max_factor = match self {
+                // The time is known, and callers should not wait much longer than needed.
+                Self::EnginesClosed(_) => 1.25,
+                _ => 3.0,
+            };
+            let delay = min_delay.mul_f64(rand::rng().random_range(1.0..max_factor));
+            // Rounded up, so that no caller returns too early.
+            let seconds = (delay.as_secs_f64() * 100.0).ceil() / 100.0;
+            let value = HeaderValue::from_str(&format!("{seconds:.2}"));
             if let Ok(value) = value {
                 response.headers_mut().insert(RETRY_AFTER, value);
             }
--- a/crates/entry/src/selection.rs
+++ b/crates/entry/src/selection.rs
@@ -1,4 +1,4 @@
-//! Selects the engine for an attempt, and gets a permit if that engine limits its requests.
+//! Selects the engine for an attempt by what the engines have stated, and gets a permit if it limits its requests.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,6 +7,7 @@
 use forward::permit::{self as decision, Decision};
 use forward::placement::{self, PlacementRequest};
 use forward::release::Arm;
+use forward::statement::Access;
 use forward::work::Work;
 use tokio::time::sleep;
 
@@ -21,84 +22,206 @@
 /// round trip between nodes.
 const MAX_QUESTIONS: usize = 3;
 
+/// Interval at which a request that waits for an engine looks at all engines again: another one may take it, or this
+/// one may leave.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Result of a selection.
 #[derive(Debug)]
 pub(crate) enum Selection {
     /// The request may be sent to this engine.
     Engine(Arc<Engine>, Arm),
-    /// All engines left limit their requests; the next permit is free after this time.
-    Limited(Duration),
-    /// No engine is left.
+    /// No engine takes the request in time.
     None,
 }
 
-/// Selects an engine that was not tried. Waits for a permit only if no engine takes the request without one.
+/// Why no engine of a service takes a request now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Shortage {
+    /// All limit their requests; this node may ask for the next permit after this time.
+    Limited(Duration),
+    /// All want no requests for a time; the first opens after this time.
+    Closed(Duration),
+    /// All leave.
+    Leaving,
+    /// None is listed.
+    NoEngine,
+}
+
+/// An engine that a request was not sent to, and whether it takes the request.
+#[derive(Debug, Clone)]
+struct Candidate {
+    engine: Arc<Engine>,
+    access: Access,
+}
+
+/// Selects an engine that was not tried. Waits only if no engine takes the request now.
 pub(crate) async fn select(context: &RequestContext, work: Option<Work>) -> Selection {
     if let Some(work) = work.filter(|_| context.tried.is_empty()) {
         context.shared.record_work(&context.service, work);
     }
     let mut questions = 0;
     loop {
-        let (engines, arm) = untried(context);
-        let is_open = |it: &Arc<Engine>| match questions < MAX_QUESTIONS {
-            true => denied_for(context, it).is_zero(),
-            false => !is_limited(context, it),
+        let (candidates, arm) = candidates(context, &context.tried);
+        let is_usable = |access| match access {
+            Access::Open => true,
+            Access::Limited(wait) => questions < MAX_QUESTIONS && wait.is_zero(),
+            Access::Closed(_) | Access::Leaving => false,
         };
-        let open: Vec<_> = engines.iter().filter(|it| is_open(it)).cloned().collect();
-        let Some(engine) = choose(context, &open) else {
-            return wait_for_permit(context, &engines).await;
+        let usable: Vec<_> = candidates.iter().filter(|it| is_usable(it.access)).collect();
+        let engine = match choose(context, &usable) {
+            Some(Candidate {
+                engine,
+                access: Access::Open,
+            }) => return Selection::Engine(engine.clone(), arm),
+            Some(Candidate { engine, .. }) => {
+                questions += 1;
+                match ask(context, engine, SHORT_WAIT).await {
+                    Decision::Granted(wait) => usable_after(context, engine, wait).await,
+                    Decision::Denied(_) => None,
+                }
+            }
+            None => match wait_for_engine(context, &candidates).await {
+                Wait::Usable(engine, arm) => Some((engine, arm)),
+                Wait::Again => None,
+                Wait::TooLong => return Selection::None,
+            },
         };
-        if !is_limited(context, &engine) {
+        if let Some((engine, arm)) = engine {
             return Selection::Engine(engine, arm);
         }
-        if let Decision::Granted(wait) = ask(context, &engine, SHORT_WAIT).await {
-            return send_after(context, engine, wait).await;
-        }
-        questions += 1;
     }
 }
 
-/// Whether an engine without a limit is left, so that the next attempt is certain to be possible.
-pub(crate) fn has_unlimited(context: &RequestContext, tried: &[Arc<Engine>]) -> bool {
-    let (engines, _) = context
-        .shared
-        .engines(&context.service, context.session(), clock::now());
-    let is_tried = |engine: &Arc<Engine>| tried.iter().any(|it| it.id == engine.id);
-    engines.iter().any(|it| !is_tried(it) && !is_limited(context, it))
+/// Whether an engine takes requests without a permit, so that the next attempt is certain to be possible.
+pub(crate) fn has_open(context: &RequestContext, tried: &[Arc<Engine>]) -> bool {
+    let (candidates, _) = candidates(context, tried);
+    candidates.iter().any(|it| it.access == Access::Open)
 }
 
-/// Waits for the next permit of any engine, if that is in time for the caller.
-async fn wait_for_permit(context: &RequestContext, engines: &[Arc<Engine>]) -> Selection {
-    let Some(engine) = engines.iter().min_by_key(|it| denied_for(context, it)) else {
-        return Selection::None;
+/// Why no engine takes the request now, whether it was tried or not; `None` if one does.
+pub(crate) fn shortage(context: &RequestContext) -> Option<Shortage> {
+    let (candidates, _) = candidates(context, &[]);
+    match first_to_open(&candidates).map(|it| it.access) {
+        Some(access) if access.wait().is_some_and(|it| it.is_zero()) => None,
+        Some(Access::Limited(wait)) => Some(Shortage::Limited(wait)),
+        Some(Access::Closed(wait)) => Some(Shortage::Closed(wait)),
+        _ if context.shared.lists_engines(&context.service, clock::now()) => Some(Shortage::Leaving),
+        _ => Some(Shortage::NoEngine),
+    }
+}
+
+/// The engines that may be used for a request, except `tried`, with what they have stated. Every use of an engine
+/// begins here.
+fn candidates(context: &RequestContext, tried: &[Arc<Engine>]) -> (Vec<Candidate>, Arm) {
+    let now = clock::now();
+    let (engines, arm) = context.shared.engines(&context.service, context.session(), now);
+    let untried = engines
+        .into_iter()
+        .filter(|it| tried.iter().all(|tried| tried.id != it.id));
+    let candidates = untried.map(|engine| Candidate {
+        access: context.shared.access(&engine, now),
+        engine,
+    });
+    (candidates.collect(), arm)
+}
+
+fn first_to_open(candidates: &[Candidate]) -> Option<&Candidate> {
+    candidates
+        .iter()
+        .min_by_key(|it| it.access.wait().unwrap_or(Duration::MAX))
+}
+
+/// How a wait for an engine ended.
+#[derive(Debug)]
+enum Wait {
+    /// The engine takes the request.
+    Usable(Arc<Engine>, Arm),
+    /// The engines have to be looked at again.
+    Again,
+    /// No engine takes the request in time.
+    TooLong,
+}
+
+/// Waits for the first engine that opens, or for the next permit, if that is in time for the caller.
+async fn wait_for_engine(context: &RequestContext, candidates: &[Candidate]) -> Wait {
+    let Some(Candidate { engine, access }) = first_to_open(candidates) else {
+        return Wait::TooLong;
     };
-    match ask(context, engine, patience(context, engine)).await {
-        Decision::Granted(wait) => send_after(context, engine.clone(), wait).await,
-        Decision::Denied(wait) => Selection::Limited(wait),
+    if matches!(access, Access::Limited(_)) {
+        let Decision::Granted(wait) = ask(context, engine, permit_patience(context, engine)).await else {
+            return wait_for_opening(context, candidates).await;
+        };
+        return match usable_after(context, engine, wait).await {
+            Some((engine, arm)) => Wait::Usable(engine, arm),
+            None => Wait::Again,
+        };
+    }
+    wait_for_opening(context, candidates).await
+}
+
+/// Waits a little for the first closed engine if it opens in time.
+async fn wait_for_opening(context: &RequestContext, candidates: &[Candidate]) -> Wait {
+    let closed = candidates.iter().filter_map(|it| match it.access {
+        Access::Closed(wait) => Some(wait),
+        _ => None,
+    });
+    match closed.min() {
+        Some(wait) if wait <= patience(context) => {
+            sleep(wait.min(RECHECK_INTERVAL)).await;
+            Wait::Again
+        }
+        _ => Wait::TooLong,
     }
 }
 
+/// Time that a request can wait and still be answered within its latency goal.
+fn patience(context: &RequestContext) -> Duration {
+    let (route, model, tokens) = (
+        &context.route.name,
+        context.model.as_ref(),
+        context.prompt_tokens(),
+    );
+    let expected = lock(&context.shared.first_byte_times).expected(route, model, tokens);
+    let waited = clock::now().saturating_sub(context.arrived);
+    let in_time = context
+        .route
+        .latency_goal
+        .saturating_sub(waited + expected.unwrap_or_default());
+    in_time.min(context.remaining() / 2)
+}
+
 /// Time that a request can wait for a permit and still be answered in time. It waits for at least one permit, as
 /// it may be the only one that asks.
-fn patience(context: &RequestContext, engine: &Engine) -> Duration {
+fn permit_patience(context: &RequestContext, engine: &Engine) -> Duration {
     let waited = clock::now().saturating_sub(context.arrived);
-    let rate = lock(&context.shared.request_limits)
+    let rate = lock(&context.shared.statements)
+        .limits
         .rate(engine)
         .unwrap_or_default();
     let in_time = context.route.latency_goal.saturating_sub(waited);
     in_time.max(decision::interval(rate)).min(context.remaining() / 2)
 }
 
-/// Selects an engine whose permit is valid after a wait, unless the engine leaves meanwhile.
-async fn send_after(context: &RequestContext, engine: Arc<Engine>, wait: Duration) -> Selection {
-    if !wait.is_zero() {
-        sleep(wait).await;
-    }
-    let (engines, arm) = untried(context);
-    let is_same_run = |it: &Arc<Engine>| it.id == engine.id && it.started_ms == engine.started_ms;
-    match engines.into_iter().find(is_same_run) {
-        Some(engine) => Selection::Engine(engine, arm),
-        None => Selection::Limited(wait),
+/// Waits until a permit is valid; `None` as soon as the engine takes no more requests.
+async fn usable_after(
+    context: &RequestContext,
+    engine: &Engine,
+    wait: Duration,
+) -> Option<(Arc<Engine>, Arm)> {
+    let valid_at = clock::now() + wait;
+    let is_same_run = |it: &Candidate| it.engine.id == engine.id && it.engine.started_ms == engine.started_ms;
+    loop {
+        let (candidates, arm) = candidates(context, &context.tried);
+        let candidate = candidates.into_iter().find(is_same_run)?;
+        if !candidate.access.may_send() {
+            return None;
+        }
+        let remaining = valid_at.saturating_sub(clock::now());
+        if remaining.is_zero() {
+            return Some((candidate.engine, arm));
+        }
+        sleep(remaining.min(RECHECK_INTERVAL)).await;
     }
 }
 
@@ -111,15 +234,8 @@
     decision
 }
 
-fn untried(context: &RequestContext) -> (Vec<Arc<Engine>>, Arm) {
-    let (mut engines, arm) = context
-        .shared
-        .engines(&context.service, context.session(), clock::now());
-    engines.retain(|it| context.tried.iter().all(|tried| tried.id != it.id));
-    (engines, arm)
-}
-
-fn choose(context: &RequestContext, engines: &[Arc<Engine>]) -> Option<Arc<Engine>> {
+fn choose<'a>(context: &RequestContext, usable: &[&'a Candidate]) -> Option<&'a Candidate> {
+    let engines: Vec<_> = usable.iter().map(|it| it.engine.clone()).collect();
     let request = PlacementRequest {
         domain: &context.shared.settings().node.failure_domain,
         affinity: context.affinity(),
@@ -129,7 +245,8 @@
         tried: &context.tried,
     };
     let loads = lock(&context.shared.loads);
-    placement::choose(engines, &loads, &request, clock::now(), &mut rand::rng())
+    let chosen = placement::choose(&engines, &loads, &request, clock::now(), &mut rand::rng())?;
+    usable.iter().copied().find(|it| it.engine.id == chosen.id)
 }
 
 /// This node's share of the connections that an engine of the service accepts.
@@ -139,11 +256,3 @@
     let nodes = u32::try_from(context.shared.host_counts().known).unwrap_or(u32::MAX);
     service.map_or(u32::MAX, |it| (it.max_connections / nodes).max(1))
 }
-
-fn is_limited(context: &RequestContext, engine: &Engine) -> bool {
-    lock(&context.shared.request_limits).rate(engine).is_some()
-}
-
-fn denied_for(context: &RequestContext, engine: &Engine) -> Duration {
-    lock(&context.shared.request_limits).denied_for(engine, clock::now())
-}
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -16,8 +16,8 @@
 use forward::load::Loads;
 use forward::permit::Fleet;
 use forward::release::{Arm, Release, ResponseGrade, Stage};
-use forward::request_limit::Limits;
 use forward::retry_budget::{RetryBudget, RetryLimit, RetryReason};
+use forward::statement::{Access, Statements};
 use forward::work::{Work, WorkDistribution};
 use membership::Table;
 use model::{Incarnation, Name};
@@ -42,7 +42,8 @@
     pub configuration: Mutex<Cached<Configuration>>,
     pub directory: Mutex<Directory>,
     pub loads: Mutex<Loads>,
-    pub request_limits: Mutex<Limits>,
+    /// What engines state about the requests that they take.
+    pub statements: Mutex<Statements>,
     pub permits: Permits,
     pub releases: Mutex<BTreeMap<Name, Release>>,
     pub members: Mutex<Table>,
@@ -113,7 +114,7 @@
             configuration: Mutex::new(Cached::empty()),
             directory: Mutex::new(Directory::new(outage)),
             loads: Mutex::default(),
-            request_limits: Mutex::default(),
+            statements: Mutex::default(),
             permits: Permits::new(clock::now()),
             releases: Mutex::default(),
             host_counts: Mutex::new(HostCounts::of(&members, clock::now())),
@@ -217,11 +218,27 @@
         f(budget)
     }
 
+    /// Whether a new request may be sent to an engine, by what the engine has stated.
+    pub(crate) fn access(&self, engine: &Engine, now: BootTime) -> Access {
+        lock(&self.statements).access(engine, now)
+    }
+
+    /// Whether the registry lists an engine of a service as usable, even if it has stated that it leaves.
+    pub(crate) fn lists_engines(&self, service: &Name, now: BootTime) -> bool {
+        lock(&self.directory).available(service, now).next().is_some()
+    }
+
     /// Engines of a service that may serve a request, and the version of the release that they belong to.
     ///
+    /// The registry may list an engine that has stated that it leaves for some time.
+    ///
     /// `key` is the same for requests that should be served by one version.
     pub(crate) fn engines(&self, service: &Name, key: &[u8], now: BootTime) -> (Vec<Arc<Engine>>, Arm) {
-        let all: Vec<_> = lock(&self.directory).available(service, now).cloned().collect();
+        let mut all: Vec<_> = lock(&self.directory).available(service, now).cloned().collect();
+        {
+            let statements = lock(&self.statements);
+            all.retain(|it| statements.access(it, now) != Access::Leaving);
+        }
         let mut releases = lock(&self.releases);
         let Some(release) = releases.get_mut(service) else {
             return (all, Arm::Old);
--- /dev/null
+++ b/crates/entry/src/statement.rs
@@ -0,0 +1,217 @@
+//! Records what engines state in their responses, and exchanges it between nodes.
+//!
+//! A node tells all others at once when it learns that a limit changed or that an engine leaves. In addition, each node
+//! that knows of any sends some to a random node in each round, for nodes that started later and for datagrams that
+//! were lost. An engine closes for one node only, which tells nobody.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use forward::BootTime;
+use forward::directory::Engine;
+use forward::request_limit::Report;
+use forward::statement::{ClosingChange, Run, Stated};
+use hyper::StatusCode;
+use membership::State;
+use rand::Rng;
+use rand::seq::{IteratorRandom, SliceRandom};
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+
+use crate::protocol::ResponseMetadata;
+use crate::request_limit::{self, LimitReport};
+use crate::shared::{Shared, lock};
+use crate::{clock, datagrams, permit};
+
+/// Interval at which known statements are sent to a random node.
+const ROUND_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Maximum number of reports of each kind in a datagram. With about 90 bytes for a limit and 50 for a leaving engine, a
+/// node sends less than 2 KB a second.
+const MAX_LIMITS: usize = 4;
+const MAX_LEAVING: usize = 8;
+
+/// Statements of engines that one node passes on to another.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct StatementNotice {
+    sender: String,
+    /// Hosts that the sender knows.
+    hosts: usize,
+    limits: Vec<LimitReport>,
+    /// Runs of engines that leave; nodes of earlier versions do not send it.
+    #[serde(default)]
+    leaving: Vec<LeavingReport>,
+}
+
+/// Encoded [`Run`] of an engine that leaves.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct LeavingReport {
+    engine: String,
+    started_ms: u64,
+}
+
+impl LeavingReport {
+    fn new(run: &Run) -> Self {
+        Self {
+            engine: run.engine.to_string(),
+            started_ms: run.started_ms,
+        }
+    }
+
+    fn into_run(self) -> Run {
+        Run {
+            engine: self.engine.into(),
+            started_ms: self.started_ms,
+        }
+    }
+}
+
+/// Sends statements to random nodes until the process ends.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    loop {
+        sleep(ROUND_INTERVAL).await;
+        let now = clock::now();
+        permit::forget_others(&shared);
+        let mut statements = lock(&shared.statements);
+        let opened = statements.expire(now);
+        let mut limits = statements.limits.reports(now);
+        let mut leaving: Vec<_> = statements.leaving().map(LeavingReport::new).collect();
+        drop(statements);
+        for run in opened {
+            count(&shared, "opened");
+            log::info!(engine = *run.engine, started_ms = run.started_ms; "engine open again");
+        }
+        if limits.is_empty() && leaving.is_empty() {
+            continue;
+        }
+        limits.shuffle(&mut rand::rng());
+        limits.truncate(MAX_LIMITS);
+        leaving.shuffle(&mut rand::rng());
+        leaving.truncate(MAX_LEAVING);
+        let receiver = other_nodes(&shared).into_iter().choose(&mut rand::rng());
+        datagrams::send_statements(&shared.socket, &notice(&shared, &limits, leaving), receiver);
+    }
+}
+
+/// Records what the response to a request states that was sent at `sent_at`; `id` is that of the request.
+pub(crate) fn record_response(
+    shared: &Arc<Shared>,
+    engine: &Engine,
+    status: StatusCode,
+    metadata: &ResponseMetadata,
+    sent_at: BootTime,
+    id: &str,
+) {
+    // Another engine sent the response.
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    record_limit(shared, engine, metadata, sent_at, id);
+    if metadata.leaving && lock(&shared.statements).record_leaving(engine) {
+        log_leaving(shared, &engine.id, engine.started_ms, id);
+        let report = LeavingReport {
+            engine: engine.id.to_string(),
+            started_ms: engine.started_ms,
+        };
+        announce(shared, notice(shared, &[], vec![report]));
+    }
+    record_closing(shared, engine, metadata.retry_after, id);
+}
+
+/// Records the request limit that a response states, or that it ended.
+fn record_limit(
+    shared: &Arc<Shared>,
+    engine: &Engine,
+    metadata: &ResponseMetadata,
+    sent_at: BootTime,
+    id: &str,
+) {
+    let rate = match metadata.request_limit {
+        Stated::Value(rate) => Some(rate),
+        // Only a response of the engine itself shows that it states no limit.
+        Stated::Nothing if metadata.is_signed => None,
+        Stated::Nothing => return,
+        Stated::Unreadable => {
+            count(shared, "unreadable");
+            return log::warn!(id, engine = *engine.id; "request limit cannot be parsed");
+        }
+    };
+    let now = clock::now();
+    let mut statements = lock(&shared.statements);
+    let change = statements.limits.record_response(engine, rate, sent_at, now);
+    let report = statements.limits.report(&engine.id, now);
+    drop(statements);
+    if let Some((change, report)) = change.zip(report) {
+        request_limit::log_change(shared, &engine.id, change, id);
+        announce(shared, notice(shared, &[report], vec![]));
+    }
+}
+
+fn record_closing(shared: &Shared, engine: &Engine, stated: Stated<Duration>, id: &str) {
+    if stated == Stated::Unreadable {
+        count(shared, "unreadable");
+        log::warn!(id, engine = *engine.id; "time until the engine takes requests cannot be parsed");
+    }
+    let position = rand::rng().random_range(0.0..1.0);
+    let change = lock(&shared.statements).record_closing(engine, stated, position, clock::now());
+    let Some(ClosingChange { began, wait, capped }) = change else {
+        return;
+    };
+    // Each request under way may be turned away and extend the closing a little.
+    if began {
+        count(shared, "closed");
+        let wait_ms = wait.as_millis() as u64;
+        log::info!(id, engine = *engine.id, started_ms = engine.started_ms, wait_ms, capped; "engine closed");
+    }
+}
+
+/// Applies a notice of another node.
+pub(crate) fn apply_notice(shared: &Shared, notice: StatementNotice) {
+    permit::record_hosts(shared, notice.hosts);
+    for report in &notice.limits {
+        request_limit::apply(shared, report, &notice.sender);
+    }
+    for run in notice.leaving.into_iter().map(LeavingReport::into_run) {
+        if lock(&shared.statements).apply_leaving(run.clone()) {
+            log_leaving(shared, &run.engine, run.started_ms, &notice.sender);
+        }
+    }
+}
+
+/// Sends a notice to all other nodes.
+fn announce(shared: &Shared, notice: StatementNotice) {
+    let (socket, to) = (shared.socket.clone(), other_nodes(shared));
+    tokio::spawn(async move {
+        datagrams::in_bursts(to, |it| {
+            datagrams::send_statements(&socket, &notice, it.iter().copied());
+        })
+        .await;
+    });
+}
+
+fn notice(shared: &Shared, limits: &[Report], leaving: Vec<LeavingReport>) -> StatementNotice {
+    StatementNotice {
+        sender: shared.settings().node.host.to_string(),
+        hosts: shared.host_counts().known,
+        limits: limits.iter().map(LimitReport::new).collect(),
+        leaving,
+    }
+}
+
+fn other_nodes(shared: &Shared) -> Vec<SocketAddr> {
+    let table = lock(&shared.members);
+    let others = table.members().filter(|it| it.state != State::Dead);
+    others.map(|it| it.addresses.gossip).collect()
+}
+
+/// Logs and counts an engine that leaves; `source` is the request or the node that showed it.
+fn log_leaving(shared: &Shared, engine: &str, started_ms: u64, source: &str) {
+    count(shared, "leaving");
+    log::info!(engine, started_ms, source; "engine leaves");
+}
+
+fn count(shared: &Shared, statement: &'static str) {
+    let label = [("statement", statement)];
+    shared.metrics.engine_statements.get_or_create(&label).inc();
+}
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -161,7 +161,7 @@
             }
             AttemptOutcome::Responded(_) => Failure::Failed,
             AttemptOutcome::Failed { failure, .. } => failure,
-            AttemptOutcome::NoEngine | AttemptOutcome::Limited(_) => return None,
+            AttemptOutcome::NoEngine => return None,
         };
     }
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`escalation`] with [`adequacy`], [`answer_value`], [`congestion`], [`first_byte`]: which model answers a request
 //! - [`drain`]: which requests a node accepts during its planned stop
 //! - [`event_stream`]: event streams split at event boundaries and resumed without gaps or duplicates
+//! - [`statement`]: what engines state about the requests that they take; whether an engine may be used
 //! - [`request_limit`], [`permit`]: rates to which engines limit the requests of all nodes together
 //! - [`retry_budget`]: the share of the fleet's retry budget that a node may use
 //! - [`relay`]: changes read from the store that nodes pass on to each other
@@ -38,6 +39,7 @@
 pub mod request_limit;
 pub mod retry;
 pub mod retry_budget;
+pub mod statement;
 pub mod urgency;
 pub mod work;
 
