--- a/crates/entry/src/selection.rs
+++ b/crates/entry/src/selection.rs
@@ -44,7 +44,7 @@
     Closed(Duration),
     /// All leave.
     Leaving,
-    /// None is listed.
+    /// None is usable.
     NoEngine,
 }
 
@@ -106,7 +106,7 @@
         Some(access) if access.wait().is_some_and(|it| it.is_zero()) => None,
         Some(Access::Limited(wait)) => Some(Shortage::Limited(wait)),
         Some(Access::Closed(wait)) => Some(Shortage::Closed(wait)),
-        _ if context.shared.lists_engines(&context.service, clock::now()) => Some(Shortage::Leaving),
+        _ if context.shared.has_leaving_engine(&context.service, clock::now()) => Some(Shortage::Leaving),
         _ => Some(Shortage::NoEngine),
     }
 }
@@ -119,8 +119,9 @@
     let untried = engines
         .into_iter()
         .filter(|it| tried.iter().all(|tried| tried.id != it.id));
+    let statements = lock(&context.shared.statements);
     let candidates = untried.map(|engine| Candidate {
-        access: context.shared.access(&engine, now),
+        access: statements.access(&engine, now),
         engine,
     });
     (candidates.collect(), arm)
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -223,9 +223,13 @@
         lock(&self.statements).access(engine, now)
     }
 
-    /// Whether the registry lists an engine of a service as usable, even if it has stated that it leaves.
-    pub(crate) fn lists_engines(&self, service: &Name, now: BootTime) -> bool {
-        lock(&self.directory).available(service, now).next().is_some()
+    /// Whether an engine of a service has stated that it leaves while the registry still lists it as usable.
+    pub(crate) fn has_leaving_engine(&self, service: &Name, now: BootTime) -> bool {
+        let directory = lock(&self.directory);
+        let statements = lock(&self.statements);
+        directory
+            .available(service, now)
+            .any(|it| statements.access(it, now) == Access::Leaving)
     }
 
     /// Engines of a service that may serve a request, and the version of the release that they belong to.
