--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -30,6 +30,7 @@
 mod response;
 mod selection;
 mod shared;
+mod statement;
 mod store;
 mod stream;
 mod write_timeout;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -25,7 +25,7 @@
 use crate::open_requests::OpenRequest;
 use crate::protocol::RequestMetadata;
 use crate::response::{Refusal, ResponseBody, TrackedBody, strip_connection_headers};
-use crate::selection;
+use crate::selection::{self, Shortage};
 use crate::shared::{Shared, lock};
 use crate::{body, clock, stream};
 
@@ -56,16 +56,17 @@
     pub metadata: RequestMetadata,
     pub arrived: BootTime,
     pub retry_state: RetryState,
-    /// Engines that were tried with the current model.
+    /// Engines that were tried with the current model. One that turned the request away and closed for a time is not
+    /// among them: it may serve the request once it opens.
     pub tried: Vec<Arc<Engine>>,
+    /// Engine of the last attempt.
+    pub engine: Option<Arc<Engine>>,
     /// Model that the node chose.
     pub model: Option<Name>,
     /// Version that the last engine belongs to.
     pub arm: Option<Arm>,
     /// Model whose answer was dropped last, and its confidence.
     pub dropped_answer: Option<(usize, Confidence)>,
-    /// Time until the next permit, if the last attempt failed because engines limit their requests.
-    limited_for: Option<Duration>,
     /// Whether a retry is already reserved for the next attempt.
     retry_reserved: bool,
     pub open: Arc<OpenRequest>,
@@ -170,10 +171,10 @@
         arrived,
         retry_state,
         tried: Vec::new(),
+        engine: None,
         model,
         arm: None,
         dropped_answer: None,
-        limited_for: None,
         retry_reserved: false,
         open: open.clone(),
     })
@@ -269,11 +270,6 @@
                 let response = context.retry_state.response_without_engine(clock::now());
                 return Served::Response(context.finish(response, None));
             }
-            AttemptOutcome::Limited(wait) => {
-                let response = context.retry_state.response_without_engine(clock::now());
-                context.limited_for = Some(wait);
-                return Served::Response(context.finish(response, None));
-            }
             AttemptOutcome::Failed { failure, response } => match context.handle_failure(failure, response) {
                 Some(response) => return Served::Response(response),
                 None => {
@@ -366,7 +362,7 @@
         };
         let label = [("failure", failure.as_str())];
         self.shared.metrics.failures.get_or_create(&label).inc();
-        let engine = self.tried.last().map_or("", |it| &*it.id);
+        let engine = self.engine.as_ref().map_or("", |it| &*it.id);
         let (runs, left_ms) = (self.retry_state.runs(), self.remaining().as_millis() as u64);
         log::info!(id = self.id, engine, failure = failure.as_str(), runs, left_ms, retry; "attempt failed");
         if retry {
@@ -386,7 +382,7 @@
         let now = clock::now();
         if !self.retry_reserved
             && self.retry_state.may_run_again(now)
-            && selection::has_unlimited(self, &self.tried)
+            && selection::has_open(self, &self.tried)
         {
             self.retry_reserved = self.try_reserve_retry(RetryReason::Failure, now);
         }
@@ -421,9 +417,12 @@
             (FinalResponse::Engine, Some(response)) => return self.forward_response(response),
             (FinalResponse::Engine | FinalResponse::Unknown, _) => Refusal::Unknown,
             (FinalResponse::TimedOut, _) => Refusal::TimedOut,
-            (FinalResponse::NotRun, _) => match self.limited_for {
-                Some(wait) => Refusal::Limited(wait),
-                None if self.tried.is_empty() => Refusal::NoEngine,
+            (FinalResponse::NotRun, _) => match selection::shortage(self) {
+                Some(Shortage::Limited(wait)) => Refusal::Limited(wait),
+                Some(Shortage::Closed(wait)) => Refusal::EnginesClosed(wait),
+                Some(Shortage::Leaving) => Refusal::EnginesLeaving,
+                Some(Shortage::NoEngine) => Refusal::NoEngine,
+                None if self.engine.is_none() => Refusal::NoEngine,
                 None => Refusal::NotRun,
             },
         })
@@ -458,7 +457,7 @@
             .get_or_create(&[("status", class)])
             .inc();
         let elapsed_ms = clock::now().saturating_sub(self.arrived).as_millis() as u64;
-        let engine = self.tried.last().map_or("", |it| &*it.id);
+        let engine = self.engine.as_ref().map_or("", |it| &*it.id);
         let model = self.model.as_deref().unwrap_or_default();
         let (route, runs) = (&*self.route.name, self.retry_state.runs());
         log::info!(id = self.id, route, status, outcome, engine, model, runs, elapsed_ms; "request ended");
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -18,8 +18,8 @@
 use forward::pace::UsualGaps;
 use forward::permit::Fleet;
 use forward::release::{Arm, Release, ResponseGrade, Stage, Subject};
-use forward::request_limit::Limits;
 use forward::retry_budget::{RetryBudget, RetryLimit, RetryReason};
+use forward::statement::{Access, Statements};
 use forward::work::{Work, WorkDistribution};
 use membership::Table;
 use model::{Incarnation, Name};
@@ -47,7 +47,8 @@
     pub configuration: Mutex<Cached<Configuration>>,
     pub directory: Mutex<Directory>,
     pub loads: Mutex<Loads>,
-    pub request_limits: Mutex<Limits>,
+    /// What engines state about the requests that they take.
+    pub statements: Mutex<Statements>,
     pub permits: Permits,
     pub releases: Mutex<BTreeMap<Name, Release>>,
     /// Wakes the exchange of notices about releases, if something must not wait for its next round.
@@ -127,7 +128,7 @@
             configuration: Mutex::new(Cached::empty()),
             directory: Mutex::new(Directory::new(outage)),
             loads: Mutex::default(),
-            request_limits: Mutex::default(),
+            statements: Mutex::default(),
             permits: Permits::new(clock::now()),
             releases: Mutex::default(),
             release_changed: Notify::new(),
@@ -257,15 +258,34 @@
         f(budget)
     }
 
+    /// Whether a new request may be sent to an engine, by what the engine has stated.
+    pub(crate) fn access(&self, engine: &Engine, now: BootTime) -> Access {
+        lock(&self.statements).access(engine, now)
+    }
+
+    /// Whether an engine of a service has stated that it leaves while the registry still lists it as usable.
+    pub(crate) fn has_leaving_engine(&self, service: &Name, now: BootTime) -> bool {
+        let directory = lock(&self.directory);
+        let statements = lock(&self.statements);
+        directory
+            .available(service, now)
+            .any(|it| statements.access(it, now) == Access::Leaving)
+    }
+
     /// Engines of a service that may serve a request, and the version of the release that they belong to.
     ///
+    /// The registry may list an engine that has stated that it leaves for some time.
     pub(crate) fn engines(
         &self,
         service: &Name,
         subject: Subject<'_>,
         now: BootTime,
     ) -> (Vec<Arc<Engine>>, Arm) {
-        let all: Vec<_> = lock(&self.directory).available(service, now).cloned().collect();
+        let mut all: Vec<_> = lock(&self.directory).available(service, now).cloned().collect();
+        {
+            let statements = lock(&self.statements);
+            all.retain(|it| statements.access(it, now) != Access::Leaving);
+        }
         let mut releases = lock(&self.releases);
         let Some(release) = releases.get_mut(service) else {
             return (all, Arm::Old);
