entry: one type for queries whose replies are pending

Queries for permits and queries about the store's topics each kept a map of numbers and senders. Only the former forgot a query whose future was dropped; the latter would have kept it for the life of the process. No task drops such a query today, so this was found by reading and no caller saw it.

PendingReplies keeps them for both, with the guard. No change of behaviour.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,6 +18,7 @@
 mod metrics;
 mod model_choice;
 mod notice;
+mod pending;
 mod permit;
 mod relay;
 mod releases;
--- a/crates/entry/src/permit.rs
+++ b/crates/entry/src/permit.rs
@@ -1,6 +1,5 @@
 //! Permits for requests to engines that limit the requests of all nodes together.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -14,9 +13,8 @@
 use model::hash;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
-use tokio::sync::oneshot;
-use tokio::time::timeout;
 
+use crate::pending::PendingReplies;
 use crate::request_limit::{self, LimitReport};
 use crate::shared::{HostCounts, Shared, lock};
 use crate::{clock, datagrams};
@@ -39,7 +37,7 @@
     fleet: Mutex<Fleet>,
     /// Times that this node had refuted its death when it last issued a permit.
     refutations: AtomicU32,
-    pending: Mutex<HashMap<u64, oneshot::Sender<PermitReply>>>,
+    pending: PendingReplies<PermitReply>,
 }
 
 impl Permits {
@@ -48,7 +46,7 @@
             issuer: Mutex::new(Issuer::new(started_at)),
             fleet: Mutex::default(),
             refutations: AtomicU32::new(0),
-            pending: Mutex::default(),
+            pending: PendingReplies::default(),
         }
     }
 }
@@ -74,19 +72,6 @@
     limit: Option<LimitReport>,
 }
 
-/// A query without a reply so far; forgotten when the request ends or its caller disconnects.
-#[derive(Debug)]
-struct Pending<'a> {
-    permits: &'a Permits,
-    number: u64,
-}
-
-impl Drop for Pending<'_> {
-    fn drop(&mut self) {
-        lock(&self.permits.pending).remove(&self.number);
-    }
-}
-
 /// The node that issues the permits for an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum IssuerNode {
@@ -158,10 +143,7 @@
 
 /// Passes a reply to the request that waits for it; a late one is dropped, and its permit is not used.
 pub(crate) fn deliver_reply(shared: &Shared, reply: PermitReply) {
-    if let Some(pending) = lock(&shared.permits.pending).remove(&reply.number) {
-        // The request may have timed out at this moment.
-        let _ = pending.send(reply);
-    }
+    shared.permits.pending.deliver(reply.number, reply);
 }
 
 /// Forgets engines for which another node has become the issuer.
@@ -187,22 +169,15 @@
 }
 
 async fn query(shared: &Shared, report: &Report, max_wait: Duration, issuer: SocketAddr) -> Option<Decision> {
-    let number = rand::rng().random();
-    let (sender, receiver) = oneshot::channel();
-    lock(&shared.permits.pending).insert(number, sender);
-    let _pending = Pending {
-        permits: &shared.permits,
-        number,
-    };
+    let pending = shared.permits.pending.begin();
     let message = PermitQuery {
-        number,
+        number: pending.number(),
         limit: LimitReport::new(report),
         max_wait_ms: max_wait.as_millis() as u64,
         hosts: shared.host_counts().known,
     };
     datagrams::send_permit_query(&shared.socket, &message, issuer);
-    let reply = timeout(REPLY_TIMEOUT, receiver).await;
-    let Ok(Ok(reply)) = reply else {
+    let Some(reply) = pending.reply(REPLY_TIMEOUT).await else {
         log::info!(engine = *report.engine, issuer:%; "no reply to a permit query");
         return None;
     };
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -3,7 +3,6 @@
 //! A reply states the age of its read. The querying node counts that age from the time at which it sent the
 //! query, so neither a delayed datagram nor a suspended host makes a read look more recent than it is.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -12,12 +11,10 @@
 use forward::directory::Engine;
 use forward::relay::{AcceptedReply, Journal, JournalReply, Position, Query, READERS_PER_TOPIC};
 use model::{Host, Upstream, hash};
-use rand::Rng;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use tokio::sync::oneshot;
-use tokio::time::timeout;
 
+use crate::pending::PendingReplies;
 use crate::shared::{Shared, lock};
 use crate::{clock, datagrams};
 
@@ -45,7 +42,7 @@
 pub(crate) struct Relay {
     pub operators: Mutex<Journal<EngineChange>>,
     pub engines: Mutex<Journal<EngineChange>>,
-    pending: Mutex<HashMap<u64, oneshot::Sender<ReplyMessage>>>,
+    pending: PendingReplies<ReplyMessage>,
 }
 
 /// A query from one node to another.
@@ -233,19 +230,15 @@
     topic: RelayedTopic,
     from: Position,
 ) -> Option<JournalReply<EngineChange>> {
-    let number = rand::rng().random();
-    let (sender, receiver) = oneshot::channel();
-    lock(&shared.relay.pending).insert(number, sender);
+    let pending = shared.relay.pending.begin();
     let message = QueryMessage {
-        number,
+        number: pending.number(),
         topic,
         from: from.offset,
         era: from.era,
     };
     datagrams::send_query(&shared.socket, &message, reader);
-    let reply = timeout(REPLY_TIMEOUT, receiver).await;
-    lock(&shared.relay.pending).remove(&number);
-    let Ok(Ok(reply)) = reply else {
+    let Some(reply) = pending.reply(REPLY_TIMEOUT).await else {
         log::debug!(subject = topic.name(), reader:%; "no reply to a query about a topic");
         return None;
     };
@@ -288,8 +281,5 @@
 
 /// Passes a reply to the task that waits for it; a late one is dropped.
 pub(crate) fn deliver_reply(shared: &Shared, reply: ReplyMessage) {
-    if let Some(pending) = lock(&shared.relay.pending).remove(&reply.number) {
-        // The task may have timed out at this moment; it then reads the store.
-        let _ = pending.send(reply);
-    }
+    shared.relay.pending.deliver(reply.number, reply);
 }
