permit: keep permits whose reply comes late

An engine with a request limit got less than it takes while datagrams between nodes are delayed or lost. A request waited 50 ms for the reply to its query for a permit. A later reply was dropped with its permit, which the issuer had counted, and the node asked no more for 0.3 s and a random time.

A permit now belongs to the node. The query goes on when its request does not wait any more or its caller leaves, and the next request uses the permit. It is valid for 0.5 s from the query, by the clock of the node that asked, so that a delayed reply cannot move requests far from the time for which the issuer counted them. A late reply also ends the pause after the missing one. A request that can wait for a permit waits for the reply up to 0.3 s.

The schedules of permits now have a second network, which loses a tenth of the datagrams and delays half of the others by 20 to 300 ms, and nodes whose datagrams stall for up to 10 s.

--- a/crates/entry/src/permit.rs
+++ b/crates/entry/src/permit.rs
@@ -1,34 +1,29 @@
 //! Permits for requests to engines that limit the requests of all nodes together.
 
 use std::net::SocketAddr;
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use forward::BootTime;
 use forward::directory::Engine;
-use forward::permit::{Decision, Fleet, Issuer, interval};
+use forward::permit::{Decision, Fleet, Issuer, Permits as NodePermits};
 use forward::request_limit::{Rate, Report};
 use membership::Member;
 use model::hash;
-use rand::Rng;
 use serde::{Deserialize, Serialize};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
 
 use crate::pending::PendingReplies;
 use crate::request_limit::{self, LimitReport};
 use crate::shared::{HostCounts, Shared, lock};
 use crate::{clock, datagrams};
 
-/// Timeout of a reply: some times the round trip between two failure domains. The request meanwhile waits.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(50);
-
-/// Time for which an engine gets no requests of this node after its issuer did not reply, or did not consider
-/// itself the issuer.
-const NO_ISSUER_BACKOFF: Duration = Duration::from_millis(300);
-
-/// Questions to an issuer for each permit, by all nodes together. A denied node asks again after a random time
-/// that grows with the number of nodes.
-const QUESTIONS_PER_PERMIT: f64 = 4.0;
+/// Range of the time for which a request waits for a reply: at least some times the round trip between two failure
+/// domains, and more if it also waits for the permit itself.
+const MIN_REPLY_TIMEOUT: Duration = Duration::from_millis(50);
+const MAX_REPLY_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// State of the exchange of permits.
 #[derive(Debug)]
@@ -79,18 +74,48 @@
     Remote(SocketAddr),
 }
 
-/// Asks for a permit for a request to an engine, which may wait for up to `max_wait`.
+/// Gets a permit for a request to an engine, which may wait for up to `max_wait`.
 ///
 /// After a denial, this node asks for no permit for the engine for a while.
-pub(crate) async fn acquire(shared: &Shared, engine: &Engine, max_wait: Duration) -> Decision {
+pub(crate) async fn acquire(shared: &Arc<Shared>, engine: &Engine, max_wait: Duration) -> Decision {
+    if let Some(decision) = use_permit(shared, engine, max_wait) {
+        return decision;
+    }
+    let (sender, receiver) = oneshot::channel();
+    tokio::spawn(ask(shared.clone(), engine.clone(), max_wait, sender));
+    let reply_timeout = max_wait.clamp(MIN_REPLY_TIMEOUT, MAX_REPLY_TIMEOUT);
+    let Ok(Ok(decision)) = timeout(reply_timeout, receiver).await else {
+        log::info!(engine = *engine.id; "no reply to a permit query in time");
+        shared.metrics.permits.get_or_create(&[("result", "late")]).inc();
+        if let Some(permits) = lock(&shared.request_limits).permits(engine) {
+            permits.record_silence(clock::now());
+        }
+        return Decision::Denied(NodePermits::NO_ISSUER_BACKOFF);
+    };
+    decision
+}
+
+/// Uses a permit that this node has; `None` if it has none.
+fn use_permit(shared: &Shared, engine: &Engine, max_wait: Duration) -> Option<Decision> {
+    let mut limits = lock(&shared.request_limits);
+    let Some(permits) = limits.permits(engine) else {
+        return Some(Decision::Granted(Duration::ZERO));
+    };
+    permits.take(max_wait, clock::now()).map(Decision::Granted)
+}
+
+/// Asks for a permit and passes the decision on to a request. If that has gone on, this node keeps the permit.
+async fn ask(shared: Arc<Shared>, engine: Engine, max_wait: Duration, request: oneshot::Sender<Decision>) {
     let asked_at = clock::now();
     let report = lock(&shared.request_limits).report(&engine.id, asked_at);
     let Some((report, rate)) = report.and_then(|it| Some((it.clone(), it.rate?))) else {
-        return Decision::Granted(Duration::ZERO);
+        // The limit ended at this moment; the request may have as well.
+        let _ = request.send(Decision::Granted(Duration::ZERO));
+        return;
     };
-    let decision = match issuer_node(shared, &engine.id) {
-        IssuerNode::Local => Some(issue(shared, &report, rate, max_wait)),
-        IssuerNode::Remote(address) => query(shared, &report, max_wait, address).await,
+    let decision = match issuer_node(&shared, &engine.id) {
+        IssuerNode::Local => Some(issue(&shared, &report, rate, max_wait)),
+        IssuerNode::Remote(address) => query(&shared, &report, max_wait, address).await,
     };
     let label = match decision {
         Some(Decision::Granted(_)) => "granted",
@@ -98,21 +123,21 @@
         None => "no_reply",
     };
     shared.metrics.permits.get_or_create(&[("result", label)]).inc();
-    let denied = match decision {
-        Some(Decision::Granted(wait)) => return Decision::Granted(wait),
-        Some(Decision::Denied(wait)) => wait,
-        None => NO_ISSUER_BACKOFF,
+    let Some(decision) = decision else {
+        return;
     };
-    let until = clock::now() + denied + spread(shared, rate);
-    lock(&shared.request_limits).record_denial(engine, until);
-    Decision::Denied(denied)
-}
-
-/// Random time that keeps denied nodes from asking together.
-fn spread(shared: &Shared, rate: Rate) -> Duration {
-    let hosts = shared.host_counts().reachable;
-    let longest = interval(rate).mul_f64(hosts as f64 / QUESTIONS_PER_PERMIT);
-    longest.mul_f64(rand::rng().random_range(0.0..1.0))
+    // Recorded first, as the request that learns of it may ask again.
+    if let Decision::Denied(wait) = decision
+        && let Some(permits) = lock(&shared.request_limits).permits(&engine)
+    {
+        let hosts = shared.host_counts().reachable;
+        permits.record_denial(wait, rate, hosts, clock::now(), &mut rand::rng());
+    }
+    if let Err(Decision::Granted(wait)) = request.send(decision)
+        && let Some(permits) = lock(&shared.request_limits).permits(&engine)
+    {
+        permits.record_grant(wait, asked_at, clock::now());
+    }
 }
 
 /// The reply to a query of another node.
@@ -123,10 +148,12 @@
     let report = lock(&shared.request_limits).report(engine, clock::now());
     let max_wait = Duration::from_millis(query.max_wait_ms);
     let decision = match report.as_ref().map(|it| (it, it.rate)) {
-        _ if issuer_node(shared, engine) != IssuerNode::Local => Decision::Denied(NO_ISSUER_BACKOFF),
+        _ if issuer_node(shared, engine) != IssuerNode::Local => {
+            Decision::Denied(NodePermits::NO_ISSUER_BACKOFF)
+        }
         Some((report, Some(rate))) => issue(shared, report, rate, max_wait),
         Some((_, None)) => Decision::Granted(Duration::ZERO),
-        None => Decision::Denied(NO_ISSUER_BACKOFF),
+        None => Decision::Denied(NodePermits::NO_ISSUER_BACKOFF),
     };
     let (granted, wait) = match decision {
         Decision::Granted(wait) => (true, wait),
@@ -141,7 +168,7 @@
     }
 }
 
-/// Passes a reply to the request that waits for it; a late one is dropped, and its permit is not used.
+/// Passes a reply to the query that it answers; one that is too late for its permit to be valid is dropped.
 pub(crate) fn deliver_reply(shared: &Shared, reply: PermitReply) {
     shared.permits.pending.deliver(reply.number, reply);
 }
@@ -177,7 +204,7 @@
         hosts: shared.host_counts().known,
     };
     datagrams::send_permit_query(&shared.socket, &message, issuer);
-    let Some(reply) = pending.reply(REPLY_TIMEOUT).await else {
+    let Some(reply) = pending.reply(max_wait + NodePermits::RETENTION).await else {
         log::info!(engine = *report.engine, issuer:%; "no reply to a permit query");
         return None;
     };
--- a/crates/forward/src/permit.rs
+++ b/crates/forward/src/permit.rs
@@ -8,11 +8,16 @@
 //! - While hosts have been lost recently, a node issues only the share of the hosts that it can reach, see [`Fleet`].
 //!   The parts of a fleet that was split issue together what the whole fleet did.
 //! - A node that others took for dead begins again as a new issuer as soon as it learns of that.
+//!
+//! A permit belongs to the node that asked for it and not to the request. Replies of a busy issuer come after the
+//! request that asked has gone elsewhere; the node keeps their permits for its next requests, see [`Permits`].
 
 use std::collections::HashMap;
+use std::ops::Range;
 use std::time::Duration;
 
 use model::Upstream;
+use rand::Rng;
 
 use crate::BootTime;
 use crate::request_limit::Rate;
@@ -136,6 +141,72 @@
     }
 }
 
+/// Permits of a node for an engine that no request has used yet, and when the node may ask for more.
+#[derive(Debug, Clone, Default)]
+pub struct Permits {
+    /// Times in which each permit may be used.
+    unused: Vec<Range<BootTime>>,
+    denied_until: BootTime,
+}
+
+impl Permits {
+    /// Time for which a permit is kept, from the query for it, so that neither a delayed reply nor a suspended host
+    /// makes requests come long after the issuer counted them.
+    pub const RETENTION: Duration = Duration::from_millis(500);
+
+    /// Time for which a node does not ask again after a query without a reply, or after one to a node that did not
+    /// consider itself the issuer.
+    pub const NO_ISSUER_BACKOFF: Duration = Duration::from_millis(300);
+
+    /// Questions to an issuer for each permit, by all nodes together. A denied node asks again after a random time
+    /// that grows with the number of nodes.
+    const QUESTIONS_PER_PERMIT: f64 = 4.0;
+
+    /// Records a permit, valid after a wait, that was asked for at a time.
+    pub fn record_grant(&mut self, wait: Duration, asked_at: BootTime, now: BootTime) {
+        self.unused.push(now + wait..asked_at + wait + Self::RETENTION);
+        self.denied_until = now;
+    }
+
+    /// Records that the next permit is free after a wait. `hosts` is the number of hosts that may ask for it.
+    pub fn record_denial(
+        &mut self,
+        wait: Duration,
+        rate: Rate,
+        hosts: usize,
+        now: BootTime,
+        rng: &mut impl Rng,
+    ) {
+        // Denied nodes don't ask together.
+        let longest = interval(rate).mul_f64(hosts as f64 / Self::QUESTIONS_PER_PERMIT);
+        self.denied_until = now + wait + longest.mul_f64(rng.random_range(0.0..1.0));
+    }
+
+    /// Records that a query has no reply in time. A later one replaces this.
+    pub fn record_silence(&mut self, now: BootTime) {
+        self.denied_until = self.denied_until.max(now + Self::NO_ISSUER_BACKOFF);
+    }
+
+    /// Time until a request may use a permit or ask for one.
+    pub fn denied_for(&self, now: BootTime) -> Duration {
+        match self.unused.iter().any(|it| it.contains(&now)) {
+            true => Duration::ZERO,
+            false => self.denied_until.saturating_sub(now),
+        }
+    }
+
+    /// Uses the permit that is valid first, if that is within `max_wait`; returns the wait.
+    pub fn take(&mut self, max_wait: Duration, now: BootTime) -> Option<Duration> {
+        self.unused.retain(|it| now < it.end);
+        let first = (0..self.unused.len()).min_by_key(|it| self.unused[*it].start)?;
+        let wait = self.unused[first].start.saturating_sub(now);
+        (wait <= max_wait).then(|| {
+            self.unused.swap_remove(first);
+            wait
+        })
+    }
+}
+
 /// Mean time between two permits.
 pub fn interval(rate: Rate) -> Duration {
     Duration::from_secs_f64(1.0 / rate.max(Issuer::MIN_RATE))
--- a/crates/forward/src/request_limit.rs
+++ b/crates/forward/src/request_limit.rs
@@ -12,6 +12,7 @@
 
 use crate::BootTime;
 use crate::directory::Engine;
+use crate::permit::Permits;
 
 /// Requests per second.
 pub type Rate = f64;
@@ -33,8 +34,8 @@
     since: BootTime,
     /// When a response last showed this.
     stated_at: BootTime,
-    /// Until when this node gets no permit.
-    denied_until: BootTime,
+    /// Permits of this node under this limit.
+    permits: Permits,
 }
 
 /// A limit, or the end of one, as passed on between nodes.
@@ -73,18 +74,19 @@
         self.statement(engine)?.rate
     }
 
-    /// Time until this node may ask for a permit for a request to an engine; zero if there is no limit.
+    /// Time until this node may use a permit for a request to an engine or ask for one; zero if there is no limit.
     pub fn denied_for(&self, engine: &Engine, now: BootTime) -> Duration {
         self.statement(engine)
             .filter(|it| it.rate.is_some())
-            .map_or(Duration::ZERO, |it| it.denied_until.saturating_sub(now))
+            .map_or(Duration::ZERO, |it| it.permits.denied_for(now))
     }
 
-    /// Records that this node gets no permit for requests to an engine until a time.
-    pub fn record_denial(&mut self, engine: &Engine, until: BootTime) {
-        if let Some(known) = self.engines.get_mut(&engine.id) {
-            known.denied_until = known.denied_until.max(until);
-        }
+    /// Permits of this node for an engine that has a limit.
+    pub fn permits(&mut self, engine: &Engine) -> Option<&mut Permits> {
+        self.engines
+            .get_mut(&engine.id)
+            .filter(|it| it.started_ms == engine.started_ms && it.rate.is_some())
+            .map(|it| &mut it.permits)
     }
 
     /// Records the limit that a response states, if any, to a request that was sent at `sent_at`.
@@ -173,10 +175,10 @@
             rate,
             since,
             stated_at,
-            // A permit may be free earlier under another limit.
-            denied_until: known
+            // Under another limit, a permit may be free earlier, or later than one that was issued.
+            permits: known
                 .filter(|it| it.rate == rate)
-                .map_or(BootTime::ZERO, |it| it.denied_until),
+                .map_or_else(Permits::default, |it| it.permits.clone()),
         };
         self.engines.insert(engine.clone(), statement);
         (before != rate).then_some(Change { before, after: rate })
--- a/crates/forward/tests/permit.rs
+++ b/crates/forward/tests/permit.rs
@@ -1,8 +1,9 @@
-//! Guards against permits that are issued faster than a limit allows, or long after it has risen.
+//! Guards against permits that are issued faster than a limit allows or long after it has risen, and against those
+//! that are lost, used twice or used late by the node that got them.
 
 use std::time::Duration;
 
-use forward::permit::{Decision, Fleet, Issuer};
+use forward::permit::{Decision, Fleet, Issuer, Permits};
 use model::Upstream;
 
 fn at(millis: u64) -> Duration {
@@ -102,3 +103,44 @@
     fleet.record(4, START + Fleet::LOST_RETENTION);
     assert_eq!(fleet.share(2, 2, START + Fleet::LOST_RETENTION), 0.5);
 }
+
+#[test]
+fn permit_of_a_late_reply_is_used_once_by_a_later_request() {
+    let mut permits = Permits::default();
+    permits.record_silence(START);
+    assert_eq!(permits.denied_for(START + at(60)), at(240));
+    permits.record_grant(at(10), START, START + at(100));
+    assert_eq!(permits.take(at(0), START + at(100)), None);
+    assert_eq!(permits.denied_for(START + at(110)), at(0));
+    assert_eq!(permits.take(at(20), START + at(100)), Some(at(10)));
+    assert_eq!(permits.take(at(20), START + at(110)), None);
+}
+
+#[test]
+fn permit_expires_by_the_time_of_its_query() {
+    let mut permits = Permits::default();
+    permits.record_grant(at(0), START, START + at(700));
+    assert_eq!(permits.take(at(0), START + at(700)), None);
+    permits.record_grant(at(0), START, START + at(300));
+    permits.record_grant(at(0), START, START + at(300));
+    assert_eq!(permits.take(at(0), START + at(499)), Some(at(0)));
+    assert_eq!(permits.take(at(0), START + Permits::RETENTION), None);
+}
+
+#[test]
+fn permits_are_used_in_the_order_of_their_times() {
+    let mut permits = Permits::default();
+    permits.record_grant(at(200), START, START);
+    permits.record_grant(at(100), START, START);
+    assert_eq!(permits.take(at(500), START), Some(at(100)));
+    assert_eq!(permits.take(at(500), START), Some(at(200)));
+}
+
+#[test]
+fn late_denial_replaces_the_wait_for_its_reply() {
+    let mut permits = Permits::default();
+    permits.record_silence(START);
+    let hosts = 0;
+    permits.record_denial(at(20), 2.0, hosts, START + at(60), &mut rand::rng());
+    assert_eq!(permits.denied_for(START + at(60)), at(20));
+}
--- a/crates/forward/tests/permit_schedules.rs
+++ b/crates/forward/tests/permit_schedules.rs
@@ -1,13 +1,14 @@
 //! Random schedules of nodes that are stopped, started and cut off while they use an engine with a request limit.
 //!
 //! Guards against a limit that is spent twice because two nodes issue permits, and against one that each part of a
-//! split fleet spends as if it were alone. Deliberate faults show that the checks detect these violations.
+//! split fleet spends as if it were alone, also while datagrams between nodes are delayed and lost, and against an
+//! engine that is then left alone. Deliberate faults show that the checks detect these violations.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use forward::BootTime;
-use forward::permit::{Decision, Fleet, Issuer};
+use forward::permit::{Decision, Fleet, Issuer, Permits};
 use forward::request_limit::Rate;
 use model::{Upstream, hash};
 use proptest::prelude::*;
@@ -42,6 +43,21 @@
 /// Time between two notices of a node to another one.
 const NOTICE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Share of the datagrams that are lost, share of the others that are delayed, and the range of their delay.
+const LOSS: f64 = 0.1;
+const DELAYED: f64 = 0.5;
+const DELAY: std::ops::Range<u64> = 20..300;
+
+/// Time that a request waits for a reply, and for a permit that is not valid yet.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(50);
+const SHORT_WAIT: Duration = Duration::from_millis(20);
+
+/// Share of its limit that an engine gets at least, the permits over which it is counted, and the time in which a
+/// new issuer waits.
+const MIN_SHARE: f64 = 0.5;
+const COUNTED_PERMITS: f64 = 20.0;
+const BEGIN: Duration = Duration::from_secs(4);
+
 /// Time after the last step, in which all nodes learn the state of the fleet.
 const FINAL_WAIT: Duration = Duration::from_secs(22);
 
@@ -55,12 +71,45 @@
     IssuesAfterRefutation,
     /// A node issues all permits even if it cannot reach other nodes.
     NoShare,
+    /// A permit is lost if its reply arrives after the request has gone on.
+    LatePermitsDropped,
+    /// A permit is kept however late its reply arrives.
+    PermitsKept,
 }
 
 #[derive(Debug, PartialEq, Eq)]
 enum Violation {
     /// Nodes that were in touch sent too many requests.
     Limit,
+    /// An engine got less than the minimum share of its limit.
+    Starved,
+}
+
+/// Exchange of permits between nodes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Network {
+    /// Each request gets the reply at once.
+    Immediate,
+    /// Datagrams are delayed and lost.
+    Impaired,
+}
+
+/// An event that is due later.
+#[derive(Debug, Clone, Copy)]
+enum Event {
+    Query(Query),
+    Reply(Query, Decision),
+    /// The request that asked goes on without a reply.
+    Timeout(Query),
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Query {
+    number: u64,
+    node: usize,
+    issuer: usize,
+    asked_at: BootTime,
+    known_hosts: usize,
 }
 
 #[derive(Debug, Clone)]
@@ -74,6 +123,8 @@
     Heal,
     /// All others take a node for dead until it refutes that.
     DeclareDead(usize),
+    /// Datagrams of a node are delivered after some milliseconds.
+    Stall(usize, u16),
 }
 
 #[derive(Debug, Clone)]
@@ -82,6 +133,12 @@
     part: bool,
     issuer: Issuer,
     fleet: Fleet,
+    permits: Permits,
+    /// Queries for whose reply a request waits.
+    waiting: HashSet<u64>,
+    /// Until when datagrams of the node are delayed.
+    stalled_until: BootTime,
+    started_at: BootTime,
     /// Until when the others take it for dead although it runs.
     refuted_at: BootTime,
     /// Last stop, start or cut.
@@ -95,11 +152,16 @@
 #[derive(Debug)]
 struct Simulation {
     fault: Option<Fault>,
+    network: Network,
     rate: Rate,
     engine: Upstream,
     now: BootTime,
     nodes: Vec<Node>,
     requests: VecDeque<(BootTime, usize)>,
+    /// Events by the time at which they are due.
+    events: BTreeMap<(BootTime, u64), Event>,
+    /// Numbers given to queries and events so far.
+    numbers: u64,
     rng: StdRng,
 }
 
@@ -110,12 +172,16 @@
 }
 
 impl Simulation {
-    fn new(fault: Option<Fault>, rate: Rate, seed: u64) -> Self {
+    fn new(fault: Option<Fault>, network: Network, rate: Rate, seed: u64) -> Self {
         let node = Node {
             running: true,
             part: false,
             issuer: Issuer::new(BootTime::ZERO),
             fleet: Fleet::default(),
+            permits: Permits::default(),
+            waiting: HashSet::new(),
+            stalled_until: BootTime::ZERO,
+            started_at: BootTime::ZERO,
             refuted_at: BootTime::ZERO,
             disturbed_at: BootTime::ZERO,
             present: [true; NODES],
@@ -124,11 +190,14 @@
         };
         Self {
             fault,
+            network,
             rate,
             engine: format!("engine-{seed}").into(),
             now: Duration::from_secs(60),
             nodes: vec![node; NODES],
             requests: VecDeque::new(),
+            events: BTreeMap::new(),
+            numbers: 0,
             rng: StdRng::seed_from_u64(seed),
         }
     }
@@ -152,6 +221,10 @@
                     let delay = Duration::from_millis(self.rng.random_range(REFUTATION_DELAY));
                     self.nodes[node].refuted_at = self.now + delay;
                 }
+                Step::Stall(rank, millis) => {
+                    let node = self.ranked(rank);
+                    self.nodes[node].stalled_until = self.now + Duration::from_millis(millis.into());
+                }
                 Step::Heal => {
                     self.nodes.iter_mut().for_each(|it| it.part = false);
                     self.disturb(&(0..NODES).collect::<Vec<_>>());
@@ -187,6 +260,10 @@
             part,
             issuer: Issuer::new(started_at),
             fleet: Fleet::default(),
+            permits: Permits::default(),
+            waiting: HashSet::new(),
+            stalled_until: BootTime::ZERO,
+            started_at: self.now,
             refuted_at: BootTime::ZERO,
             disturbed_at: self.now,
             present: alone,
@@ -288,9 +365,10 @@
             self.notice_refutations();
             self.update_views();
             self.exchange_notices();
+            self.deliver();
             let first = self.rng.random_range(0..NODES);
             for node in (0..NODES).map(|it| (first + it) % NODES) {
-                if self.nodes[node].running && self.is_granted(node) {
+                if self.nodes[node].running && self.may_send(node) {
                     self.requests.push_back((self.now, node));
                     self.check()?;
                 }
@@ -299,14 +377,107 @@
         Ok(())
     }
 
-    fn is_granted(&mut self, node: usize) -> bool {
-        let issuer = self.issuer_of(node);
-        if !self.reaches(node, issuer) || self.issuer_of(issuer) != issuer {
-            return false;
+    /// Whether a request of a node may be sent to the engine.
+    fn may_send(&mut self, node: usize) -> bool {
+        let query = Query {
+            number: self.next_number(),
+            node,
+            issuer: self.issuer_of(node),
+            asked_at: self.now,
+            known_hosts: self.nodes[node].known_hosts(),
+        };
+        if self.network == Network::Immediate {
+            let decision = self.reaches(node, query.issuer).then(|| self.issue(&query));
+            return matches!(decision, Some(Decision::Granted(_)));
+        }
+        let permits = &mut self.nodes[node].permits;
+        if permits.take(SHORT_WAIT, self.now).is_some() {
+            return true;
+        }
+        if permits.denied_for(self.now).is_zero() {
+            self.nodes[node].waiting.insert(query.number);
+            self.schedule(self.now + REPLY_TIMEOUT, Event::Timeout(query));
+            self.send(node, Event::Query(query));
+        }
+        false
+    }
+
+    fn next_number(&mut self) -> u64 {
+        self.numbers += 1;
+        self.numbers
+    }
+
+    fn schedule(&mut self, at: BootTime, event: Event) {
+        let number = self.next_number();
+        self.events.insert((at, number), event);
+    }
+
+    /// Sends a datagram of a node, which may be delayed or lost.
+    fn send(&mut self, from: usize, event: Event) {
+        let (Event::Query(query) | Event::Reply(query, _) | Event::Timeout(query)) = event;
+        if query.node == query.issuer {
+            return self.schedule(self.now, event);
+        }
+        if self.rng.random_bool(LOSS) {
+            return;
+        }
+        let delay = match self.rng.random_bool(DELAYED) {
+            true => self.rng.random_range(DELAY),
+            false => 1,
+        };
+        let at = self.now.max(self.nodes[from].stalled_until) + Duration::from_millis(delay);
+        self.schedule(at, event);
+    }
+
+    /// Handles the events that are due.
+    fn deliver(&mut self) {
+        while let Some(entry) = self.events.first_entry().filter(|it| it.key().0 <= self.now) {
+            match entry.remove() {
+                Event::Query(query) if self.reaches(query.node, query.issuer) => {
+                    let decision = self.issue(&query);
+                    self.send(query.issuer, Event::Reply(query, decision));
+                }
+                Event::Reply(query, decision) if self.reaches(query.node, query.issuer) => {
+                    self.record_reply(&query, decision);
+                }
+                Event::Timeout(query) => {
+                    let node = &mut self.nodes[query.node];
+                    if node.waiting.remove(&query.number) {
+                        node.permits.record_silence(self.now);
+                    }
+                }
+                Event::Query(_) | Event::Reply(..) => {}
+            }
         }
-        let known = self.nodes[node].known_hosts();
-        let view = &mut self.nodes[issuer];
-        view.fleet.record(known, self.now);
+    }
+
+    fn record_reply(&mut self, query: &Query, decision: Decision) {
+        let node = &mut self.nodes[query.node];
+        let is_waiting = node.waiting.remove(&query.number);
+        let is_dropped = !is_waiting && self.fault == Some(Fault::LatePermitsDropped);
+        if query.asked_at < node.started_at || is_dropped {
+            return;
+        }
+        let asked_at = match self.fault {
+            Some(Fault::PermitsKept) => self.now,
+            _ => query.asked_at,
+        };
+        match decision {
+            Decision::Granted(wait) => node.permits.record_grant(wait, asked_at, self.now),
+            Decision::Denied(wait) => {
+                node.permits
+                    .record_denial(wait, self.rate, NODES, self.now, &mut self.rng);
+            }
+        }
+    }
+
+    /// The decision of the node that is asked.
+    fn issue(&mut self, query: &Query) -> Decision {
+        if self.issuer_of(query.issuer) != query.issuer {
+            return Decision::Denied(Permits::NO_ISSUER_BACKOFF);
+        }
+        let view = &mut self.nodes[query.issuer];
+        view.fleet.record(query.known_hosts, self.now);
         let present = view.present.iter().filter(|it| **it).count();
         let share = match self.fault {
             Some(Fault::NoShare) => 1.0,
@@ -316,11 +487,12 @@
             Some(Fault::NoTakeOver) => Issuer::PROPAGATION,
             _ => Duration::from_secs(60),
         };
-        let wait = Duration::ZERO;
-        let decision = view
-            .issuer
-            .request(&self.engine, self.rate * share, since, wait, self.now);
-        matches!(decision, Decision::Granted(_))
+        let max_wait = match self.network {
+            Network::Immediate => Duration::ZERO,
+            Network::Impaired => SHORT_WAIT,
+        };
+        view.issuer
+            .request(&self.engine, self.rate * share, since, max_wait, self.now)
     }
 
     fn check(&mut self) -> Result<(), Violation> {
@@ -360,38 +532,93 @@
     ]
 }
 
+/// Steps while datagrams are delayed.
+fn impaired_step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        13 => step(),
+        1 => (rank(), 0..10_000_u16).prop_map(|(rank, millis)| Step::Stall(rank, millis)),
+    ]
+}
+
 type Schedule = (usize, u64, Vec<Step>);
 
 /// Limits in requests per second.
 const RATES: [Rate; 4] = [0.5, 2.1, 20.0, 60.0];
 
-fn schedules() -> impl Strategy<Value = Schedule> {
-    let steps = prop::collection::vec(step(), 1..24);
+fn schedules(network: Network) -> impl Strategy<Value = Schedule> {
+    let step = match network {
+        Network::Immediate => step().boxed(),
+        Network::Impaired => impaired_step().boxed(),
+    };
+    let steps = prop::collection::vec(step, 1..24);
     (0..RATES.len(), any::<u64>(), steps)
 }
 
-fn run(fault: Option<Fault>, (rate, seed, steps): &Schedule) -> Result<(), Violation> {
-    Simulation::new(fault, RATES[*rate], *seed).run(steps)
+fn run(network: Network, fault: Option<Fault>, (rate, seed, steps): &Schedule) -> Result<(), Violation> {
+    Simulation::new(fault, network, RATES[*rate], *seed).run(steps)
+}
+
+/// Checks that an engine gets the minimum share of its limit while nothing but datagrams fails.
+fn run_undisturbed(fault: Option<Fault>, (rate, seed): (usize, u64)) -> Result<(), Violation> {
+    let mut simulation = Simulation::new(fault, Network::Impaired, RATES[rate], seed);
+    simulation.wait(BEGIN)?;
+    let time = WINDOW.max(Duration::from_secs_f64(COUNTED_PERMITS / RATES[rate]));
+    let begin = simulation.now;
+    let mut sent = 0;
+    while simulation.now < begin + time {
+        let before = simulation.now;
+        simulation.wait(REQUEST_INTERVAL)?;
+        sent += simulation.requests.iter().filter(|it| it.0 > before).count();
+    }
+    match sent as f64 >= MIN_SHARE * RATES[rate] * time.as_secs_f64() {
+        true => Ok(()),
+        false => Err(Violation::Starved),
+    }
+}
+
+fn undisturbed() -> impl Strategy<Value = (usize, u64)> {
+    (0..RATES.len(), any::<u64>())
 }
 
 #[test]
 fn nodes_keep_a_limit_together() {
-    schedule::assert_rules_hold(CASES, &schedules(), |it| run(None, &it));
+    let network = Network::Immediate;
+    schedule::assert_rules_hold(CASES, &schedules(network), |it| run(network, None, &it));
+}
+
+#[test]
+fn nodes_keep_a_limit_together_while_datagrams_are_delayed() {
+    let network = Network::Impaired;
+    schedule::assert_rules_hold(CASES, &schedules(network), |it| run(network, None, &it));
+}
+
+#[test]
+fn engine_gets_what_it_takes_while_datagrams_are_delayed() {
+    schedule::assert_rules_hold(CASES, &undisturbed(), |it| run_undisturbed(None, it));
+}
+
+#[test]
+fn permits_that_are_lost_with_their_request_are_detected() {
+    let fault = Some(Fault::LatePermitsDropped);
+    let run = |it| run_undisturbed(fault, it);
+    schedule::assert_fault_detected(CASES, &undisturbed(), &Violation::Starved, run);
 }
 
 macro_rules! faults {
-    ($($name:ident: $fault:ident => $violation:ident;)*) => {
+    ($($name:ident: $fault:ident in $network:ident;)*) => {
         $(#[test]
         fn $name() {
-            let expected = Violation::$violation;
-            schedule::assert_fault_detected(CASES, &schedules(), &expected, |it| run(Some(Fault::$fault), &it));
+            let network = Network::$network;
+            let run = |it| run(network, Some(Fault::$fault), &it);
+            schedule::assert_fault_detected(CASES, &schedules(network), &Violation::Limit, run);
         })*
     };
 }
 
 faults! {
-    permits_issued_by_each_node_are_detected: IssuedByEachNode => Limit;
-    issuer_that_does_not_wait_is_detected: NoTakeOver => Limit;
-    issuer_that_was_taken_for_dead_is_detected: IssuesAfterRefutation => Limit;
-    issuer_of_a_part_that_issues_for_all_is_detected: NoShare => Limit;
+    permits_issued_by_each_node_are_detected: IssuedByEachNode in Immediate;
+    issuer_that_does_not_wait_is_detected: NoTakeOver in Immediate;
+    issuer_that_was_taken_for_dead_is_detected: IssuesAfterRefutation in Immediate;
+    issuer_of_a_part_that_issues_for_all_is_detected: NoShare in Immediate;
+    permits_that_are_kept_are_detected: PermitsKept in Impaired;
 }
--- a/crates/forward/tests/request_limit.rs
+++ b/crates/forward/tests/request_limit.rs
@@ -118,9 +118,21 @@
 #[test]
 fn denial_lasts_until_its_time_or_the_end_of_the_limit() {
     let mut limits = limited();
-    limits.record_denial(&engine(1), at(2000));
+    limits.permits(&engine(1)).unwrap().record_silence(at(1700));
     assert_eq!(limits.denied_for(&engine(1), at(1600)), at(400));
     assert_eq!(limits.denied_for(&engine(1), at(2100)), at(0));
     limits.record_response(&engine(1), None, at(1100), at(1500));
     assert_eq!(limits.denied_for(&engine(1), at(1600)), at(0));
+    assert!(limits.permits(&engine(1)).is_none());
+}
+
+#[test]
+fn permits_of_another_limit_are_not_used() {
+    let mut limits = limited();
+    limits
+        .permits(&engine(1))
+        .unwrap()
+        .record_grant(at(0), at(1400), at(1500));
+    limits.record_response(&engine(1), Some(1.0), at(1500), at(1600));
+    assert_eq!(limits.permits(&engine(1)).unwrap().take(at(0), at(1600)), None);
 }
