--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -22,6 +22,7 @@
 mod model_choice;
 mod notice;
 mod open_requests;
+mod pending;
 mod permit;
 mod relay;
 mod releases;
