--- a/crates/entry/src/selection.rs
+++ b/crates/entry/src/selection.rs
@@ -38,9 +38,9 @@
 /// Why no engine of a service takes a request now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Shortage {
-    /// All limit their requests; this node may ask for the next permit after this time.
+    /// The first that may take one limits its requests; this node may ask for a permit after this time.
     Limited(Duration),
-    /// All want no requests for a time; the first opens after this time.
+    /// The first that may take one is closed, and opens after this time.
     Closed(Duration),
     /// All leave.
     Leaving,
@@ -146,34 +146,34 @@
 
 /// Waits for the first engine that opens, or for the next permit, if that is in time for the caller.
 async fn wait_for_engine(context: &RequestContext, candidates: &[Candidate]) -> Wait {
-    let Some(Candidate { engine, access }) = first_to_open(candidates) else {
-        return Wait::TooLong;
-    };
-    if matches!(access, Access::Limited(_)) {
-        let Decision::Granted(wait) = ask(context, engine, permit_patience(context, engine)).await else {
-            return wait_for_opening(context, candidates).await;
-        };
+    let opening = opening_in_time(context, candidates);
+    let limited = candidates
+        .iter()
+        .filter(|it| matches!(it.access, Access::Limited(_)))
+        .min_by_key(|it| it.access.wait())
+        .filter(|it| opening.is_none() || it.access.wait() <= opening);
+    if let Some(Candidate { engine, .. }) = limited
+        && let Decision::Granted(wait) = ask(context, engine, permit_patience(context, engine)).await
+    {
         return match usable_after(context, engine, wait).await {
             Some((engine, arm)) => Wait::Usable(engine, arm),
             None => Wait::Again,
         };
     }
-    wait_for_opening(context, candidates).await
+    let Some(wait) = opening else {
+        return Wait::TooLong;
+    };
+    sleep(wait.min(RECHECK_INTERVAL)).await;
+    Wait::Again
 }
 
-/// Waits a little for the first closed engine if it opens in time.
-async fn wait_for_opening(context: &RequestContext, candidates: &[Candidate]) -> Wait {
+/// Time until the first closed engine opens, if that is in time for the caller.
+fn opening_in_time(context: &RequestContext, candidates: &[Candidate]) -> Option<Duration> {
     let closed = candidates.iter().filter_map(|it| match it.access {
         Access::Closed(wait) => Some(wait),
         _ => None,
     });
-    match closed.min() {
-        Some(wait) if wait <= patience(context) => {
-            sleep(wait.min(RECHECK_INTERVAL)).await;
-            Wait::Again
-        }
-        _ => Wait::TooLong,
-    }
+    closed.min().filter(|it| *it <= patience(context))
 }
 
 /// Time that a request can wait and still be answered within its latency goal.
