release: evidence of a stage begins when it is active, and nodes that start late know what is usual

- new_driver_does_not_complete_on_responses_of_earlier_stages: a driver that starts anew merged the counters since the order into the evidence of the stage.
The first counters of a process no longer count for the stage.
- responses_before_a_stage_is_active_are_no_evidence_of_it: the evidence began when the stage was recorded, 1.2 s before.
- failures_on_many_routes_halt_a_release: each route had an alarm of its own, the service had none.
- node_that_starts_during_a_release_keeps_to_the_permitted_share: responses since the start of the process were taken for those since the order.
- release_without_evidence_is_reverted_in_time_at_any_phase_of_the_rounds: the verdict left less than a round.
Both count only if there is something to compare with, and until ten responses of the old version are known a quarter of them is assumed to be bad. counters_of_other_nodes_halt_a_release had no response of the old version; its counters now have ten each, the assertion is unchanged.
- Read: the decision is taken again after the store was waited for, so a halt meanwhile is not overtaken by Complete; a notice about another version with the same offset is ignored.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -60,7 +60,7 @@
 #[derive(Debug)]
 pub(crate) enum AttemptOutcome {
     /// The engine responded to this request.
-    Responded(EngineResponse),
+    Responded(Box<EngineResponse>),
     /// The attempt failed.
     Failed {
         /// Kind of failure.
@@ -121,7 +121,7 @@
     /// Last event that the caller has.
     pub last_event_id: Option<u64>,
     /// Response of a silent engine. It is dropped, which stops that engine, once another engine is connected.
-    pub replaced: Option<EngineResponse>,
+    pub replaced: Option<Box<EngineResponse>>,
 }
 
 /// Sends a request to an engine and waits for the head of the response.
@@ -380,7 +380,7 @@
     let ratio = grading.record_first_byte(elapsed, is_stream).unwrap_or(1.0);
     engine_response.grading = Some(grading);
     lock(&shared.loads).record_success(engine, ratio, clock::now());
-    AttemptOutcome::Responded(engine_response)
+    AttemptOutcome::Responded(Box::new(engine_response))
 }
 
 /// Bound at which a response is cut off.
--- a/crates/entry/src/grading.rs
+++ b/crates/entry/src/grading.rs
@@ -93,8 +93,13 @@
     }
 
     /// Records that the engine ran the request and responded with a failure.
+    ///
+    /// It counts only if a success would: otherwise a node that has just started would count nothing but failures.
     pub(crate) fn record_failure(mut self) {
-        self.close(ResponseGrade::Bad);
+        match self.first_byte_ratio(Duration::ZERO) {
+            Some(_) => self.close(ResponseGrade::Bad),
+            None => self.progress = Progress::Closed,
+        }
     }
 
     /// Ends without a grade: the engine refused the request or broke off, which says nothing about its version.
--- a/crates/entry/src/notice.rs
+++ b/crates/entry/src/notice.rs
@@ -170,7 +170,12 @@
     let Some(release) = releases.get_mut(&*notice.service) else {
         return;
     };
-    if release.order().position.offset != notice.order {
+    // In another era, an order for another version may have the same offset.
+    let is_other = notice
+        .details
+        .as_ref()
+        .is_some_and(|it| *it.target != *release.order().target);
+    if release.order().position.offset != notice.order || is_other {
         return;
     }
     let now = clock::now();
--- a/crates/entry/src/releases.rs
+++ b/crates/entry/src/releases.rs
@@ -62,7 +62,7 @@
         let hosts = shared.host_counts().known;
         let current: Vec<_> = {
             let mut releases = lock(&shared.releases);
-            releases.values_mut().for_each(|it| it.set_hosts(hosts));
+            releases.values_mut().for_each(|it| it.tick(hosts, now));
             let current = releases
                 .values()
                 .filter(|it| !it.has_ended() || it.has_ended_within(now, END_NOTICE_TIME));
@@ -139,7 +139,7 @@
             log::info!(service, target, stage:?, elapsed_ms, evidence:?; "release status recorded");
         }
         Ok(AppendOutcome::Conflict) => {
-            log::info!(service, target, stage:?; "another node recorded a release status first");
+            log::info!(service, target, stage:?; "release status not recorded: the decision no longer holds");
         }
         Err(err) => {
             log::warn!(service, target, stage:?, error:% = err; "release status not recorded");
@@ -151,11 +151,12 @@
 async fn record(shared: &Shared, release: &Release, stage: Stage) -> Result<AppendOutcome, Error> {
     let end = read_statuses(shared).await?;
     let service = &release.order().service;
-    // The status just read may have ended the release or be a later stage.
-    let current = lock(&shared.releases)
+    // The status just read may have ended the release or be a later stage, and the release may have been halted while
+    // the store was waited for.
+    let decision = lock(&shared.releases)
         .get(service)
-        .map(|it| (it.stage(), it.has_ended()));
-    if current.is_none_or(|(known, ended)| ended || known > stage) {
+        .map(|it| it.decide(clock::now()));
+    if decision != Some(Decision::Record(stage)) {
         return Ok(AppendOutcome::Conflict);
     }
     let status = release.status_for(stage, clock::now());
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -257,7 +257,7 @@
     /// With a final response.
     Response(Response<ResponseBody>),
     /// With a stream that an engine has begun.
-    Stream(EngineResponse),
+    Stream(Box<EngineResponse>),
 }
 
 /// Sends a request to engines until there is a final response or the begin of a stream.
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -34,7 +34,7 @@
 const DEFAULT_MAX_EVENT_GAP: Duration = Duration::from_secs(5);
 
 /// Starts the response with the head received from the first engine.
-pub(crate) fn start(context: RequestContext, engine_response: EngineResponse) -> Response<ResponseBody> {
+pub(crate) fn start(context: RequestContext, engine_response: Box<EngineResponse>) -> Response<ResponseBody> {
     let (sender, receiver) = mpsc::channel(BUFFERED_BATCHES);
     let is_complete = Arc::new(AtomicBool::new(false));
     let caller = Caller {
@@ -109,7 +109,11 @@
     Failed(Failure),
 }
 
-async fn forward_stream(mut context: RequestContext, mut engine_response: EngineResponse, caller: Caller) {
+async fn forward_stream(
+    mut context: RequestContext,
+    mut engine_response: Box<EngineResponse>,
+    caller: Caller,
+) {
     let mut cursor = Cursor::after(context.metadata.last_event_id);
     let mut splitter = Splitter::default();
     loop {
@@ -280,7 +284,7 @@
     cursor: Cursor,
     resumption: &mut Resumption,
     caller: &Caller,
-) -> Option<EngineResponse> {
+) -> Option<Box<EngineResponse>> {
     let mut failure = failure;
     loop {
         if !cursor.can_resume() {
--- a/crates/forward/src/evidence.rs
+++ b/crates/forward/src/evidence.rs
@@ -8,8 +8,8 @@
 //!   version that turns bad.
 //! - The *assurance* rises with good responses and never falls below zero, so that a route that turns bad loses it.
 //!
-//! The assurance of the whole service, over all routes, begins at zero in each stage, so that a stage is left only on
-//! responses of its own.
+//! The same sums are kept over all routes. The assurance of the whole service begins at zero when a stage becomes active,
+//! so that it is left only on responses of its own.
 //!
 //! What a good version may do is measured by the latest responses of the old one, which meet the same load.
 
@@ -118,6 +118,11 @@
 /// Responses of the old version over which its share of bad ones is averaged.
 const OLD_RESPONSES: f64 = 150.0;
 
+/// Responses of the old version from which on its share of bad ones is known, and the share that is assumed without
+/// any: a node that has just started must not take the usual failures of a service for those of the new version.
+const ENOUGH_OLD_RESPONSES: f64 = 10.0;
+const ASSUMED_SHARE: f64 = 0.25;
+
 /// Parameters of a test.
 #[derive(Debug, Clone, Copy)]
 struct TestParameters {
@@ -161,7 +166,8 @@
         let kept = (1.0 - 1.0 / OLD_RESPONSES).powf(old.0 as f64);
         self.old = self.old * kept + old.0 as f64;
         self.old_bad = self.old_bad * kept + old.1 as f64;
-        let old_share = self.old_bad / self.old.max(1.0);
+        let known = (self.old / ENOUGH_OLD_RESPONSES).min(1.0);
+        let old_share = known * self.old_bad / self.old.max(1.0) + (1.0 - known) * ASSUMED_SHARE;
         let good_share = (parameters.tolerance + parameters.old_factor * old_share)
             .min(MAX_BAD_SHARE - parameters.increase);
         let bad_share = good_share + parameters.increase;
@@ -195,8 +201,12 @@
         ]
     }
 
+    fn alarm(&self) -> f64 {
+        self.failures.alarm.max(self.latency.alarm)
+    }
+
     fn is_bad(&self) -> bool {
-        self.failures.alarm >= ALARM_THRESHOLD || self.latency.alarm >= ALARM_THRESHOLD
+        self.alarm() >= ALARM_THRESHOLD
     }
 
     fn assurance(&self) -> f64 {
@@ -209,6 +219,8 @@
 pub(crate) struct Evidence {
     counters: HashMap<Incarnation, Counters>,
     routes: BTreeMap<Name, Route>,
+    /// Alarm of the service by failures and by latency.
+    alarm: [f64; 2],
     /// Assurance of the service by failures and by latency since the begin of the stage.
     stage_assurance: [f64; 2],
 }
@@ -220,18 +232,21 @@
         let counters = self.counters.entry(of).or_default();
         let known = counters.entry(route.clone()).or_default();
         *known = known.plus(response);
-        self.add(route, response);
+        self.add(route, response, true);
     }
 
     /// Merges the counters of a process; they only grow, so larger counters are newer.
+    ///
+    /// The first counters of a process may be of earlier stages.
     pub(crate) fn merge(&mut self, of: Incarnation, counters: Counters) {
+        let is_of_stage = self.counters.contains_key(&of);
         for (route, tally) in counters {
             let known = self.counters.entry(of).or_default();
             let known = known.entry(route.clone()).or_default();
             if tally.all() > known.all() {
                 let added = tally.minus(*known);
                 *known = tally;
-                self.add(&route, added);
+                self.add(&route, added, is_of_stage);
             }
         }
     }
@@ -241,10 +256,13 @@
         self.counters.get(&of)
     }
 
-    fn add(&mut self, route: &Name, added: Tally) {
+    fn add(&mut self, route: &Name, added: Tally, is_of_stage: bool) {
         let ratios = self.routes.entry(route.clone()).or_default().add(added);
-        for (assurance, ratio) in self.stage_assurance.iter_mut().zip(ratios) {
-            *assurance = (*assurance - ratio).max(0.0);
+        for (index, ratio) in ratios.into_iter().enumerate() {
+            self.alarm[index] = (self.alarm[index] + ratio).max(0.0);
+            if is_of_stage {
+                self.stage_assurance[index] = (self.stage_assurance[index] - ratio).max(0.0);
+            }
         }
     }
 
@@ -266,10 +284,13 @@
         weighty.all(|it| it.assurance() >= ROUTE_ASSURANCE)
     }
 
-    /// A route on which the new version is bad.
+    /// A route on which the new version is bad; if it is bad over all routes only, the worst of them.
     pub(crate) fn bad_route(&self) -> Option<&Name> {
-        let mut routes = self.routes.iter();
-        routes.find(|(_, it)| it.is_bad()).map(|(route, _)| route)
+        let is_service_bad = self.alarm.iter().any(|it| *it >= ALARM_THRESHOLD);
+        let mut bad = self.routes.iter().filter(|(_, it)| it.is_bad() || is_service_bad);
+        let first = bad.next()?;
+        let worst = bad.fold(first, |a, b| if b.1.alarm() > a.1.alarm() { b } else { a });
+        Some(worst.0)
     }
 
     /// Totals of all known responses on a route.
--- a/crates/forward/src/release.rs
+++ b/crates/forward/src/release.rs
@@ -131,7 +131,7 @@
 const MAX_FIRST_SHARE: f64 = 0.5;
 
 /// Time after the order until the number of requests in its duration is estimated.
-const VOLUME_TIME: Duration = Duration::from_secs(1);
+const VOLUME_TIME: Duration = Duration::from_secs(2);
 
 /// Time for the sessions pinned to the old version to reach all nodes: three rounds of the exchange.
 const PIN_TIME: Duration = Duration::from_millis(1500);
@@ -142,9 +142,9 @@
 /// Fraction of the duration after which the release may complete and the old engines may stop.
 const COMPLETION_FRACTION: f64 = 0.84;
 
-/// Fraction of the duration after which a release that is not known to be good is reverted; the rest is for
-/// recording this.
-const VERDICT_FRACTION: f64 = 0.97;
+/// Time before the end of the duration at which a release that is not known to be good is reverted: a round, and the time
+/// of a call to the store.
+const VERDICT_LEAD: Duration = Duration::from_millis(750);
 
 /// Requests to a bad version that the operators permit.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -193,7 +193,11 @@
     /// Number of hosts of the fleet.
     hosts: usize,
     started_at: BootTime,
+    /// When this process learned of the order.
+    known_since: BootTime,
     stage: Stage,
+    /// Whether responses count as evidence of the stage.
+    is_stage_begun: bool,
     /// Stage that is active until `effective_after`.
     previous_stage: Stage,
     effective_after: Duration,
@@ -221,7 +225,9 @@
             exposure,
             hosts: 1,
             started_at: now,
+            known_since: now,
             stage: Stage::Trial(0),
+            is_stage_begun: true,
             previous_stage: Stage::Trial(0),
             effective_after: Duration::ZERO,
             is_recorded: false,
@@ -265,9 +271,14 @@
         self.ended_at.is_some_and(|it| now.saturating_sub(it) < time)
     }
 
-    /// Sets the number of hosts of the fleet, whose requests are estimated from those that this node knows.
-    pub fn set_hosts(&mut self, hosts: usize) {
+    /// Begins the evidence of a stage that has become active, and takes the number of hosts of the fleet, whose requests
+    /// are estimated from those that this node knows. To be called in each round.
+    pub fn tick(&mut self, hosts: usize, now: BootTime) {
         self.hosts = hosts.max(1);
+        if !self.is_stage_begun && self.active_stage(now) == self.stage {
+            self.is_stage_begun = true;
+            self.evidence.begin_stage();
+        }
     }
 
     /// Records that the order is at least this old, as another node knows.
@@ -297,7 +308,7 @@
             self.previous_stage = self.active_stage(now);
             self.stage = status.stage;
             self.effective_after = status.effective_after;
-            self.evidence.begin_stage();
+            self.is_stage_begun = false;
             if self.stage >= Stage::Complete {
                 self.ended_at = Some(now);
             }
@@ -373,8 +384,7 @@
         let is_first = trial == 0;
         let (id, share) = match subject {
             Subject::Session(id) => (id, self.session_share(trial)),
-            Subject::Request(id) if is_first => (id, self.first_request_share(now)),
-            Subject::Request(id) => (id, self.session_share(trial)),
+            Subject::Request(id) => (id, self.request_share(trial, now)),
         };
         let hash = self.hash(id);
         if !is_within(hash, share) {
@@ -395,13 +405,13 @@
         self.exposure.share * TRIALS[trial].exposures
     }
 
-    /// Share of the requests without a session that get the new version in the first stage.
+    /// Share of the requests without a session that get the new version in a stage.
     ///
     /// The fewer requests there are, the larger it is: the permitted number of requests beyond the share counts
     /// for more, and a decision needs a number of responses rather than a share.
-    fn first_request_share(&self, now: BootTime) -> f64 {
-        let least = self.session_share(0);
-        let elapsed = self.elapsed(now);
+    fn request_share(&self, trial: usize, now: BootTime) -> f64 {
+        let least = self.session_share(trial);
+        let elapsed = now.saturating_sub(self.known_since);
         let (responses, processes) = self.evidence.volume();
         if elapsed < VOLUME_TIME || responses == 0 {
             return least;
@@ -409,7 +419,11 @@
         let of_fleet = responses as f64 * (self.hosts as f64 / processes as f64).max(1.0);
         let in_duration = of_fleet * self.order.duration.as_secs_f64() / elapsed.as_secs_f64();
         let permitted = self.exposure.share + self.exposure.slack / in_duration;
-        (permitted * FIRST_REQUEST_EXPOSURES).clamp(least, MAX_FIRST_SHARE.max(least))
+        let (exposures, most) = match trial {
+            0 => (FIRST_REQUEST_EXPOSURES, MAX_FIRST_SHARE),
+            _ => (TRIALS[trial].exposures, 1.0),
+        };
+        (permitted * exposures).clamp(least, most.max(least))
     }
 
     /// Records that the old version finished a request; the session timeout counts from now, however long the
@@ -506,10 +520,9 @@
             return Decision::Record(Stage::Trial(0));
         }
         let progress = self.elapsed(now).as_secs_f64() / self.order.duration.as_secs_f64().max(0.001);
-        let is_active = self.active_stage(now) == self.stage;
         // In the first stage, routes with few requests yield too few responses in time; the next one yields more.
         let are_routes_assured = stage == 0 || self.evidence.are_routes_assured();
-        if is_active && are_routes_assured && self.evidence.is_service_assured() {
+        if self.is_stage_begun && are_routes_assured && self.evidence.is_service_assured() {
             let (next, begin) = match TRIALS.get(usize::from(stage) + 1) {
                 Some(it) => (Stage::Trial(stage + 1), it.begin),
                 None => (Stage::Complete, COMPLETION_FRACTION),
@@ -518,7 +531,7 @@
                 return Decision::Record(next);
             }
         }
-        match progress >= VERDICT_FRACTION {
+        match self.elapsed(now) + VERDICT_LEAD >= self.order.duration {
             true => Decision::Record(Stage::Reverted),
             false => Decision::Hold,
         }
--- a/crates/forward/tests/release.rs
+++ b/crates/forward/tests/release.rs
@@ -64,6 +64,7 @@
     let mut stages = vec![];
     let mut now = time.start;
     while now <= time.end {
+        release.tick(1, now);
         respond(release, now);
         if let Decision::Record(stage) = release.decide(now) {
             let status = release.status_for(stage, now);
@@ -252,6 +253,7 @@
     let mut release = release();
     for bits in 2..6 {
         let tally = Tally {
+            old: 10,
             new: 1,
             new_bad: 1,
             ..Tally::default()
