entry: a closing node serves the connections that wait to be accepted

A node without open connections exited at once when it began to close, so a caller whose connection waited in the listener's queue, or was accepted but not polled yet, lost it. The listener now counts as open until its queue is empty, a connection counts from its accept on, and one that waited has 30 ms for its first byte. Found in review; the race is too short for a test that fails reliably.

--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -162,11 +162,11 @@
     while elapsed() < plan.final_responses && (elapsed() < serve_time || open.len() > 0) {
         sleep(DRAIN_POLL).await;
     }
-    // A connection closes when its last response is written.
+    // The listener closes when no connection waits, and a connection when its last response is written.
     shared.closing.send_replace(true);
-    while elapsed() < plan.exit && open.connections() > 0 {
+    while elapsed() < plan.exit && open.sockets() > 0 {
         sleep(CLOSE_POLL).await;
     }
     open.log_cut();
-    open.connections()
+    open.sockets()
 }
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -17,7 +17,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::sleep;
 
-use crate::open_requests::OpenConnection;
+use crate::open_requests::OpenSocket;
 use crate::response::TrackedBody;
 use crate::shared::{Shared, lock};
 use crate::{control, request};
@@ -28,6 +28,9 @@
 /// Pause after a failed accept, which would fail again at once while file descriptors are exhausted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time in which the first byte on a connection that waited to be accepted is read before a stopping node closes it.
+const FIRST_BYTE_TIME: Duration = Duration::from_millis(30);
+
 /// Idle timeout of a connection until a configuration is known.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -57,6 +60,8 @@
 
 /// Accepts connections, those of callers until the node closes, and others until the process ends.
 pub(crate) async fn accept(shared: Arc<Shared>, listener: TcpListener, role: Role) {
+    let open = || (role == Role::Entry).then(|| OpenSocket::begin(&shared));
+    let _open = open();
     let mut closes = pin!(async {
         match role {
             Role::Entry => shared.closes().await,
@@ -72,7 +77,7 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(serve(shared.clone(), stream, role));
+                tokio::spawn(serve(shared.clone(), stream, role, open()));
             }
             Err(err) => {
                 log::warn!(error:% = err; "connection not accepted");
@@ -82,7 +87,7 @@
     }
 }
 
-async fn serve(shared: Arc<Shared>, stream: TcpStream, role: Role) {
+async fn serve(shared: Arc<Shared>, stream: TcpStream, role: Role, _open: Option<OpenSocket>) {
     // Otherwise an event is delayed until the one before it is acknowledged.
     if let Err(err) = stream.set_nodelay(true) {
         log::debug!("TCP_NODELAY: {err}");
@@ -93,7 +98,6 @@
     let max_head = limits
         .map_or(DEFAULT_MAX_HEAD_BYTES, |it| it.max_header_bytes)
         .max(MIN_MAX_HEAD_BYTES);
-    let _open = (role == Role::Entry).then(|| OpenConnection::begin(&shared));
     let is_leaving = shared.is_leaving();
     let service = service_fn(|request| respond(shared.clone(), role, request));
     let connection = http1::Builder::new()
@@ -124,7 +128,10 @@
     match (role, accepted_while_leaving) {
         // Callers use an open connection until a response or the end of the connection tells them of the stop.
         (Role::Entry, false) => shared.stop_reaches(|it| it.addresses_expired).await,
-        (Role::Entry, true) => shared.closes().await,
+        (Role::Entry, true) => {
+            shared.closes().await;
+            sleep(FIRST_BYTE_TIME).await;
+        }
         (Role::Control, false) => shared.stop_reaches(|_| Duration::ZERO).await,
         (Role::Control, true) => pending().await,
     }
--- a/crates/entry/src/open_requests.rs
+++ b/crates/entry/src/open_requests.rs
@@ -1,4 +1,4 @@
-//! Requests that have arrived and whose responses are not complete, and the connections that they came on.
+//! Requests that have arrived and whose responses are not complete, and the sockets that they come on.
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -30,7 +30,7 @@
 pub(crate) struct OpenRequests {
     last_number: AtomicU64,
     progress: Mutex<HashMap<u64, Progress>>,
-    connections: AtomicUsize,
+    sockets: AtomicUsize,
 }
 
 impl OpenRequests {
@@ -39,9 +39,9 @@
         lock(&self.progress).len()
     }
 
-    /// Number of open connections of callers.
-    pub(crate) fn connections(&self) -> usize {
-        self.connections.load(Ordering::SeqCst)
+    /// Number of open sockets for callers: connections, and the listener.
+    pub(crate) fn sockets(&self) -> usize {
+        self.sockets.load(Ordering::SeqCst)
     }
 
     /// Logs the open requests, which the exit of the process cuts off.
@@ -110,19 +110,19 @@
     }
 }
 
-/// A connection of a caller that is open until this is dropped, after the last response was written.
+/// A socket for callers that is open until this is dropped; a connection is, until its last response is written.
 #[derive(Debug)]
-pub(crate) struct OpenConnection(Arc<Shared>);
+pub(crate) struct OpenSocket(Arc<Shared>);
 
-impl OpenConnection {
+impl OpenSocket {
     pub(crate) fn begin(shared: &Arc<Shared>) -> Self {
-        shared.open_requests.connections.fetch_add(1, Ordering::SeqCst);
+        shared.open_requests.sockets.fetch_add(1, Ordering::SeqCst);
         Self(shared.clone())
     }
 }
 
-impl Drop for OpenConnection {
+impl Drop for OpenSocket {
     fn drop(&mut self) {
-        self.0.open_requests.connections.fetch_sub(1, Ordering::SeqCst);
+        self.0.open_requests.sockets.fetch_sub(1, Ordering::SeqCst);
     }
 }
--- a/crates/forward/src/drain.rs
+++ b/crates/forward/src/drain.rs
@@ -8,7 +8,7 @@
 /// Time between the exit and the responses to the requests that are still running, in which these are written.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(200);
 
-/// Time that a signal takes to reach the node, by which its stop is older than the node knows.
+/// Maximum time from the signal to the begin of the stop.
 const SIGNAL_DELAY: Duration = Duration::from_millis(200);
 
 /// Course of a planned stop, as times since its begin.
@@ -36,7 +36,7 @@
     /// Whether a request that arrives at a time of the stop, and may take `time_left`, is served.
     pub fn accepts(&self, time_left: Duration, elapsed: Duration) -> bool {
         // Few requests take all of their time, so callers with a cached address are not turned away.
-        let is_cached = elapsed + SIGNAL_DELAY < self.addresses_expired;
-        is_cached || elapsed + time_left <= self.final_responses
+        let may_be_cached = elapsed + SIGNAL_DELAY < self.addresses_expired;
+        may_be_cached || elapsed + time_left <= self.final_responses
     }
 }
