entry: bound the connections of callers by the descriptors of the host

What callers saw: callers that open connections and leave them idle can take all descriptors of a node. Then no engine can be reached, which counts against the engines, and other callers wait unaccepted. (From the code; not seen in a run.)

Fix: two thirds of the descriptors that are not reserved (300) are for callers; the number is a setting (`node.descriptors`, from the platform's settings). A connection beyond that is closed unread, which tells its caller that nothing ran, and is counted and logged.

Also a test of large events for callers that do not read: 50 streams of events of 256 KiB.

--- a/crates/config/src/settings/entry.rs
+++ b/crates/config/src/settings/entry.rs
@@ -21,6 +21,8 @@
     pub cores: usize,
     /// Bytes of memory that the process may use.
     pub memory: usize,
+    /// File descriptors that the process may have open.
+    pub descriptors: usize,
 }
 
 /// Addresses that the node listens on.
@@ -136,6 +138,9 @@
 /// Memory of the smallest host that nodes run on.
 const DEFAULT_MEMORY_MB: usize = 110;
 
+/// File descriptors of the smallest host that nodes run on.
+const DEFAULT_DESCRIPTORS: usize = 4_100;
+
 const BYTES_PER_MB: usize = 1_000_000;
 
 fn node(reader: &mut Reader<'_>) -> Option<Node> {
@@ -144,12 +149,14 @@
     let region = reader.name("node", "region");
     let cores = reader.count("node", "cores", 1..=256, 1);
     let memory_mb = reader.count("node", "memory_mb", 32..=1_000_000, DEFAULT_MEMORY_MB);
+    let descriptors = reader.count("node", "descriptors", 500..=10_000_000, DEFAULT_DESCRIPTORS);
     Some(Node {
         host: host?,
         failure_domain: failure_domain?,
         region: region?,
         cores: cores?,
         memory: memory_mb? * BYTES_PER_MB,
+        descriptors: descriptors?,
     })
 }
 
--- a/crates/config/tests/entry_settings.rs
+++ b/crates/config/tests/entry_settings.rs
@@ -21,6 +21,13 @@
     assert_eq!(settings.seeds, ["10.2.0.1:7340".parse().unwrap()]);
 }
 
+#[test]
+fn resources_of_the_host_are_read() {
+    let text = TEXT.replace("cores = 2\n", "memory_mb = 260\ndescriptors = 8200\n");
+    let node = Settings::parse("node.ini", &text).unwrap().node;
+    assert_eq!((node.memory, node.descriptors), (260_000_000, 8200));
+}
+
 #[test]
 fn fractional_times_are_accepted() {
     let text = TEXT.replace(
@@ -76,6 +83,9 @@
 errors! {
     all_errors_are_reported: "cores = 2\n" => "cores = 0\ncolour = red\n",
         "[node] cores: 0 is not between 1 and 256", "[node] colour: unknown key";
+    memory_too_small: "cores = 2\n" => "memory_mb = 16\n", "[node] memory_mb: 16 is not between 32 and 1000000";
+    too_few_descriptors: "cores = 2\n" => "descriptors = 100\n",
+        "[node] descriptors: 100 is not between 500 and 10000000";
     missing_address: "address = 10.200.0.1:90\n" => "", "[store] address: the key is missing";
     time_out_of_range: "grace_seconds = 8" => "grace_seconds = 0.5",
         "[bounds] grace_seconds: 0 is not between 1 and 86400";
--- a/crates/daemon/tests/endless.rs
+++ b/crates/daemon/tests/endless.rs
@@ -15,7 +15,7 @@
 
 use common::endless::{EndlessEngine, Part};
 use common::engine::Engine;
-use common::http::{Message, call, read};
+use common::http::{Message, call, read, send};
 use common::node::request;
 use common::store::Store;
 use common::{engine, free_address, wait_until};
@@ -133,6 +133,24 @@
     endless_event: Event of "/draft/1" at "pool";
 }
 
+/// Guards against a process that is killed for its memory while callers do not read large events.
+#[test]
+fn large_events_for_callers_that_do_not_read() {
+    let store = Store::spawn();
+    let engine = EndlessEngine::spawn(Part::LargeEvents);
+    engine.register(&store, "e0", "pool");
+    let daemon = Daemon::spawn("large-events", &store);
+    println!("after the start: {} kB", daemon.memory_kb("VmHWM"));
+    let callers: Vec<_> = (0..PEERS)
+        .map(|idx| send(daemon.entry, &request("/draft/1", &format!("a{idx}"), "")))
+        .collect();
+    wait_until("the streams to be cut off", || {
+        engine.request_count() == PEERS && engine.open_connections() == 0
+    });
+    daemon.assert_peak_below_host_memory();
+    drop(callers);
+}
+
 /// Guards against a process that is killed for its memory while many callers send a body without end.
 #[test]
 fn endless_bodies_of_callers() {
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -15,6 +15,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
 use crate::response::ResponseBody;
@@ -28,6 +29,13 @@
 /// Pause after a failed accept, which would fail again at once while file descriptors are exhausted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Descriptors for files, connections to the store, and the sockets of the node itself.
+const RESERVED_DESCRIPTORS: usize = 300;
+
+/// Part of the other descriptors that connections of callers may take. Most of these connections are idle; the
+/// rest is for connections to engines.
+const CALLER_FRACTION: f64 = 2.0 / 3.0;
+
 /// Idle timeout of a connection until a configuration is known.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -44,6 +52,17 @@
     Control,
 }
 
+impl Role {
+    /// Maximum number of open connections.
+    fn max_connections(self, descriptors: usize) -> usize {
+        let available = descriptors.saturating_sub(RESERVED_DESCRIPTORS);
+        match self {
+            Self::Entry => (available as f64 * CALLER_FRACTION) as usize,
+            Self::Control => Semaphore::MAX_PERMITS,
+        }
+    }
+}
+
 /// Listens on an address.
 pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = match address {
@@ -57,11 +76,22 @@
 
 /// Accepts connections until the process ends.
 pub(crate) async fn accept(shared: Arc<Shared>, listener: TcpListener, role: Role) {
+    let free = Arc::new(Semaphore::new(
+        role.max_connections(shared.settings().node.descriptors),
+    ));
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::spawn(serve(shared.clone(), stream, role));
-            }
+            Ok((stream, _)) => match free.clone().try_acquire_owned() {
+                Ok(permit) => {
+                    let connection = serve(shared.clone(), stream, role);
+                    tokio::spawn(async move {
+                        connection.await;
+                        drop(permit);
+                    });
+                }
+                // The connection is closed unread, so the caller knows that its request did not run.
+                Err(_) => record_cut_off(&shared, "connections", "too many connections"),
+            },
             Err(err) => {
                 log::warn!(error:% = err; "connection not accepted");
                 sleep(ACCEPT_PAUSE).await;
@@ -118,9 +148,13 @@
             return;
         }
     };
+    record_cut_off(shared, bound, &err.to_string());
+}
+
+fn record_cut_off(shared: &Shared, bound: &'static str, error: &str) {
     let label = [("bound", bound)];
     shared.metrics.connections_cut_off.get_or_create(&label).inc();
-    log::info!(bound, error:% = err; "connection of a caller cut off");
+    log::info!(bound, error; "connection of a caller cut off");
 }
 
 async fn respond(
