--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -16,6 +16,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
 use crate::open_requests::OpenSocket;
@@ -33,6 +34,13 @@
 /// Time in which the first byte on a connection that waited to be accepted is read before a stopping node closes it.
 const FIRST_BYTE_TIME: Duration = Duration::from_millis(30);
 
+/// Descriptors for files, connections to the store, and the sockets of the node itself.
+const RESERVED_DESCRIPTORS: usize = 300;
+
+/// Part of the other descriptors that connections of callers may take. Most of these connections are idle; the
+/// rest is for connections to engines.
+const CALLER_FRACTION: f64 = 2.0 / 3.0;
+
 /// Idle timeout of a connection until a configuration is known.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -49,6 +57,17 @@
     Control,
 }
 
+impl Role {
+    /// Maximum number of open connections.
+    fn max_connections(self, descriptors: usize) -> usize {
+        let available = descriptors.saturating_sub(RESERVED_DESCRIPTORS);
+        match self {
+            Self::Entry => (available as f64 * CALLER_FRACTION) as usize,
+            Self::Control => Semaphore::MAX_PERMITS,
+        }
+    }
+}
+
 /// Listens on an address.
 pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = match address {
@@ -70,6 +89,9 @@
             Role::Control => pending().await,
         }
     });
+    let free = Arc::new(Semaphore::new(
+        role.max_connections(shared.settings().node.descriptors),
+    ));
     loop {
         let accepted = tokio::select! {
             biased;
@@ -78,9 +100,17 @@
             () = closes.as_mut() => return,
         };
         match accepted {
-            Ok((stream, _)) => {
-                tokio::spawn(serve(shared.clone(), stream, role, open()));
-            }
+            Ok((stream, _)) => match free.clone().try_acquire_owned() {
+                Ok(permit) => {
+                    let connection = serve(shared.clone(), stream, role, open());
+                    tokio::spawn(async move {
+                        connection.await;
+                        drop(permit);
+                    });
+                }
+                // The connection is closed unread, so the caller knows that its request did not run.
+                Err(_) => record_cut_off(&shared, "connections", "too many connections"),
+            },
             Err(err) => {
                 log::warn!(error:% = err; "connection not accepted");
                 sleep(ACCEPT_PAUSE).await;
@@ -138,9 +168,13 @@
             return;
         }
     };
+    record_cut_off(shared, bound, &err.to_string());
+}
+
+fn record_cut_off(shared: &Shared, bound: &'static str, error: &str) {
     let label = [("bound", bound)];
     shared.metrics.connections_cut_off.get_or_create(&label).inc();
-    log::info!(bound, error:% = err; "connection of a caller cut off");
+    log::info!(bound, error; "connection of a caller cut off");
 }
 
 /// Completes when a connection is closed unless a request is in progress on it.
