--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -21,6 +21,7 @@
 
 use crate::client::{self, Connection};
 use crate::grading::Grading;
+use crate::in_flight::InFlight;
 use crate::protocol::{ForwardMetadata, ResponseMetadata};
 use crate::request::RequestContext;
 use crate::response::{ResponseBody, strip_connection_headers};
@@ -81,40 +82,6 @@
     }
 }
 
-/// Counts a request in the load of an engine until it is dropped.
-#[derive(Debug)]
-struct InFlight {
-    shared: Arc<Shared>,
-    engine: Arc<Engine>,
-    /// Work that is pending until the response starts.
-    pending: Option<Work>,
-}
-
-impl InFlight {
-    fn start(shared: &Arc<Shared>, engine: &Arc<Engine>, work: Work) -> Self {
-        lock(&shared.loads).record_sent(engine, work);
-        Self {
-            shared: shared.clone(),
-            engine: engine.clone(),
-            pending: Some(work),
-        }
-    }
-
-    /// Records that the response has started.
-    fn record_response_start(&mut self) {
-        if let Some(work) = self.pending.take() {
-            lock(&self.shared.loads).record_response_start(&self.engine, work);
-        }
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.record_response_start();
-        lock(&self.shared.loads).record_end(&self.engine);
-    }
-}
-
 /// What an attempt goes on from, if it isn't the first one to respond.
 #[derive(Debug, Default)]
 pub(crate) struct Resumption {
--- /dev/null
+++ b/crates/entry/src/in_flight.rs
@@ -0,0 +1,43 @@
+//! Requests that engines process.
+
+use std::sync::Arc;
+
+use forward::directory::Engine;
+use forward::work::Work;
+
+use crate::shared::{Shared, lock};
+
+/// Counts a request in the load of an engine until it is dropped.
+#[derive(Debug)]
+pub(crate) struct InFlight {
+    shared: Arc<Shared>,
+    pub engine: Arc<Engine>,
+    /// Work that is pending until the response starts.
+    pending: Option<Work>,
+}
+
+impl InFlight {
+    /// Counts a request that is about to be sent.
+    pub(crate) fn start(shared: &Arc<Shared>, engine: &Arc<Engine>, work: Work) -> Self {
+        lock(&shared.loads).record_sent(engine, work);
+        Self {
+            shared: shared.clone(),
+            engine: engine.clone(),
+            pending: Some(work),
+        }
+    }
+
+    /// Records that the response has started.
+    pub(crate) fn record_response_start(&mut self) {
+        if let Some(work) = self.pending.take() {
+            lock(&self.shared.loads).record_response_start(&self.engine, work);
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.record_response_start();
+        lock(&self.shared.loads).record_end(&self.engine);
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,9 +7,11 @@
 
 pub mod grading;
 mod handle;
+mod in_flight;
 pub mod protocol;
 
 mod attempt;
+mod authorisation;
 mod body;
 mod client;
 mod clock;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use forward::BootTime;
-use forward::configuration::{Configuration, Limits, Organisation, Route, RouteKind};
+use forward::configuration::{Limits, Organisation, Route, RouteKind};
 use forward::directory::Engine;
 use forward::escalation::Confidence;
 use forward::release::{Arm, Subject};
@@ -15,7 +15,7 @@
 use forward::work::Work;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::{HOST, HeaderMap};
+use hyper::header::HeaderMap;
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response};
 use model::Name;
@@ -27,7 +27,7 @@
 use crate::response::{Refusal, ResponseBody, TrackedBody, strip_connection_headers};
 use crate::selection::{self, Shortage};
 use crate::shared::{Shared, lock};
-use crate::{body, clock, stream};
+use crate::{authorisation, body, clock, stream};
 
 /// Maximum body size until a configuration is known.
 const DEFAULT_MAX_BODY_BYTES: usize = 4 << 20;
@@ -139,7 +139,7 @@
     let limits = lock(&shared.configuration).value().map(|it| it.limits);
     let body = read_body(shared, body, limits, metadata.deadline).await?;
     let now = clock::now();
-    let (route, organisation) = authorise(shared, &head, &metadata, now)?;
+    let (route, organisation) = authorisation::authorise(shared, &head, &metadata, now)?;
     let timeout = metadata
         .deadline
         .map_or(route.timeout, |it| it.min(route.timeout));
@@ -210,48 +210,6 @@
     }
 }
 
-/// The route of a request, and the organisation that holds its key.
-fn authorise(
-    shared: &Shared,
-    head: &Parts,
-    metadata: &RequestMetadata,
-    now: BootTime,
-) -> Result<(Arc<Route>, Option<Arc<Organisation>>), Refusal> {
-    let bounds = &shared.settings().bounds;
-    let (configuration, age) = {
-        let cached = lock(&shared.configuration);
-        let configuration = cached.value().cloned().ok_or(Refusal::NotConfigured)?;
-        (configuration, cached.age(now).unwrap_or(Duration::MAX))
-    };
-    // A newer configuration may contain what is missing here, so a stale one must not give a permanent error.
-    let permanent = |it| {
-        if age < bounds.config {
-            it
-        } else {
-            Refusal::NotConfigured
-        }
-    };
-    let route = find_route(&configuration, head).ok_or_else(|| permanent(Refusal::NoRoute))?;
-    if route.public || !configuration.needs_keys() {
-        return Ok((route.clone(), None));
-    }
-    // The key may have been revoked since the last confirmation; the caller sent the request before `now`.
-    if bounds.strict_revocation && age >= bounds.revocation {
-        return Err(Refusal::StaleConfiguration);
-    }
-    let key = metadata.key.as_deref();
-    let organisation = key.and_then(|it| configuration.organisation(it));
-    let organisation = organisation.ok_or_else(|| permanent(Refusal::BadKey))?;
-    Ok((route.clone(), Some(organisation.clone())))
-}
-
-fn find_route<'a>(configuration: &'a Configuration, head: &Parts) -> Option<&'a Arc<Route>> {
-    let host = head.headers.get(HOST).and_then(|it| it.to_str().ok());
-    let host = host.or_else(|| head.uri.host()).unwrap_or_default();
-    let host = host.split(':').next().unwrap_or_default();
-    configuration.route(host, head.uri.path())
-}
-
 /// How a request was served.
 enum Served {
     /// With a final response.
--- a/crates/forward/src/release.rs
+++ b/crates/forward/src/release.rs
@@ -9,6 +9,10 @@
 //! known to be good near the end of its time is reverted too. A recorded end is final: the old engines stop
 //! when a release completes, so there is nothing to return to.
 
+mod order;
+mod stage;
+mod trial;
+
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
@@ -17,69 +21,10 @@
 use crate::BootTime;
 use crate::evidence::Evidence;
 pub use crate::evidence::{Counters, ResponseGrade, Tally};
-use crate::relay::Position;
-
-/// An order of the operators to release a version.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ReleaseOrder {
-    /// Service.
-    pub service: Name,
-    /// Version to release.
-    pub target: Name,
-    /// Time within which the release must be complete or reverted.
-    pub duration: Duration,
-    /// Position of the order in its log; a later order replaces an earlier one.
-    pub position: Position,
-}
-
-/// Progress of a release.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Stage {
-    /// The new version gets a share of the traffic that depends on the index of the stage.
-    Trial(u8),
-    /// The new version gets all traffic, and the old engines may stop.
-    Complete,
-    /// The new version gets no traffic.
-    Reverted,
-}
-
-impl Stage {
-    /// Encoding of the stage in messages between nodes.
-    pub fn code(self) -> u8 {
-        match self {
-            Self::Trial(stage) => stage.min(Self::COMPLETE - 1),
-            Self::Complete => Self::COMPLETE,
-            Self::Reverted => Self::REVERTED,
-        }
-    }
-
-    /// Decodes [`Self::code`].
-    pub fn from_code(code: u8) -> Self {
-        match code {
-            Self::COMPLETE => Self::Complete,
-            Self::REVERTED => Self::Reverted,
-            stage => Self::Trial(stage),
-        }
-    }
 
-    const COMPLETE: u8 = 254;
-    const REVERTED: u8 = 255;
-}
-
-/// The recorded state of a release.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ReleaseStatus {
-    /// Offset of the order.
-    pub order_offset: u64,
-    /// Version to release.
-    pub target: Name,
-    /// Recorded stage.
-    pub stage: Stage,
-    /// Time from the order to the writing of the record.
-    pub elapsed: Duration,
-    /// Time from the order to the change of stage, which allows all nodes to change together.
-    pub effective_after: Duration,
-}
+pub use self::order::{Exposure, ReleaseOrder, ReleaseStatus};
+pub use self::stage::Stage;
+use self::trial::TRIALS;
 
 /// Which version serves a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -93,36 +38,6 @@
 /// A response is slow if its time to the first byte exceeds the usual one of the old version by this factor.
 pub const SLOW_RATIO: f64 = 3.0;
 
-/// A stage of the trial.
-#[derive(Debug, Clone, Copy)]
-struct Trial {
-    /// Fraction of the duration after which it may begin.
-    begin: f64,
-    /// Share of the traffic, in units of the permitted exposure.
-    exposures: f64,
-}
-
-/// The stages of the trial.
-///
-/// The share stays small for half of the duration, because sessions must not change to the new version before,
-/// and because a version that turns bad late must have got only a small part of all requests by then. The
-/// second stage shows a version that is bad under load, with a share that leaves time to detect it. The last one
-/// moves all traffic, and leaves time for the streams of the old engines to end.
-const TRIALS: [Trial; 3] = [
-    Trial {
-        begin: 0.0,
-        exposures: 0.6,
-    },
-    Trial {
-        begin: 0.5,
-        exposures: 2.2,
-    },
-    Trial {
-        begin: 0.7,
-        exposures: f64::INFINITY,
-    },
-];
-
 /// Share of the requests without a session in the first stage, in units of the permitted exposure. It lasts for half
 /// of the duration, and these requests need not wait until running sessions are known.
 const FIRST_REQUEST_EXPOSURES: f64 = 0.8;
@@ -146,15 +61,6 @@
 /// of a call to the store.
 const VERDICT_LEAD: Duration = Duration::from_millis(750);
 
-/// Requests to a bad version that the operators permit.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Exposure {
-    /// Share of all requests to the service from the order to the end of its duration.
-    pub share: f64,
-    /// Number of requests beyond that share.
-    pub slack: f64,
-}
-
 /// What the version of a request depends on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Subject<'a> {
