--- a/crates/daemon/tests/endless.rs
+++ b/crates/daemon/tests/endless.rs
@@ -176,10 +176,9 @@
             let (entry, chunks) = (daemon.entry, chunks.clone());
             thread::spawn(move || {
                 let mut stream = TcpStream::connect(entry).unwrap();
-                let head = format!(
-                    "POST /look/1 HTTP/1.1\r\nHost: shop.example\r\nBronzevale-Attempt-Id: a{idx}\r\n\
-                     Bronzevale-Deadline-Ms: 4000\r\nTransfer-Encoding: chunked\r\n\r\n"
-                );
+                let head = request("/look/1", &format!("a{idx}"), "").replace("8000", "4000");
+                let head = head.replace("Content-Length: 4", "Transfer-Encoding: chunked");
+                let head = head.trim_end_matches("body");
                 stream.write_all(head.as_bytes()).unwrap();
                 stream.set_write_timeout(Some(Duration::from_secs(8))).unwrap();
                 stream.set_read_timeout(Some(Duration::from_secs(8))).unwrap();
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -21,6 +21,7 @@
 use tokio::time::timeout;
 
 use crate::client::{self, Connection};
+use crate::cut_off::{Bound, record_cut_off};
 use crate::protocol::{ForwardMetadata, ResponseMetadata, StatedLimit};
 use crate::request::RequestContext;
 use crate::request_limit;
@@ -364,58 +365,6 @@
     AttemptOutcome::Responded(engine_response)
 }
 
-/// Bound at which a response is cut off.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Bound {
-    /// Size of the head.
-    Head,
-    /// Size of what surrounds the body: chunk sizes, chunk extensions, trailers.
-    Framing,
-    /// Size of a body, or its number of parts.
-    Body,
-    /// Size of one event.
-    Event,
-    /// Events that the caller already has.
-    Duplicates,
-    /// Memory for all bodies together.
-    Memory,
-}
-
-impl Bound {
-    /// Name in logs and metrics.
-    fn as_str(self) -> &'static str {
-        match self {
-            Self::Head => "head",
-            Self::Framing => "framing",
-            Self::Body => "body",
-            Self::Event => "event",
-            Self::Duplicates => "duplicates",
-            Self::Memory => "memory",
-        }
-    }
-
-    /// What the cut-off means for the attempt.
-    fn failure(self) -> Failure {
-        match self {
-            Self::Head | Self::Framing | Self::Body | Self::Event | Self::Duplicates => Failure::Overlong,
-            // Other responses may have used up the memory.
-            Self::Memory => Failure::Lost,
-        }
-    }
-}
-
-/// Logs and counts a response that is cut off; returns the failure.
-fn record_cut_off(shared: &Shared, engine: &Engine, id: &str, bound: Bound) -> Failure {
-    let label = [("bound", bound.as_str())];
-    shared.metrics.responses_cut_off.get_or_create(&label).inc();
-    log::warn!(id, engine = *engine.id, bound = bound.as_str(); "response cut off");
-    let failure = bound.failure();
-    if failure == Failure::Overlong {
-        lock(&shared.loads).record_failure(engine, failure, clock::now());
-    }
-    failure
-}
-
 impl EngineResponse {
     /// Records that this response is cut off; returns the failure.
     pub(crate) fn cut_off(&self, context: &RequestContext, bound: Bound) -> Failure {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod client;
 mod clock;
 mod control;
+mod cut_off;
 mod datagrams;
 mod follow;
 mod listener;
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -13,8 +13,9 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
 
-use crate::attempt::{AttemptOutcome, Bound, EngineResponse, MAX_RESPONSE_BYTES, attempt};
+use crate::attempt::{AttemptOutcome, EngineResponse, MAX_RESPONSE_BYTES, attempt};
 use crate::clock;
+use crate::cut_off::Bound;
 use crate::memory::{self, FREE_BYTES, Reservation};
 use crate::request::RequestContext;
 use crate::response::{ResponseBody, strip_connection_headers};
