--- a/crates/daemon/tests/endless.rs
+++ b/crates/daemon/tests/endless.rs
@@ -13,7 +13,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::endless::{EndlessEngine, Part};
+use common::endless::{CONFIG, EndlessEngine, Part};
 use common::engine::Engine;
 use common::http::{Message, call, read, send};
 use common::node::request;
@@ -26,14 +26,6 @@
 /// Engines or callers that misbehave at once.
 const PEERS: usize = 50;
 
-const CONFIG: &str = r#"{"version":1,"routes":[
-    {"name":"look","host":"shop.example","pathPrefix":"/look/","type":"safe",
-        "timeoutMs":6000,"goalMs":2000,"service":"desk","attempts":2,"public":true},
-    {"name":"draft","host":"shop.example","pathPrefix":"/draft/","type":"streaming","resumable":true,
-        "timeoutMs":6000,"goalMs":2000,"service":"pool","attempts":2,"public":true,"gapTargetMs":1000}],
-    "services":[{"name":"desk","maxConns":900},{"name":"pool","maxConns":900}],
-    "limits":{"maxHeaderBytes":16384,"maxBodyBytes":16000000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}"#;
-
 struct Daemon {
     child: Child,
     entry: SocketAddr,
