--- a/crates/daemon/tests/endless.rs
+++ b/crates/daemon/tests/endless.rs
@@ -13,7 +13,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::endless::{EndlessEngine, Part};
+use common::endless::{CONFIG, EndlessEngine, Part};
 use common::engine::Engine;
 use common::http::{Message, call, read, send};
 use common::node::request;
@@ -26,14 +26,6 @@
 /// Engines or callers that misbehave at once.
 const PEERS: usize = 50;
 
-const CONFIG: &str = r#"{"version":1,"routes":[
-    {"name":"look","host":"shop.example","pathPrefix":"/look/","type":"safe",
-        "timeoutMs":6000,"goalMs":2000,"service":"desk","attempts":2,"public":true},
-    {"name":"draft","host":"shop.example","pathPrefix":"/draft/","type":"streaming","resumable":true,
-        "timeoutMs":6000,"goalMs":2000,"service":"pool","attempts":2,"public":true,"gapTargetMs":1000}],
-    "services":[{"name":"desk","maxConns":900},{"name":"pool","maxConns":900}],
-    "limits":{"maxHeaderBytes":16384,"maxBodyBytes":16000000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}"#;
-
 struct Daemon {
     child: Child,
     entry: SocketAddr,
@@ -176,10 +168,9 @@
             let (entry, chunks) = (daemon.entry, chunks.clone());
             thread::spawn(move || {
                 let mut stream = TcpStream::connect(entry).unwrap();
-                let head = format!(
-                    "POST /look/1 HTTP/1.1\r\nHost: shop.example\r\nBronzevale-Attempt-Id: a{idx}\r\n\
-                     Bronzevale-Deadline-Ms: 4000\r\nTransfer-Encoding: chunked\r\n\r\n"
-                );
+                let head = request("/look/1", &format!("a{idx}"), "").replace("8000", "4000");
+                let head = head.replace("Content-Length: 4", "Transfer-Encoding: chunked");
+                let head = head.trim_end_matches("body");
                 stream.write_all(head.as_bytes()).unwrap();
                 stream.set_write_timeout(Some(Duration::from_secs(8))).unwrap();
                 stream.set_read_timeout(Some(Duration::from_secs(8))).unwrap();
