--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -27,7 +27,7 @@
 use crate::request::RequestContext;
 use crate::response::{ResponseBody, strip_connection_headers};
 use crate::selection::{self, Selection};
-use crate::shared::{Shared, lock};
+use crate::shared::lock;
 use crate::{body, clock, statement};
 
 /// Timeout for connecting to an engine. The failure domains of a region are a few milliseconds apart; a lost
