--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -31,6 +31,7 @@
     // Cost.
     ("cascade", load::cascade::run),
     ("rollout", load::rollout::run),
+    ("release", load::release::run),
     // Load.
     ("rush", load::rush::run),
     ("faults", load::faults::run),
