--- a/crates/load/src/release.rs
+++ b/crates/load/src/release.rs
@@ -5,12 +5,17 @@
 
 use std::time::Duration;
 
-use crate::report::{Report, Table, Target};
+use crate::report::{Report, Series, Table, Target};
 
+mod baseline;
 mod node;
 mod simulation;
 mod traffic;
 
+#[cfg(test)]
+mod tests;
+
+use baseline::Rule;
 use simulation::{Outcome, Trial, Trouble};
 use traffic::{Quality, Service};
 
@@ -43,24 +48,11 @@
 }
 
 fn run_with(seed: u64, seeds: u64) -> Report {
-    let columns = [
-        "release", "seeds", "past bound", "over exposed", "not reverted", "halted", "late", "exposed p95",
-        "halt s", "halt s p95",
-    ];
-    let mut report = Report {
-        experiment: "release".into(),
-        seed,
-        targets: vec![],
-        table: Table {
-            columns: columns.map(String::from).to_vec(),
-            rows: vec![],
-        },
-        x_label: "seconds from the order to the halt".into(),
-        y_label: "share of bad versions halted".into(),
-        series: vec![],
-    };
-    for service in [Service::Plain, Service::Model] {
-        for trouble in TROUBLES {
+    let mut report = empty(seed);
+    let variants = TROUBLES.map(|it| (it, None)).into_iter();
+    let baselines = [Rule::FixedShare, Rule::Sequential].map(|it| (Trouble::None, Some(it)));
+    for (trouble, baseline) in variants.chain(baselines) {
+        for service in [Service::Plain, Service::Model] {
             for quality in QUALITIES {
                 for rate in RATES {
                     let trial = Trial {
@@ -68,6 +60,7 @@
                         quality,
                         rate,
                         trouble,
+                        baseline,
                     };
                     measure(&mut report, trial, seeds);
                 }
@@ -77,6 +70,34 @@
     report
 }
 
+fn empty(seed: u64) -> Report {
+    let columns = [
+        "release",
+        "seeds",
+        "past bound",
+        "over exposed",
+        "not reverted",
+        "halted",
+        "late",
+        "exposed p95",
+        "halt s",
+        "halt s p95",
+        "complete s p95",
+    ];
+    Report {
+        experiment: "release".into(),
+        seed,
+        targets: vec![],
+        table: Table {
+            columns: columns.map(String::from).to_vec(),
+            rows: vec![],
+        },
+        x_label: "seconds from the order to the halt, plain service, 30 requests/s".into(),
+        y_label: "share of bad versions halted".into(),
+        series: vec![],
+    }
+}
+
 fn measure(report: &mut Report, trial: Trial, seeds: u64) {
     let outcomes = simulate(trial, report.seed * 100_000, seeds);
     let share = |of: &dyn Fn(&Outcome) -> bool| {
@@ -85,7 +106,7 @@
     let name = format!(
         "{}, {}, {}, {}/s",
         trial.service.label(),
-        trial.trouble.label(),
+        trial.baseline.map_or(trial.trouble.label(), Rule::label),
         trial.quality.label(),
         trial.rate
     );
@@ -104,6 +125,11 @@
         .collect();
     halts.sort_unstable();
     exposed.sort_unstable_by(f64::total_cmp);
+    let mut completions: Vec<_> = outcomes
+        .iter()
+        .map(|it| it.completed_at.unwrap_or(Duration::MAX))
+        .collect();
+    completions.sort_unstable();
     let percent = |it: f64| format!("{:.1}%", it * 100.0);
     let only = |cond: bool, text: String| if cond { text } else { "-".into() };
     let seconds = |it: Duration| match it {
@@ -122,19 +148,41 @@
         format!("{:.3}", quantile(&exposed, 0.95)),
         only(!is_good, seconds(quantile(&halts, 0.5))),
         only(!is_good, seconds(quantile(&halts, 0.95))),
+        only(is_good, seconds(quantile(&completions, 0.95))),
     ]);
+    if trial.baseline.is_some() {
+        return;
+    }
+    if !is_good && trial.is_plotted() {
+        report.series.push(Series {
+            name: trial.quality.label(),
+            points: distribution(&halts),
+        });
+    }
     if is_good {
         report.targets.extend([
             Target::at_most(format!("{name}: halted"), 0.01, halted),
             Target::at_most(format!("{name}: late"), 0.0, late),
         ]);
     } else {
-        report
-            .targets
-            .push(Target::at_most(format!("{name}: past the bound"), 0.0, past_bound));
+        report.targets.push(Target::at_most(
+            format!("{name}: past the bound"),
+            0.0,
+            past_bound,
+        ));
     }
 }
 
+/// Share of releases that are halted by each time.
+fn distribution(halts: &[Duration]) -> Vec<(f64, f64)> {
+    let count = halts.len() as f64;
+    let halted = halts.iter().filter(|it| **it < Duration::MAX);
+    halted
+        .enumerate()
+        .map(|(idx, it)| (it.as_secs_f64(), (idx + 1) as f64 / count))
+        .collect()
+}
+
 fn quantile<T: Copy>(sorted: &[T], share: f64) -> T {
     let rank = (sorted.len() as f64 * share).ceil() as usize;
     sorted[rank.clamp(1, sorted.len()) - 1]
--- a/crates/load/src/release/node.rs
+++ b/crates/load/src/release/node.rs
@@ -5,10 +5,10 @@
 use forward::BootTime;
 use forward::first_byte::FirstByteTimes;
 use forward::relay::Position;
+pub(super) use forward::release::Stage;
 use forward::release::{
     Arm, Counters, Decision, Release, ReleaseOrder, ReleaseStatus, ResponseGrade, SLOW_RATIO, SessionHash,
 };
-pub(super) use forward::release::Stage;
 use model::{Incarnation, Name};
 
 use super::traffic::{Request, Response};
@@ -62,14 +62,20 @@
         let Some(release) = &mut self.release else {
             return Arm::Old;
         };
-        release.assign_arm(&subject(request), now)
+        release.assign_arm(&request.subject(), now)
     }
 
     /// Records that a request is sent to an engine.
     pub(super) fn record_sent(&mut self, _request: &Request, _arm: Arm, _now: BootTime) {}
 
     /// Grades and records a response.
-    pub(super) fn record_response(&mut self, request: &Request, arm: Arm, response: Response, now: BootTime) {
+    pub(super) fn record_response(
+        &mut self,
+        request: &Request,
+        arm: Arm,
+        response: Response,
+        now: BootTime,
+    ) -> ResponseGrade {
         let route = &self.routes[request.route];
         let grade = if response.failed {
             ResponseGrade::Bad
@@ -89,13 +95,13 @@
                 ResponseGrade::Good
             }
         };
-        let Some(release) = &mut self.release else {
-            return;
-        };
-        release.record_response(self.incarnation, route, arm, grade);
-        if arm == Arm::Old {
-            release.record_request_end(&subject(request), now);
+        if let Some(release) = &mut self.release {
+            release.record_response(self.incarnation, route, arm, grade);
+            if arm == Arm::Old {
+                release.record_request_end(&request.subject(), now);
+            }
         }
+        grade
     }
 
     /// The notice of this round.
@@ -151,10 +157,3 @@
         self.release.as_ref().is_some_and(Release::is_halted)
     }
 }
-
-fn subject(request: &Request) -> Vec<u8> {
-    match request.session {
-        Some(session) => format!("session-{session}").into_bytes(),
-        None => format!("request-{}", request.id).into_bytes(),
-    }
-}
--- a/crates/load/src/release/simulation.rs
+++ b/crates/load/src/release/simulation.rs
@@ -8,6 +8,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use super::baseline::{Baseline, Rule};
 use super::node::Node;
 use super::traffic::{Quality, Request, Response, Service, Sessions, exponential};
 
@@ -73,6 +74,8 @@
     /// Requests per second.
     pub rate: f64,
     pub trouble: Trouble,
+    /// Rule that takes the place of the nodes' own, for comparison.
+    pub baseline: Option<Rule>,
 }
 
 /// What happened in one release; times are since the order.
@@ -158,6 +161,7 @@
     is_recording: Vec<bool>,
     /// Newest status in the store.
     recorded: Option<ReleaseStatus>,
+    baseline: Option<Baseline>,
     sessions: Sessions,
     request_count: u64,
     bad: usize,
@@ -165,6 +169,11 @@
 }
 
 impl Trial {
+    /// Whether the plot shows it.
+    pub(super) fn is_plotted(self) -> bool {
+        self.service == Service::Plain && self.rate == 30.0 && self.trouble == Trouble::None
+    }
+
     pub(super) fn run(self, seed: u64) -> Outcome {
         Simulation::new(self, seed).run()
     }
@@ -185,6 +194,9 @@
             due_rounds: vec![0; NODES],
             is_recording: vec![false; NODES],
             recorded: None,
+            baseline: trial
+                .baseline
+                .map(|it| Baseline::new(it, trial.service.routes().len(), DURATION, seed)),
             sessions: Sessions::new(trial.rate),
             request_count: 0,
             bad: 0,
@@ -268,7 +280,11 @@
             .service
             .request(self.request_count, &mut self.sessions, &mut self.rng);
         let is_ordered = now >= WARM_UP;
-        let arm = if is_ordered { self.nodes[node].assign(&request, now) } else { Arm::Old };
+        let arm = match &self.baseline {
+            _ if !is_ordered => Arm::Old,
+            Some(baseline) => baseline.assign(&request),
+            None => self.nodes[node].assign(&request, now),
+        };
         let since_order = now.saturating_sub(WARM_UP);
         if is_ordered {
             let is_new = u64::from(arm == Arm::New);
@@ -287,7 +303,10 @@
             .service
             .respond(&request, arm, quality, since_order, &mut self.rng);
         let exchange = Box::new((request, arm, response));
-        self.push(now + response.time, Step::Response(node, self.starts[node], exchange));
+        self.push(
+            now + response.time,
+            Step::Response(node, self.starts[node], exchange),
+        );
     }
 
     fn record(&mut self, node: usize, start: u64, exchange: (Request, Arm, Response), now: Duration) {
@@ -302,8 +321,11 @@
         if self.starts[node] != start || !self.is_up[node] {
             return;
         }
-        self.nodes[node].record_response(&request, arm, response, now);
-        self.note_halt(node, since_order);
+        let grade = self.nodes[node].record_response(&request, arm, response, now);
+        match &mut self.baseline {
+            Some(baseline) => baseline.record(request.route, arm, grade),
+            None => self.note_halt(node, since_order),
+        }
     }
 
     fn note_halt(&mut self, node: usize, since_order: Duration) {
@@ -315,6 +337,13 @@
     /// Sends a node's notice, and decides if the node is an evaluator.
     fn round(&mut self, node: usize, now: Duration) {
         self.push(now + ROUND, Step::Round(node));
+        if let Some(baseline) = &mut self.baseline {
+            let since_order = now.saturating_sub(WARM_UP);
+            if let Some(stage) = baseline.decide(since_order) {
+                self.end(stage, since_order);
+            }
+            return;
+        }
         if !self.is_up[node] {
             return;
         }
@@ -322,7 +351,8 @@
         let rank = evaluators.iter().position(|it| *it == node);
         if let Some(notice) = self.nodes[node].notice(now) {
             for to in 0..NODES {
-                let is_receiver = to != node && self.is_up[to] && (rank.is_some() || evaluators.contains(&to));
+                let is_receiver =
+                    to != node && self.is_up[to] && (rank.is_some() || evaluators.contains(&to));
                 if is_receiver && self.rng.random::<f64>() >= LOST_NOTICES {
                     self.nodes[to].apply(&notice, now);
                     self.note_halt(to, now.saturating_sub(WARM_UP));
@@ -355,10 +385,17 @@
         };
         self.nodes[node].apply_status(&status, now);
         self.recorded = Some(status);
-        let since_order = now.saturating_sub(WARM_UP);
+        self.end(stage, now.saturating_sub(WARM_UP));
+    }
+
+    /// Notes a recorded end.
+    fn end(&mut self, stage: Stage, since_order: Duration) {
         let end = match stage {
             Stage::Complete => &mut self.outcome.completed_at,
-            Stage::Reverted => &mut self.outcome.reverted_at,
+            Stage::Reverted => {
+                self.outcome.halted_at.get_or_insert(since_order);
+                &mut self.outcome.reverted_at
+            }
             Stage::Trial(_) => return,
         };
         end.get_or_insert(since_order);
--- a/crates/load/src/release/traffic.rs
+++ b/crates/load/src/release/traffic.rs
@@ -78,6 +78,16 @@
     pub prompt_tokens: u64,
 }
 
+impl Request {
+    /// What the share of a version is drawn by.
+    pub(super) fn subject(&self) -> Vec<u8> {
+        match self.session {
+            Some(session) => format!("session-{session}").into_bytes(),
+            None => format!("request-{}", self.id).into_bytes(),
+        }
+    }
+}
+
 /// Response of an engine.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Response {
@@ -181,7 +191,14 @@
             let is_peak = since_order.as_secs_f64() % LOAD_PERIOD >= LOAD_PERIOD * 2.0 / 3.0;
             let (failing, slow_factor) = match quality {
                 Quality::Good => (0.0, None),
-                Quality::GreyEngine => (if engine == 0 && grey < GREY_FAILURES { 1.0 } else { 0.0 }, None),
+                Quality::GreyEngine => (
+                    if engine == 0 && grey < GREY_FAILURES {
+                        1.0
+                    } else {
+                        0.0
+                    },
+                    None,
+                ),
                 Quality::Failing(share) => (share, None),
                 Quality::OneRoute => (if is_last_route { BAD_SHARE } else { 0.0 }, None),
                 Quality::Late => (if since_order >= LATE_START { BAD_SHARE } else { 0.0 }, None),
@@ -212,7 +229,11 @@
             }
             Self::Model => {
                 let prefill = 0.04 + request.prompt_tokens as f64 / 8000.0;
-                let queue = if rng.random::<f64>() < 0.4 { exponential(0.25, rng) } else { 0.0 };
+                let queue = if rng.random::<f64>() < 0.4 {
+                    exponential(0.25, rng)
+                } else {
+                    0.0
+                };
                 prefill * log_normal(0.25, rng) + queue
             }
         }
