--- a/crates/load/src/release/baseline.rs
+++ b/crates/load/src/release/baseline.rs
@@ -91,7 +91,7 @@
     }
 
     pub(super) fn assign(&self, request: &Request) -> Arm {
-        let position = hash::stable(&request.subject()) as f64 / u64::MAX as f64;
+        let position = hash::stable(&request.key()) as f64 / u64::MAX as f64;
         match self.end {
             Some(Stage::Complete) => Arm::New,
             None if position < self.rule.share() => Arm::New,
--- a/crates/load/src/release/node.rs
+++ b/crates/load/src/release/node.rs
@@ -8,9 +8,11 @@
 pub(super) use forward::release::Stage;
 use forward::release::{
     Arm, Counters, Decision, Release, ReleaseOrder, ReleaseStatus, ResponseGrade, SLOW_RATIO, SessionHash,
+    Subject,
 };
 use model::{Incarnation, Name};
 
+use super::simulation::{EXPOSURE, NODES, SESSION_TIMEOUT};
 use super::traffic::{Request, Response};
 
 /// Maximum age of a pinned session in a notice.
@@ -30,12 +32,23 @@
 #[derive(Debug, Clone)]
 pub(super) struct Notice {
     sender: Incarnation,
+    order: ReleaseOrder,
+    elapsed: Duration,
     halted: bool,
     counters: Counters,
     pinned: Vec<(SessionHash, Duration)>,
     status: Option<ReleaseStatus>,
 }
 
+fn order(seed: u64, duration: Duration) -> ReleaseOrder {
+    ReleaseOrder {
+        service: "service".into(),
+        target: "v2".into(),
+        duration,
+        position: Position { era: 0, offset: seed },
+    }
+}
+
 impl Node {
     pub(super) fn new(incarnation: u128, routes: &[&str]) -> Self {
         Self {
@@ -47,14 +60,18 @@
     }
 
     /// Reads the order.
-    pub(super) fn open(&mut self, seed: u64, duration: Duration, session_timeout: Duration, now: BootTime) {
-        let order = ReleaseOrder {
-            service: "service".into(),
-            target: "v2".into(),
-            duration,
-            position: Position { era: 0, offset: seed },
-        };
-        self.release = Some(Release::new(order, session_timeout, now));
+    pub(super) fn open(&mut self, seed: u64, duration: Duration, now: BootTime) {
+        self.begin(order(seed, duration), now);
+    }
+
+    /// Begins the release unless it is known.
+    fn begin(&mut self, order: ReleaseOrder, now: BootTime) {
+        if self.release.is_some() {
+            return;
+        }
+        let mut release = Release::new(order, SESSION_TIMEOUT, EXPOSURE, now);
+        release.set_hosts(NODES);
+        self.release = Some(release);
     }
 
     /// Assigns a version to a request; the old one until the order is read.
@@ -62,7 +79,12 @@
         let Some(release) = &mut self.release else {
             return Arm::Old;
         };
-        release.assign_arm(&request.subject(), now)
+        let key = request.key();
+        let subject = match request.session {
+            Some(_) => Subject::Session(&key),
+            None => Subject::Request(&key),
+        };
+        release.assign_arm(subject, now)
     }
 
     /// Records that a request is sent to an engine.
@@ -97,8 +119,8 @@
         };
         if let Some(release) = &mut self.release {
             release.record_response(self.incarnation, route, arm, grade);
-            if arm == Arm::Old {
-                release.record_request_end(&request.subject(), now);
+            if arm == Arm::Old && request.session.is_some() {
+                release.record_request_end(&request.key(), now);
             }
         }
         grade
@@ -110,6 +132,8 @@
         let recent = release.pinned_sessions(now).filter(|it| it.1 <= MAX_PINNED_AGE);
         Some(Notice {
             sender: self.incarnation,
+            order: release.order().clone(),
+            elapsed: release.elapsed(now),
             halted: release.is_halted(),
             counters: release.counters(self.incarnation).cloned().unwrap_or_default(),
             pinned: recent.collect(),
@@ -119,9 +143,11 @@
 
     /// Applies a notice of another node.
     pub(super) fn apply(&mut self, notice: &Notice, now: BootTime) {
+        self.begin(notice.order.clone(), now);
         let Some(release) = &mut self.release else {
             return;
         };
+        release.record_age(notice.elapsed, now);
         if notice.halted {
             release.halt();
         }
--- a/crates/load/src/release/simulation.rs
+++ b/crates/load/src/release/simulation.rs
@@ -4,7 +4,7 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use forward::release::{Arm, ReleaseStatus, Stage};
+use forward::release::{Arm, Exposure, ReleaseStatus, Stage};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -13,8 +13,8 @@
 use super::traffic::{Quality, Request, Response, Service, Sessions, exponential};
 
 pub(super) const DURATION: Duration = Duration::from_secs(15);
-const SESSION_TIMEOUT: Duration = Duration::from_secs(5);
-const NODES: usize = 8;
+pub(super) const SESSION_TIMEOUT: Duration = Duration::from_secs(5);
+pub(super) const NODES: usize = 8;
 
 /// Time before the order, in which nodes learn the usual times.
 const WARM_UP: Duration = Duration::from_secs(10);
@@ -24,8 +24,11 @@
 
 const ROUND: Duration = Duration::from_millis(500);
 const LOST_NOTICES: f64 = 0.1;
-const EVALUATORS: usize = 2;
-const TAKE_OVER_ROUNDS: usize = 4;
+/// Fraction of the duration after which a version is reverted if nothing is known about it.
+const UNDECIDED: f64 = 0.9;
+
+const EVALUATORS: usize = 3;
+const TAKE_OVER_ROUNDS: usize = 2;
 
 /// Time of an append to the store.
 const STORE_TIME: Duration = Duration::from_millis(50);
@@ -36,8 +39,10 @@
 /// Bad responses after which the bound begins.
 const BOUND_RESPONSES: usize = 50;
 const BOUND: Duration = Duration::from_secs(5);
-const EXPOSURE_SHARE: f64 = 0.15;
-const EXPOSURE_SLACK: f64 = 30.0;
+pub(super) const EXPOSURE: Exposure = Exposure {
+    share: 0.15,
+    slack: 30.0,
+};
 
 /// Time at which half of the nodes read the order in [`Trouble::HalfBlind`].
 const BLIND_TIME: Duration = Duration::from_secs(8);
@@ -96,7 +101,7 @@
 
 impl Outcome {
     pub(super) fn is_over_exposed(&self) -> bool {
-        self.exposed as f64 > EXPOSURE_SHARE * self.requests as f64 + EXPOSURE_SLACK
+        self.exposed as f64 > EXPOSURE.share * self.requests as f64 + EXPOSURE.slack
     }
 
     pub(super) fn is_reverted_in_time(&self) -> bool {
@@ -250,7 +255,7 @@
             Step::Recorded(node, stage) => self.append(node, stage, now),
             Step::Open(node) => {
                 let offset = self.seed;
-                self.nodes[node].open(offset, DURATION, SESSION_TIMEOUT, now);
+                self.nodes[node].open(offset, DURATION, now);
                 // A node reads the recorded status along with the order.
                 if let Some(status) = self.recorded.clone() {
                     self.nodes[node].apply_status(&status, now);
@@ -347,12 +352,13 @@
         if !self.is_up[node] {
             return;
         }
-        let evaluators: Vec<_> = (0..NODES).filter(|it| self.is_up[*it]).take(EVALUATORS).collect();
-        let rank = evaluators.iter().position(|it| *it == node);
+        let up: Vec<_> = (0..NODES).filter(|it| self.is_up[*it]).collect();
+        let evaluators = &up[..EVALUATORS.min(up.len())];
+        let rank = up.iter().position(|it| *it == node);
         if let Some(notice) = self.nodes[node].notice(now) {
             for to in 0..NODES {
                 let is_receiver =
-                    to != node && self.is_up[to] && (rank.is_some() || evaluators.contains(&to));
+                    to != node && self.is_up[to] && (evaluators.contains(&node) || evaluators.contains(&to));
                 if is_receiver && self.rng.random::<f64>() >= LOST_NOTICES {
                     self.nodes[to].apply(&notice, now);
                     self.note_halt(to, now.saturating_sub(WARM_UP));
@@ -393,7 +399,10 @@
         let end = match stage {
             Stage::Complete => &mut self.outcome.completed_at,
             Stage::Reverted => {
-                self.outcome.halted_at.get_or_insert(since_order);
+                // Near the end, a version is reverted because nothing is known.
+                if since_order < DURATION.mul_f64(UNDECIDED) {
+                    self.outcome.halted_at.get_or_insert(since_order);
+                }
                 &mut self.outcome.reverted_at
             }
             Stage::Trial(_) => return,
--- a/crates/load/src/release/traffic.rs
+++ b/crates/load/src/release/traffic.rs
@@ -80,7 +80,7 @@
 
 impl Request {
     /// What the share of a version is drawn by.
-    pub(super) fn subject(&self) -> Vec<u8> {
+    pub(super) fn key(&self) -> Vec<u8> {
         match self.session {
             Some(session) => format!("session-{session}").into_bytes(),
             None => format!("request-{}", self.id).into_bytes(),
