--- a/crates/config/src/settings/entry.rs
+++ b/crates/config/src/settings/entry.rs
@@ -19,6 +19,10 @@
     pub region: Name,
     /// Number of processor cores that the process may use.
     pub cores: usize,
+    /// Bytes of memory that the process may use.
+    pub memory: usize,
+    /// File descriptors that the process may have open.
+    pub descriptors: usize,
 }
 
 /// Addresses that the node listens on.
@@ -135,16 +139,28 @@
     })
 }
 
+/// Memory of the smallest host that nodes run on.
+const DEFAULT_MEMORY_MB: usize = 110;
+
+/// File descriptors of the smallest host that nodes run on.
+const DEFAULT_DESCRIPTORS: usize = 4_100;
+
+const BYTES_PER_MB: usize = 1_000_000;
+
 fn node(reader: &mut Reader<'_>) -> Option<Node> {
     let host = reader.name("node", "host");
     let failure_domain = reader.name("node", "failure_domain");
     let region = reader.name("node", "region");
     let cores = reader.count("node", "cores", 1..=256, 1);
+    let memory_mb = reader.count("node", "memory_mb", 32..=1_000_000, DEFAULT_MEMORY_MB);
+    let descriptors = reader.count("node", "descriptors", 500..=10_000_000, DEFAULT_DESCRIPTORS);
     Some(Node {
         host: host?,
         failure_domain: failure_domain?,
         region: region?,
         cores: cores?,
+        memory: memory_mb? * BYTES_PER_MB,
+        descriptors: descriptors?,
     })
 }
 
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -5,15 +5,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use forward::BootTime;
 use forward::configuration::RouteKind;
 use forward::directory::Engine;
 use forward::release::Arm;
 use forward::retry::Failure;
 use forward::urgency::{self, Urgency};
 use forward::work::Work;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::http::response;
 use hyper::{Request, Response, StatusCode};
@@ -22,21 +20,21 @@
 use tokio::time::timeout;
 
 use crate::client::{self, Connection};
-use crate::clock;
 use crate::grading::Grading;
-use crate::protocol::{ForwardMetadata, ResponseMetadata, StatedLimit};
+use crate::in_flight::InFlight;
+use crate::protocol::{ForwardMetadata, ResponseMetadata};
 use crate::request::RequestContext;
-use crate::request_limit;
 use crate::response::{ResponseBody, strip_connection_headers};
 use crate::selection::{self, Selection};
 use crate::shared::{Shared, lock};
+use crate::{body, clock, statement};
 
 /// Timeout for connecting to an engine. The failure domains of a region are a few milliseconds apart; a lost
 /// packet costs about 200 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Maximum body size of a response that is not a stream.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
+pub(crate) const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
 /// Fraction of the latency goal after which a stream without a response is retried if the budget allows it;
 /// the rest is enough for the smallest model on an engine that is not busy.
@@ -53,17 +51,17 @@
 pub(crate) struct EngineResponse {
     pub head: response::Parts,
     pub metadata: ResponseMetadata,
-    pub body: Incoming,
+    pub body: client::Body,
     pub grading: Option<Grading>,
     _connection: Connection,
-    _in_flight: InFlight,
+    in_flight: InFlight,
 }
 
 /// Result of an attempt.
 #[derive(Debug)]
 pub(crate) enum AttemptOutcome {
     /// The engine responded to this request.
-    Responded(EngineResponse),
+    Responded(Box<EngineResponse>),
     /// The attempt failed.
     Failed {
         /// Kind of failure.
@@ -71,10 +69,8 @@
         /// The engine's own error response, which may be forwarded.
         response: Option<Response<ResponseBody>>,
     },
-    /// There is no engine left to try.
+    /// No engine that is left takes the request in time.
     NoEngine,
-    /// The engines left take no further requests for now; the next permit is free after this time.
-    Limited(Duration),
 }
 
 impl AttemptOutcome {
@@ -86,75 +82,46 @@
     }
 }
 
-/// Counts a request in the load of an engine until it is dropped.
-#[derive(Debug)]
-struct InFlight {
-    shared: Arc<Shared>,
-    engine: Arc<Engine>,
-    /// Work that is pending until the response starts.
-    pending: Option<Work>,
-}
-
-impl InFlight {
-    fn start(shared: &Arc<Shared>, engine: &Arc<Engine>, work: Work) -> Self {
-        lock(&shared.loads).record_sent(engine, work);
-        Self {
-            shared: shared.clone(),
-            engine: engine.clone(),
-            pending: Some(work),
-        }
-    }
-
-    /// Records that the response has started.
-    fn record_response_start(&mut self) {
-        if let Some(work) = self.pending.take() {
-            lock(&self.shared.loads).record_response_start(&self.engine, work);
-        }
-    }
+/// What an attempt goes on from, if it isn't the first one to respond.
+#[derive(Debug, Default)]
+pub(crate) struct Resumption {
+    /// Last event that the caller has.
+    pub last_event_id: Option<u64>,
+    /// Response of a silent engine. It is dropped, which stops that engine, once another engine is connected.
+    pub replaced: Option<Box<EngineResponse>>,
 }
 
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.record_response_start();
-        lock(&self.shared.loads).record_end(&self.engine);
-    }
-}
-
-/// Sends a request to an engine and waits for the head of the response; `last_event_id` resumes a stream
-/// after that event.
-pub(crate) async fn attempt(context: &mut RequestContext, last_event_id: Option<u64>) -> AttemptOutcome {
+/// Sends a request to an engine and waits for the head of the response.
+pub(crate) async fn attempt(context: &mut RequestContext, resumption: &mut Resumption) -> AttemptOutcome {
     context.retry_state.begin_attempt();
     let work = context.work();
-    let (engine, arm) = match selection::select(context, work).await {
-        Selection::Engine(engine, arm) => (engine, arm),
-        Selection::Limited(wait) => return AttemptOutcome::Limited(wait),
-        Selection::None => return AttemptOutcome::NoEngine,
+    let (engine, arm, connection, mut in_flight) = match reach_engine(context, work).await {
+        Ok(Reached {
+            engine,
+            arm,
+            connection,
+            in_flight,
+        }) => (engine, arm, connection, in_flight),
+        Err(outcome) => return outcome,
     };
-    log_attempt(context, &engine, arm);
-    context.arm = Some(arm);
-    context.tried.push(engine.clone());
-    let mut in_flight = InFlight::start(&context.shared, &engine, work.unwrap_or_default());
-    let limit = CONNECT_TIMEOUT.min(context.remaining());
-    let connection = match client::connect(engine.address, limit).await {
-        Ok(connection) => connection,
-        Err(err) => {
-            log::info!(id = context.id, engine = *engine.id, error:% = err; "engine unreachable");
-            record_failure(context, &engine, Failure::Unreachable);
-            return AttemptOutcome::failed(Failure::Unreachable);
-        }
-    };
-    let request = match build_request(context, &engine, work, last_event_id) {
+    let request = match build_request(context, &engine, work, resumption.last_event_id) {
         Ok(request) => request,
         Err(err) => {
             log::error!(id = context.id, error:% = err; "request cannot be built");
             return AttemptOutcome::failed(Failure::Unreachable);
         }
     };
+    drop(resumption.replaced.take());
     context.retry_state.mark_sent();
     let sent_at = clock::now();
     let grading = Grading::begin(context, arm);
     let (response, connection) = match wait_for_head(context, connection.send(request)).await {
         Ok(Ok(it)) => it,
+        Ok(Err(err)) if err.is_overlong() => {
+            grading.discard();
+            record_cut_off(&context.shared, &engine, &context.id, Bound::Head);
+            return AttemptOutcome::failed(Failure::Overlong);
+        }
         Ok(Err(err)) => {
             grading.discard();
             log::info!(id = context.id, engine = *engine.id, error:% = err; "no answer");
@@ -177,18 +144,70 @@
             .shared
             .record_waiting(&context.service, report.waiting, now);
     }
-    record_request_limit(context, &engine, head.status, &metadata, sent_at);
+    let (status, id) = (head.status, &context.id);
+    statement::record_response(&context.shared, &engine, status, &metadata, sent_at, id);
+    if metadata.not_run && !context.shared.access(&engine, clock::now()).may_send() {
+        context.tried.retain(|it| it.id != engine.id);
+    }
     let engine_response = EngineResponse {
         head,
         metadata,
         body,
         grading: None,
         _connection: connection,
-        _in_flight: in_flight,
+        in_flight,
     };
     evaluate(context, &engine, grading, engine_response, elapsed).await
 }
 
+/// An engine to which the node is connected for a request.
+#[derive(Debug)]
+struct Reached {
+    engine: Arc<Engine>,
+    arm: Arm,
+    connection: client::IdleConnection,
+    in_flight: InFlight,
+}
+
+/// Selects an engine and connects to it.
+///
+/// Selects another one if the engine states in another response meanwhile that it takes no requests.
+async fn reach_engine(context: &mut RequestContext, work: Option<Work>) -> Result<Reached, AttemptOutcome> {
+    loop {
+        let (engine, arm) = match selection::select(context, work).await {
+            Selection::Engine(engine, arm) => (engine, arm),
+            Selection::None => return Err(AttemptOutcome::NoEngine),
+        };
+        log_attempt(context, &engine, arm);
+        context.arm = Some(arm);
+        context.engine = Some(engine.clone());
+        let in_flight = InFlight::start(&context.shared, &engine, work.unwrap_or_default());
+        let limit = CONNECT_TIMEOUT.min(context.remaining());
+        let result = client::connect(engine.address, limit).await;
+        if !context.shared.access(&engine, clock::now()).may_send() {
+            log::info!(id = context.id, engine = *engine.id; "engine takes no more requests, nothing was sent");
+            continue;
+        }
+        context.tried.push(engine.clone());
+        context.open.record_attempt(&engine);
+        match result {
+            Ok(connection) => {
+                return Ok(Reached {
+                    engine,
+                    arm,
+                    connection,
+                    in_flight,
+                });
+            }
+            Err(err) => {
+                log::info!(id = context.id, engine = *engine.id, error:% = err; "engine unreachable");
+                record_failure(context, &engine, Failure::Unreachable);
+                return Err(AttemptOutcome::failed(Failure::Unreachable));
+            }
+        }
+    }
+}
+
 /// Logs the chosen engine and the state that led to the choice.
 fn log_attempt(context: &RequestContext, engine: &Engine, arm: Arm) {
     let now = clock::now();
@@ -201,7 +220,7 @@
     );
     let (model, version) = (context.model.as_deref().unwrap_or_default(), &*engine.version);
     let session = context.metadata.session.as_deref().unwrap_or_default();
-    let request_limit = lock(&context.shared.request_limits).rate(engine);
+    let request_limit = lock(&context.shared.statements).limits.rate(engine);
     log::info!(
         id = context.id, session, engine = *engine.id, version, arm:?, model, load, request_limit, run, waited_ms;
         "attempt"
@@ -274,33 +293,6 @@
     (limit - waited).min(remaining)
 }
 
-/// Records the request limit that a response states, or that it ended.
-fn record_request_limit(
-    context: &RequestContext,
-    engine: &Engine,
-    status: StatusCode,
-    metadata: &ResponseMetadata,
-    sent_at: BootTime,
-) {
-    let rate = match metadata.request_limit {
-        // Another engine sent the response.
-        _ if status == StatusCode::MISDIRECTED_REQUEST => return,
-        StatedLimit::Rate(rate) => Some(rate),
-        // Only a response of the engine itself shows that it states no limit.
-        StatedLimit::None if metadata.is_signed => None,
-        StatedLimit::None => return,
-        StatedLimit::Unreadable => {
-            log::warn!(id = context.id, engine = *engine.id; "request limit cannot be parsed");
-            return;
-        }
-    };
-    let now = clock::now();
-    let change = lock(&context.shared.request_limits).record_response(engine, rate, sent_at, now);
-    if let Some(change) = change {
-        request_limit::announce(&context.shared, &engine.id, change, &context.id);
-    }
-}
-
 fn record_failure(context: &RequestContext, engine: &Engine, failure: Failure) {
     lock(&context.shared.loads).record_failure(engine, failure, clock::now());
 }
@@ -342,7 +334,7 @@
             record_failure(context, engine, Failure::Failed);
         }
         let promises_not_run = status == StatusCode::SERVICE_UNAVAILABLE;
-        let response = engine_response.collect(context.remaining()).await.ok();
+        let response = engine_response.collect(context).await.ok();
         return AttemptOutcome::Failed {
             failure: Failure::Failed,
             // Status 503 promises that nothing ran, which this engine did not state.
@@ -355,18 +347,92 @@
     let ratio = grading.record_first_byte(elapsed, is_stream).unwrap_or(1.0);
     engine_response.grading = Some(grading);
     lock(&shared.loads).record_success(engine, ratio, clock::now());
-    AttemptOutcome::Responded(engine_response)
+    AttemptOutcome::Responded(Box::new(engine_response))
+}
+
+/// Bound at which a response is cut off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Bound {
+    /// Size of the head.
+    Head,
+    /// Size of what surrounds the body: chunk sizes, chunk extensions, trailers.
+    Framing,
+    /// Size of a body, or its number of parts.
+    Body,
+    /// Size of one event.
+    Event,
+    /// Events that the caller already has.
+    Duplicates,
+    /// Memory for all bodies together.
+    Memory,
+}
+
+impl Bound {
+    /// Name in logs and metrics.
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Head => "head",
+            Self::Framing => "framing",
+            Self::Body => "body",
+            Self::Event => "event",
+            Self::Duplicates => "duplicates",
+            Self::Memory => "memory",
+        }
+    }
+
+    /// What the cut-off means for the attempt.
+    fn failure(self) -> Failure {
+        match self {
+            Self::Head | Self::Framing | Self::Body | Self::Event | Self::Duplicates => Failure::Overlong,
+            // Other responses may have used up the memory.
+            Self::Memory => Failure::Lost,
+        }
+    }
+}
+
+/// Logs and counts a response that is cut off; returns the failure.
+fn record_cut_off(shared: &Shared, engine: &Engine, id: &str, bound: Bound) -> Failure {
+    let label = [("bound", bound.as_str())];
+    shared.metrics.responses_cut_off.get_or_create(&label).inc();
+    log::warn!(id, engine = *engine.id, bound = bound.as_str(); "response cut off");
+    let failure = bound.failure();
+    if failure == Failure::Overlong {
+        lock(&shared.loads).record_failure(engine, failure, clock::now());
+    }
+    failure
 }
 
 impl EngineResponse {
-    /// Reads the whole body within `limit`.
-    pub(crate) async fn collect(self, limit: Duration) -> Result<Response<ResponseBody>, Failure> {
-        let Self { mut head, body, .. } = self;
-        let body = match timeout(limit, Limited::new(body, MAX_RESPONSE_BYTES).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(_)) => return Err(Failure::Lost),
+    /// Records that this response is cut off; returns the failure.
+    pub(crate) fn cut_off(&self, context: &RequestContext, bound: Bound) -> Failure {
+        record_cut_off(&context.shared, &self.in_flight.engine, &context.id, bound)
+    }
+
+    /// The failure that an error of the body means.
+    pub(crate) fn body_failure(&self, context: &RequestContext, err: &hyper::Error) -> Failure {
+        match client::is_overlong(err) {
+            true => self.cut_off(context, Bound::Framing),
+            false => Failure::Lost,
+        }
+    }
+
+    /// Reads the whole body before the deadline of the request.
+    pub(crate) async fn collect(
+        mut self,
+        context: &RequestContext,
+    ) -> Result<Response<ResponseBody>, Failure> {
+        let memory = &context.shared.response_memory;
+        let read = body::read(&mut self.body, MAX_RESPONSE_BYTES, memory);
+        let body = match timeout(context.remaining(), read).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(body::Error::TooLong(_) | body::Error::TooManyFrames)) => {
+                return Err(self.cut_off(context, Bound::Body));
+            }
+            Ok(Err(body::Error::NoMemory)) => return Err(self.cut_off(context, Bound::Memory)),
+            Ok(Err(body::Error::Broken(err))) => return Err(self.body_failure(context, &err)),
             Err(_) => return Err(Failure::Silent),
         };
+        let Self { mut head, .. } = self;
         strip_connection_headers(&mut head.headers);
         Ok(Response::from_parts(
             head,
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -3,7 +3,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use config::settings::entry::Settings;
@@ -17,11 +16,14 @@
 use crate::listener::{self, Role};
 use crate::protocol::Protocol;
 use crate::shared::Shared;
-use crate::{clock, datagrams, follow, releases, request_limit};
+use crate::{clock, datagrams, follow, releases, statement};
 
 /// Interval at which a stopping node checks whether all requests have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
+/// Interval at which a stopping node checks whether all responses are written.
+const CLOSE_POLL: Duration = Duration::from_millis(5);
+
 /// Maximum number of addresses in a response; the platform's callers accept up to 64.
 const MAX_ENTRIES: usize = 64;
 
@@ -70,7 +72,7 @@
         tokio::spawn(follow::engines::run(shared.clone()));
         tokio::spawn(releases::exchange(shared.clone()));
         tokio::spawn(releases::drive(shared.clone()));
-        tokio::spawn(request_limit::run(shared.clone()));
+        tokio::spawn(statement::run(shared.clone()));
         let sockets = [
             (addresses.entry, Role::Entry),
             (addresses.ready, Role::Control),
@@ -142,7 +144,7 @@
     /// Stops the node: callers are directed to other nodes, and requests in progress may finish within the
     /// grace period.
     ///
-    /// Returns the number of aborted requests.
+    /// Returns the number of requests that were aborted, or whose response was not written to its end.
     pub fn stop(self) -> usize {
         let aborted = self.runtime.block_on(drain(&self.shared));
         self.runtime.shutdown_background();
@@ -153,15 +155,19 @@
 async fn drain(shared: &Shared) -> usize {
     let began = clock::now();
     shared.leaving.send_replace(Some(began));
-    // A caller may have received this node's address just before the stop.
     let plan = shared.drain();
+    let elapsed = || clock::now().saturating_sub(began);
+    let open = &shared.open_requests;
+    // A caller may have received this node's address just before the stop.
     let serve_time = plan.addresses_expired + Duration::from_millis(500);
-    loop {
-        let elapsed = clock::now().saturating_sub(began);
-        let active = shared.active_requests.load(Ordering::SeqCst);
-        if (elapsed >= serve_time && active == 0) || elapsed >= plan.exit {
-            return active;
-        }
+    while elapsed() < plan.final_responses && (elapsed() < serve_time || open.len() > 0) {
         sleep(DRAIN_POLL).await;
     }
+    // The listener closes when no connection waits, and a connection when its last response is written.
+    shared.closing.send_replace(true);
+    while elapsed() < plan.exit && open.sockets() > 0 {
+        sleep(CLOSE_POLL).await;
+    }
+    open.log_cut();
+    open.sockets()
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,18 +7,24 @@
 
 pub mod grading;
 mod handle;
+mod in_flight;
 pub mod protocol;
 
 mod attempt;
+mod authorisation;
+mod body;
 mod client;
 mod clock;
 mod control;
 mod datagrams;
 mod follow;
 mod listener;
+mod memory;
 mod metrics;
 mod model_choice;
 mod notice;
+mod open_requests;
+mod pending;
 mod permit;
 mod relay;
 mod releases;
@@ -27,7 +33,9 @@
 mod response;
 mod selection;
 mod shared;
+mod statement;
 mod store;
 mod stream;
+mod write_timeout;
 
 pub use handle::{Error, Handle, spawn};
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -28,8 +28,14 @@
     pub streams_resumed: Counter,
     /// Streams that broke off.
     pub streams_broken: Counter,
+    /// Responses of engines that were cut off at a bound, by bound.
+    pub responses_cut_off: Family<Label, Counter>,
+    /// Connections of callers that were cut off at a bound, by bound.
+    pub connections_cut_off: Family<Label, Counter>,
     /// Changes of the request limits that engines state, by change.
     pub request_limit_changes: Family<Label, Counter>,
+    /// Statements of engines that leave, close or open again, and unreadable ones.
+    pub engine_statements: Family<Label, Counter>,
     /// Questions for permits to engines with a request limit, by result.
     pub permits: Family<Label, Counter>,
     /// Requests to the store.
@@ -55,7 +61,10 @@
             retries_denied: Counter::default(),
             streams_resumed: Counter::default(),
             streams_broken: Counter::default(),
+            responses_cut_off: Family::default(),
+            connections_cut_off: Family::default(),
             request_limit_changes: Family::default(),
+            engine_statements: Family::default(),
             permits: Family::default(),
             store_calls: Counter::default(),
             store_failures: Counter::default(),
@@ -109,11 +118,26 @@
             "Streams that broke off",
             self.streams_broken.clone(),
         );
+        registry.register(
+            "responses_cut_off",
+            "Responses of engines that were cut off, by bound",
+            self.responses_cut_off.clone(),
+        );
+        registry.register(
+            "connections_cut_off",
+            "Connections of callers that were cut off, by bound",
+            self.connections_cut_off.clone(),
+        );
         registry.register(
             "request_limit_changes",
             "Changes of the request limits that engines state, by change",
             self.request_limit_changes.clone(),
         );
+        registry.register(
+            "engine_statements",
+            "Engines that leave, close or open again, by statement",
+            self.engine_statements.clone(),
+        );
         registry.register(
             "permits",
             "Questions for permits to engines with a request limit, by result",
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -1,35 +1,45 @@
 //! A caller's request from its head to the final response.
 
+use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
 use forward::BootTime;
-use forward::configuration::{Configuration, Limits, Organisation, Route, RouteKind};
+use forward::configuration::{Limits, Organisation, Route, RouteKind};
 use forward::directory::Engine;
 use forward::escalation::Confidence;
 use forward::release::{Arm, Subject};
-use forward::retry::{Failure, FinalResponse, RetryDecision, RetryState};
+use forward::retry::{Execution, Failure, FinalResponse, RetryDecision, RetryState};
 use forward::retry_budget::RetryReason;
 use forward::work::Work;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::{HOST, HeaderMap};
+use hyper::header::HeaderMap;
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response};
 use model::Name;
+use tokio::time::timeout;
 
-use crate::attempt::{AttemptOutcome, attempt};
+use crate::attempt::{AttemptOutcome, EngineResponse, Resumption, attempt};
+use crate::open_requests::OpenRequest;
 use crate::protocol::RequestMetadata;
-use crate::response::{Refusal, ResponseBody, strip_connection_headers};
-use crate::selection;
+use crate::response::{Refusal, ResponseBody, TrackedBody, strip_connection_headers};
+use crate::selection::{self, Shortage};
 use crate::shared::{Shared, lock};
-use crate::{clock, stream};
+use crate::{authorisation, body, clock, stream};
 
 /// Maximum body size until a configuration is known.
 const DEFAULT_MAX_BODY_BYTES: usize = 4 << 20;
 
+/// Maximum time for the body of a caller that states no deadline.
+const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Bounds on what is read of a body after its refusal. A socket that is closed with unread bytes is reset, and
+/// the caller could lose the refusal.
+const MAX_DISCARDED_BYTES: usize = 1 << 20;
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// A request in progress.
 #[derive(Debug)]
 pub(crate) struct RequestContext {
@@ -46,19 +56,20 @@
     pub metadata: RequestMetadata,
     pub arrived: BootTime,
     pub retry_state: RetryState,
-    /// Engines that were tried with the current model.
+    /// Engines that were tried with the current model. One that turned the request away and closed for a time is not
+    /// among them: it may serve the request once it opens.
     pub tried: Vec<Arc<Engine>>,
+    /// Engine of the last attempt.
+    pub engine: Option<Arc<Engine>>,
     /// Model that the node chose.
     pub model: Option<Name>,
     /// Version that the last engine belongs to.
     pub arm: Option<Arm>,
     /// Model whose answer was dropped last, and its confidence.
     pub dropped_answer: Option<(usize, Confidence)>,
-    /// Time until the next permit, if the last attempt failed because engines limit their requests.
-    limited_for: Option<Duration>,
     /// Whether a retry is already reserved for the next attempt.
     retry_reserved: bool,
-    _active: ActiveGuard,
+    pub open: Arc<OpenRequest>,
 }
 
 impl Drop for RequestContext {
@@ -71,33 +82,34 @@
     }
 }
 
-/// Counts a request while it is in progress.
-#[derive(Debug)]
-struct ActiveGuard(Arc<Shared>);
-
-impl ActiveGuard {
-    fn begin(shared: &Arc<Shared>) -> Self {
-        shared.active_requests.fetch_add(1, Ordering::SeqCst);
-        Self(shared.clone())
-    }
-}
-
-impl Drop for ActiveGuard {
-    fn drop(&mut self) {
-        self.0.active_requests.fetch_sub(1, Ordering::SeqCst);
-    }
-}
-
 /// Serves a request.
-pub(crate) async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Response<ResponseBody> {
+pub(crate) async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Response<TrackedBody> {
     let arrived = clock::now();
     let (head, body) = request.into_parts();
     let metadata = shared.protocol.request_metadata(&head);
     let id = metadata.id.clone().unwrap_or_default();
-    match admit(&shared, head, body, metadata, arrived).await {
-        Ok(context) => serve(context).await,
+    let open = Arc::new(OpenRequest::begin(&shared, id.clone(), arrived));
+    let mut final_responses = pin!(shared.stop_reaches(|it| it.final_responses));
+    let admitted = tokio::select! {
+        biased;
+        it = admit(&shared, head, body, metadata, arrived, &open) => it,
+        () = final_responses.as_mut() => Err(Refusal::Leaving),
+    };
+    let response = match admitted {
+        Ok(mut context) => {
+            let served = tokio::select! {
+                biased;
+                it = serve(&mut context) => it,
+                () = final_responses => Served::Response(context.finish_before_exit()),
+            };
+            match served {
+                Served::Response(response) => response,
+                Served::Stream(engine_response) => stream::start(context, engine_response),
+            }
+        }
         Err(refusal) => refuse(&shared, &id, refusal, arrived),
-    }
+    };
+    response.map(|it| TrackedBody::new(it, open))
 }
 
 fn refuse(shared: &Shared, id: &str, refusal: Refusal, arrived: BootTime) -> Response<ResponseBody> {
@@ -122,23 +134,25 @@
     body: Incoming,
     metadata: RequestMetadata,
     arrived: BootTime,
+    open: &Arc<OpenRequest>,
 ) -> Result<RequestContext, Refusal> {
-    let active = ActiveGuard::begin(shared);
     let limits = lock(&shared.configuration).value().map(|it| it.limits);
-    let body = read_body(body, limits).await?;
+    let body = read_body(shared, body, limits, metadata.deadline).await?;
     let now = clock::now();
-    let (route, organisation) = authorise(shared, &head, &metadata, now)?;
-    if !shared.accepts(route.kind, now) {
+    let (route, organisation) = authorisation::authorise(shared, &head, &metadata, now)?;
+    let timeout = metadata
+        .deadline
+        .map_or(route.timeout, |it| it.min(route.timeout));
+    let deadline = arrived + timeout;
+    if !shared.accepts(deadline, now) {
         return Err(Refusal::Leaving);
     }
     let service = route
         .choose_service(&mut rand::rng())
         .cloned()
         .ok_or(Refusal::NoEngine)?;
-    let timeout = metadata
-        .deadline
-        .map_or(route.timeout, |it| it.min(route.timeout));
-    let retry_state = RetryState::new(route.kind.repeat(), route.max_attempts, arrived + timeout);
+    open.accept(&route.name, deadline);
+    let retry_state = RetryState::new(route.kind.repeat(), route.max_attempts, deadline);
     let model = route.models.first().filter(|_| metadata.any_model).cloned();
     let mut headers = head.headers;
     strip_connection_headers(&mut headers);
@@ -157,83 +171,65 @@
         arrived,
         retry_state,
         tried: Vec::new(),
+        engine: None,
         model,
         arm: None,
         dropped_answer: None,
-        limited_for: None,
         retry_reserved: false,
-        _active: active,
+        open: open.clone(),
     })
 }
 
-async fn read_body(body: Incoming, limits: Option<Limits>) -> Result<Bytes, Refusal> {
+async fn read_body(
+    shared: &Shared,
+    mut body: Incoming,
+    limits: Option<Limits>,
+    deadline: Option<Duration>,
+) -> Result<Bytes, Refusal> {
     let max_bytes = limits.map_or(DEFAULT_MAX_BODY_BYTES, |it| it.max_body_bytes);
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(it) => Ok(it.to_bytes()),
-        Err(err) if err.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
-        Err(_) => Err(Refusal::BodyBroken),
-    }
+    let time_limit = deadline.unwrap_or(DEFAULT_BODY_TIMEOUT);
+    let read = body::read(&mut body, max_bytes, &shared.request_memory);
+    let refusal = match timeout(time_limit, read).await {
+        Ok(Ok(it)) => return Ok(it),
+        Ok(Err(body::Error::Broken(_))) => return Err(Refusal::BodyBroken),
+        Ok(Err(body::Error::TooLong(_) | body::Error::TooManyFrames)) => Refusal::BodyTooLarge,
+        Ok(Err(body::Error::NoMemory)) => Refusal::NoMemory,
+        Err(_) => Refusal::BodyTooSlow,
+    };
+    tokio::spawn(timeout(DISCARD_TIMEOUT, discard(body)));
+    Err(refusal)
 }
 
-/// The route of a request, and the organisation that holds its key.
-fn authorise(
-    shared: &Shared,
-    head: &Parts,
-    metadata: &RequestMetadata,
-    now: BootTime,
-) -> Result<(Arc<Route>, Option<Arc<Organisation>>), Refusal> {
-    let bounds = &shared.settings().bounds;
-    let (configuration, age) = {
-        let cached = lock(&shared.configuration);
-        let configuration = cached.value().cloned().ok_or(Refusal::NotConfigured)?;
-        (configuration, cached.age(now).unwrap_or(Duration::MAX))
-    };
-    // A newer configuration may contain what is missing here, so a stale one must not give a permanent error.
-    let permanent = |it| {
-        if age < bounds.config {
-            it
-        } else {
-            Refusal::NotConfigured
-        }
-    };
-    let route = find_route(&configuration, head).ok_or_else(|| permanent(Refusal::NoRoute))?;
-    if route.public || !configuration.needs_keys() {
-        return Ok((route.clone(), None));
-    }
-    // The key may have been revoked since the last confirmation; the caller sent the request before `now`.
-    if bounds.strict_revocation && age >= bounds.revocation {
-        return Err(Refusal::StaleConfiguration);
+async fn discard(mut body: Incoming) {
+    let mut discarded = 0;
+    while discarded < MAX_DISCARDED_BYTES {
+        let Some(Ok(frame)) = body.frame().await else {
+            return;
+        };
+        discarded += frame.data_ref().map_or(0, Bytes::len);
     }
-    let key = metadata.key.as_deref();
-    let organisation = key.and_then(|it| configuration.organisation(it));
-    let organisation = organisation.ok_or_else(|| permanent(Refusal::BadKey))?;
-    Ok((route.clone(), Some(organisation.clone())))
 }
 
-fn find_route<'a>(configuration: &'a Configuration, head: &Parts) -> Option<&'a Arc<Route>> {
-    let host = head.headers.get(HOST).and_then(|it| it.to_str().ok());
-    let host = host.or_else(|| head.uri.host()).unwrap_or_default();
-    let host = host.split(':').next().unwrap_or_default();
-    configuration.route(host, head.uri.path())
+/// How a request was served.
+enum Served {
+    /// With a final response.
+    Response(Response<ResponseBody>),
+    /// With a stream that an engine has begun.
+    Stream(Box<EngineResponse>),
 }
 
-/// Sends a request to engines until there is a final response.
-async fn serve(mut context: RequestContext) -> Response<ResponseBody> {
+/// Sends a request to engines until there is a final response or the begin of a stream.
+async fn serve(context: &mut RequestContext) -> Served {
     context.choose_model();
     loop {
-        let engine_response = match attempt(&mut context, None).await {
+        let engine_response = match attempt(context, &mut Resumption::default()).await {
             AttemptOutcome::Responded(engine_response) => engine_response,
             AttemptOutcome::NoEngine => {
                 let response = context.retry_state.response_without_engine(clock::now());
-                return context.finish(response, None);
-            }
-            AttemptOutcome::Limited(wait) => {
-                let response = context.retry_state.response_without_engine(clock::now());
-                context.limited_for = Some(wait);
-                return context.finish(response, None);
+                return Served::Response(context.finish(response, None));
             }
             AttemptOutcome::Failed { failure, response } => match context.handle_failure(failure, response) {
-                Some(response) => return response,
+                Some(response) => return Served::Response(response),
                 None => {
                     context.fall_back(failure);
                     continue;
@@ -245,13 +241,13 @@
             if context.try_escalate(&engine_response) {
                 continue;
             }
-            return stream::start(context, engine_response);
+            return Served::Stream(engine_response);
         }
-        match engine_response.collect(context.remaining()).await {
-            Ok(response) => return context.forward_response(response),
+        match engine_response.collect(context).await {
+            Ok(response) => return Served::Response(context.forward_response(response)),
             Err(failure) => {
                 if let Some(response) = context.handle_failure(failure, None) {
-                    return response;
+                    return Served::Response(response);
                 }
             }
         }
@@ -324,7 +320,7 @@
         };
         let label = [("failure", failure.as_str())];
         self.shared.metrics.failures.get_or_create(&label).inc();
-        let engine = self.tried.last().map_or("", |it| &*it.id);
+        let engine = self.engine.as_ref().map_or("", |it| &*it.id);
         let (runs, left_ms) = (self.retry_state.runs(), self.remaining().as_millis() as u64);
         log::info!(id = self.id, engine, failure = failure.as_str(), runs, left_ms, retry; "attempt failed");
         if retry {
@@ -344,7 +340,7 @@
         let now = clock::now();
         if !self.retry_reserved
             && self.retry_state.may_run_again(now)
-            && selection::has_unlimited(self, &self.tried)
+            && selection::has_open(self, &self.tried)
         {
             self.retry_reserved = self.try_reserve_retry(RetryReason::Failure, now);
         }
@@ -375,16 +371,30 @@
         response: FinalResponse,
         engine: Option<Response<ResponseBody>>,
     ) -> Response<ResponseBody> {
-        let refusal = match (response, engine) {
+        self.refuse(match (response, engine) {
             (FinalResponse::Engine, Some(response)) => return self.forward_response(response),
             (FinalResponse::Engine | FinalResponse::Unknown, _) => Refusal::Unknown,
             (FinalResponse::TimedOut, _) => Refusal::TimedOut,
-            (FinalResponse::NotRun, _) => match self.limited_for {
-                Some(wait) => Refusal::Limited(wait),
-                None if self.tried.is_empty() => Refusal::NoEngine,
+            (FinalResponse::NotRun, _) => match selection::shortage(self) {
+                Some(Shortage::Limited(wait)) => Refusal::Limited(wait),
+                Some(Shortage::Closed(wait)) => Refusal::EnginesClosed(wait),
+                Some(Shortage::Leaving) => Refusal::EnginesLeaving,
+                Some(Shortage::NoEngine) => Refusal::NoEngine,
+                None if self.engine.is_none() => Refusal::NoEngine,
                 None => Refusal::NotRun,
             },
-        };
+        })
+    }
+
+    /// The final response to a request that is still running shortly before the exit of the process.
+    fn finish_before_exit(&self) -> Response<ResponseBody> {
+        self.refuse(match self.retry_state.execution() {
+            Execution::NotRun => Refusal::Leaving,
+            Execution::MayHaveRun => Refusal::Unknown,
+        })
+    }
+
+    fn refuse(&self, refusal: Refusal) -> Response<ResponseBody> {
         let label = [("reason", refusal.code())];
         self.shared.metrics.refusals.get_or_create(&label).inc();
         self.log_end(refusal.status().as_u16(), refusal.code());
@@ -405,7 +415,7 @@
             .get_or_create(&[("status", class)])
             .inc();
         let elapsed_ms = clock::now().saturating_sub(self.arrived).as_millis() as u64;
-        let engine = self.tried.last().map_or("", |it| &*it.id);
+        let engine = self.engine.as_ref().map_or("", |it| &*it.id);
         let model = self.model.as_deref().unwrap_or_default();
         let (route, runs) = (&*self.route.name, self.retry_state.runs());
         log::info!(id = self.id, route, status, outcome, engine, model, runs, elapsed_ms; "request ended");
--- a/crates/entry/src/response.rs
+++ b/crates/entry/src/response.rs
@@ -1,6 +1,8 @@
 //! Responses made by the node itself, and response bodies.
 
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -12,6 +14,8 @@
 use rand::Rng;
 use tokio::sync::mpsc;
 
+use crate::open_requests::OpenRequest;
+
 /// A stream ended early; the caller must not take it as complete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("the stream broke off")]
@@ -23,7 +27,12 @@
     /// A complete body.
     Complete(Full<Bytes>),
     /// Events, sent as they arrive.
-    Events(mpsc::Receiver<Result<Bytes, StreamBroken>>),
+    Events {
+        /// Batches of events.
+        receiver: mpsc::Receiver<Bytes>,
+        /// Whether the stream is complete if no further batch follows.
+        is_complete: Arc<AtomicBool>,
+    },
 }
 
 impl Body for ResponseBody {
@@ -41,24 +50,77 @@
                 Poll::Ready(None) => Poll::Ready(None),
                 Poll::Pending => Poll::Pending,
             },
-            Self::Events(it) => it.poll_recv(context).map(|it| it.map(|it| it.map(Frame::data))),
+            Self::Events {
+                receiver,
+                is_complete,
+            } => match receiver.poll_recv(context) {
+                Poll::Ready(Some(events)) => Poll::Ready(Some(Ok(Frame::data(events)))),
+                Poll::Ready(None) if is_complete.load(Ordering::Acquire) => Poll::Ready(None),
+                // The error closes the connection without the terminating chunk, so that the body does not
+                // look complete.
+                Poll::Ready(None) => Poll::Ready(Some(Err(StreamBroken))),
+                Poll::Pending => Poll::Pending,
+            },
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Complete(it) => it.is_end_stream(),
-            Self::Events(_) => false,
+            Self::Events { .. } => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Complete(it) => it.size_hint(),
-            Self::Events(_) => SizeHint::default(),
+            Self::Events { .. } => SizeHint::default(),
+        }
+    }
+}
+
+/// Body of a response that keeps its request open until it is written or dropped.
+#[derive(Debug)]
+pub(crate) struct TrackedBody {
+    body: ResponseBody,
+    _open: Option<Arc<OpenRequest>>,
+}
+
+impl TrackedBody {
+    pub(crate) fn new(body: ResponseBody, open: Arc<OpenRequest>) -> Self {
+        Self {
+            body,
+            _open: Some(open),
         }
     }
+
+    /// Body of a response to a request that a stopping node doesn't wait for.
+    pub(crate) fn untracked(body: ResponseBody) -> Self {
+        Self { body, _open: None }
+    }
+}
+
+impl Body for TrackedBody {
+    type Data = Bytes;
+    type Error = StreamBroken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, StreamBroken>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
 }
+/// Time in which an engine that replaces one that leaves may be listed: some reads of the list of engines.
+const REPLACEMENT_DELAY: Duration = Duration::from_secs(1);
 
 /// Why the node itself rejects or ends a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -75,12 +137,20 @@
     BodyTooLarge,
     /// The body was not received completely.
     BodyBroken,
+    /// The body did not arrive in time.
+    BodyTooSlow,
+    /// The bodies of other requests use up the memory for them.
+    NoMemory,
     /// The node is about to stop.
     Leaving,
     /// No engine can currently take the request.
     NoEngine,
     /// All engines limit the requests that they take; the next permit is free after this time.
     Limited(Duration),
+    /// All engines want no requests of this node for a time; the first opens after this time.
+    EnginesClosed(Duration),
+    /// All engines leave.
+    EnginesLeaving,
     /// Engines refused the request, or it reached none.
     NotRun,
     /// No engine responded, and the request may have run.
@@ -97,11 +167,15 @@
             Self::BadKey => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyBroken => StatusCode::BAD_REQUEST,
+            Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::NotConfigured
             | Self::StaleConfiguration
+            | Self::NoMemory
             | Self::Leaving
             | Self::NoEngine
             | Self::Limited(_)
+            | Self::EnginesClosed(_)
+            | Self::EnginesLeaving
             | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -117,9 +191,13 @@
             Self::StaleConfiguration => "stale_configuration",
             Self::BodyTooLarge => "body_too_long",
             Self::BodyBroken => "body_broken",
+            Self::BodyTooSlow => "body_too_slow",
+            Self::NoMemory => "no_memory",
             Self::Leaving => "leaving",
             Self::NoEngine => "no_engine",
             Self::Limited(_) => "engine_limit",
+            Self::EnginesClosed(_) => "engines_closed",
+            Self::EnginesLeaving => "engines_leaving",
             Self::NotRun => "not_run",
             Self::Unknown => "outcome_unknown",
             Self::TimedOut => "timed_out",
@@ -131,9 +209,10 @@
         match self {
             // Another node may already have the configuration, or may not be stopping.
             Self::NotConfigured | Self::StaleConfiguration | Self::Leaving => Some(Duration::from_millis(50)),
-            Self::Limited(wait) => Some(wait),
+            Self::Limited(wait) | Self::EnginesClosed(wait) => Some(wait),
+            Self::EnginesLeaving => Some(REPLACEMENT_DELAY),
             // About the time in which an engine's queue advances.
-            Self::NoEngine | Self::NotRun => Some(Duration::from_millis(150)),
+            Self::NoEngine | Self::NotRun | Self::NoMemory => Some(Duration::from_millis(150)),
             _ => None,
         }
     }
@@ -144,8 +223,15 @@
         let body = serde_json::json!({ "code": self.code(), "ran": ran });
         let mut response = full_response(self.status(), "application/json", body.to_string().into());
         if let Some(min_delay) = self.retry_after() {
-            let delay = min_delay.mul_f64(rand::rng().random_range(1.0..3.0));
-            let value = HeaderValue::from_str(&format!("{:.2}", delay.as_secs_f64()));
+            let max_factor = match self {
+                // The time is known, and callers should not wait much longer than needed.
+                Self::EnginesClosed(_) => 1.25,
+                _ => 3.0,
+            };
+            let delay = min_delay.mul_f64(rand::rng().random_range(1.0..max_factor));
+            // Rounded up, so that no caller returns too early.
+            let seconds = (delay.as_secs_f64() * 100.0).ceil() / 100.0;
+            let value = HeaderValue::from_str(&format!("{seconds:.2}"));
             if let Ok(value) = value {
                 response.headers_mut().insert(RETRY_AFTER, value);
             }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,14 +1,15 @@
 //! State shared by the tasks of a node; each part has its own lock.
 
 use std::collections::{BTreeMap, HashMap};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::future::pending;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
 use config::settings::entry::Settings;
 use forward::BootTime;
 use forward::cached::Cached;
-use forward::configuration::{Configuration, Route, RouteKind};
+use forward::configuration::{Configuration, Route};
 use forward::congestion::Congestion;
 use forward::directory::{Directory, Engine};
 use forward::drain::Drain;
@@ -17,17 +18,20 @@
 use forward::pace::UsualGaps;
 use forward::permit::Fleet;
 use forward::release::{Arm, Release, ResponseGrade, Stage, Subject};
-use forward::request_limit::Limits;
 use forward::retry_budget::{RetryBudget, RetryLimit, RetryReason};
+use forward::statement::{Access, Statements};
 use forward::work::{Work, WorkDistribution};
 use membership::Table;
 use model::{Incarnation, Name};
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, watch};
+use tokio::time::sleep;
 
 use crate::clock;
+use crate::memory::Budget;
 use crate::metrics::Metrics;
 use crate::model_choice::RouteModels;
+use crate::open_requests::OpenRequests;
 use crate::permit::Permits;
 use crate::protocol::Protocol;
 use crate::relay::Relay;
@@ -43,7 +47,8 @@
     pub configuration: Mutex<Cached<Configuration>>,
     pub directory: Mutex<Directory>,
     pub loads: Mutex<Loads>,
-    pub request_limits: Mutex<Limits>,
+    /// What engines state about the requests that they take.
+    pub statements: Mutex<Statements>,
     pub permits: Permits,
     pub releases: Mutex<BTreeMap<Name, Release>>,
     /// Wakes the exchange of notices about releases, if something must not wait for its next round.
@@ -58,12 +63,17 @@
     work_distributions: Mutex<HashMap<Name, WorkDistribution>>,
     pub relay: Relay,
     pub metrics: Metrics,
+    /// Memory for the bodies of requests.
+    pub request_memory: Arc<Budget>,
+    /// Memory for the bodies of responses and for events on their way to callers.
+    pub response_memory: Arc<Budget>,
     /// Whether the list of engines was read since the start.
     pub engines_known: AtomicBool,
-    /// Number of requests in progress.
-    pub active_requests: AtomicUsize,
+    pub open_requests: OpenRequests,
     /// When the planned stop began.
     pub leaving: watch::Sender<Option<BootTime>>,
+    /// Whether a stopping node takes no further connections.
+    pub closing: watch::Sender<bool>,
 }
 
 /// Number of hosts of the fleet, as known to this node.
@@ -109,6 +119,7 @@
         socket: UdpSocket,
     ) -> Self {
         let outage = settings.store.heartbeat * Self::OUTAGE_HEARTBEATS;
+        let memory = settings.node.memory;
         Self {
             settings: RwLock::new(Arc::new(settings)),
             protocol,
@@ -117,7 +128,7 @@
             configuration: Mutex::new(Cached::empty()),
             directory: Mutex::new(Directory::new(outage)),
             loads: Mutex::default(),
-            request_limits: Mutex::default(),
+            statements: Mutex::default(),
             permits: Permits::new(clock::now()),
             releases: Mutex::default(),
             release_changed: Notify::new(),
@@ -131,9 +142,12 @@
             work_distributions: Mutex::default(),
             relay: Relay::default(),
             metrics: Metrics::new(),
+            request_memory: Budget::of_process(memory),
+            response_memory: Budget::of_process(memory),
             engines_known: AtomicBool::new(false),
-            active_requests: AtomicUsize::new(0),
+            open_requests: OpenRequests::default(),
             leaving: watch::Sender::new(None),
+            closing: watch::Sender::new(false),
         }
     }
 
@@ -157,16 +171,37 @@
     /// Course of a planned stop.
     pub(crate) fn drain(&self) -> Drain {
         let bounds = &self.settings().bounds;
-        Drain {
-            addresses_expired: bounds.entry_lifetime * Self::CACHED_LIFETIMES,
-            exit: bounds.grace.saturating_sub(Self::EXIT_MARGIN),
-        }
+        Drain::new(
+            bounds.entry_lifetime * Self::CACHED_LIFETIMES,
+            bounds.grace.saturating_sub(Self::EXIT_MARGIN),
+        )
     }
 
     /// Whether a new request is served, or refused because the node is about to stop.
-    pub(crate) fn accepts(&self, kind: RouteKind, now: BootTime) -> bool {
+    pub(crate) fn accepts(&self, deadline: BootTime, now: BootTime) -> bool {
         let began = *self.leaving.borrow();
-        began.is_none_or(|it| self.drain().accepts(kind, now.saturating_sub(it)))
+        let time_left = deadline.saturating_sub(now);
+        began.is_none_or(|it| self.drain().accepts(time_left, now.saturating_sub(it)))
+    }
+
+    /// Completes at a time of the planned stop.
+    pub(crate) async fn stop_reaches(&self, time: impl Fn(&Drain) -> Duration) {
+        let mut leaving = self.leaving.subscribe();
+        let began = leaving.wait_for(Option::is_some).await.map(|it| *it);
+        // The sender is dropped with the node only.
+        let Ok(Some(began)) = began else {
+            return pending().await;
+        };
+        let elapsed = clock::now().saturating_sub(began);
+        sleep(time(&self.drain()).saturating_sub(elapsed)).await;
+    }
+
+    /// Completes when a stopping node takes no further connections.
+    pub(crate) async fn closes(&self) {
+        let mut closing = self.closing.subscribe();
+        if closing.wait_for(|it| *it).await.is_err() {
+            pending::<()>().await;
+        }
     }
 
     /// Whether callers may be directed to this node.
@@ -223,15 +258,34 @@
         f(budget)
     }
 
+    /// Whether a new request may be sent to an engine, by what the engine has stated.
+    pub(crate) fn access(&self, engine: &Engine, now: BootTime) -> Access {
+        lock(&self.statements).access(engine, now)
+    }
+
+    /// Whether an engine of a service has stated that it leaves while the registry still lists it as usable.
+    pub(crate) fn has_leaving_engine(&self, service: &Name, now: BootTime) -> bool {
+        let directory = lock(&self.directory);
+        let statements = lock(&self.statements);
+        directory
+            .available(service, now)
+            .any(|it| statements.access(it, now) == Access::Leaving)
+    }
+
     /// Engines of a service that may serve a request, and the version of the release that they belong to.
     ///
+    /// The registry may list an engine that has stated that it leaves for some time.
     pub(crate) fn engines(
         &self,
         service: &Name,
         subject: Subject<'_>,
         now: BootTime,
     ) -> (Vec<Arc<Engine>>, Arm) {
-        let all: Vec<_> = lock(&self.directory).available(service, now).cloned().collect();
+        let mut all: Vec<_> = lock(&self.directory).available(service, now).cloned().collect();
+        {
+            let statements = lock(&self.statements);
+            all.retain(|it| statements.access(it, now) != Access::Leaving);
+        }
         let mut releases = lock(&self.releases);
         let Some(release) = releases.get_mut(service) else {
             return (all, Arm::Old);
--- a/crates/forward/src/release.rs
+++ b/crates/forward/src/release.rs
@@ -9,6 +9,10 @@
 //! known to be good near the end of its time is reverted too. A recorded end is final: the old engines stop
 //! when a release completes, so there is nothing to return to.
 
+mod order;
+mod stage;
+mod trial;
+
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
@@ -17,69 +21,10 @@
 use crate::BootTime;
 use crate::evidence::Evidence;
 pub use crate::evidence::{Counters, ResponseGrade, Tally};
-use crate::relay::Position;
-
-/// An order of the operators to release a version.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ReleaseOrder {
-    /// Service.
-    pub service: Name,
-    /// Version to release.
-    pub target: Name,
-    /// Time within which the release must be complete or reverted.
-    pub duration: Duration,
-    /// Position of the order in its log; a later order replaces an earlier one.
-    pub position: Position,
-}
-
-/// Progress of a release.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Stage {
-    /// The new version gets a share of the traffic that depends on the index of the stage.
-    Trial(u8),
-    /// The new version gets all traffic, and the old engines may stop.
-    Complete,
-    /// The new version gets no traffic.
-    Reverted,
-}
-
-impl Stage {
-    /// Encoding of the stage in messages between nodes.
-    pub fn code(self) -> u8 {
-        match self {
-            Self::Trial(stage) => stage.min(Self::COMPLETE - 1),
-            Self::Complete => Self::COMPLETE,
-            Self::Reverted => Self::REVERTED,
-        }
-    }
-
-    /// Decodes [`Self::code`].
-    pub fn from_code(code: u8) -> Self {
-        match code {
-            Self::COMPLETE => Self::Complete,
-            Self::REVERTED => Self::Reverted,
-            stage => Self::Trial(stage),
-        }
-    }
-
-    const COMPLETE: u8 = 254;
-    const REVERTED: u8 = 255;
-}
 
-/// The recorded state of a release.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ReleaseStatus {
-    /// Offset of the order.
-    pub order_offset: u64,
-    /// Version to release.
-    pub target: Name,
-    /// Recorded stage.
-    pub stage: Stage,
-    /// Time from the order to the writing of the record.
-    pub elapsed: Duration,
-    /// Time from the order to the change of stage, which allows all nodes to change together.
-    pub effective_after: Duration,
-}
+pub use self::order::{Exposure, ReleaseOrder, ReleaseStatus};
+pub use self::stage::Stage;
+use self::trial::TRIALS;
 
 /// Which version serves a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -93,36 +38,6 @@
 /// A response is slow if its time to the first byte exceeds the usual one of the old version by this factor.
 pub const SLOW_RATIO: f64 = 3.0;
 
-/// A stage of the trial.
-#[derive(Debug, Clone, Copy)]
-struct Trial {
-    /// Fraction of the duration after which it may begin.
-    begin: f64,
-    /// Share of the traffic, in units of the permitted exposure.
-    exposures: f64,
-}
-
-/// The stages of the trial.
-///
-/// The share stays small for half of the duration, because sessions must not change to the new version before,
-/// and because a version that turns bad late must have got only a small part of all requests by then. The
-/// second stage shows a version that is bad under load, with a share that leaves time to detect it. The last one
-/// moves all traffic, and leaves time for the streams of the old engines to end.
-const TRIALS: [Trial; 3] = [
-    Trial {
-        begin: 0.0,
-        exposures: 0.6,
-    },
-    Trial {
-        begin: 0.5,
-        exposures: 2.2,
-    },
-    Trial {
-        begin: 0.7,
-        exposures: f64::INFINITY,
-    },
-];
-
 /// Share of the requests without a session in the first stage, in units of the permitted exposure. It lasts for half
 /// of the duration, and these requests need not wait until running sessions are known.
 const FIRST_REQUEST_EXPOSURES: f64 = 0.8;
@@ -131,7 +46,7 @@
 const MAX_FIRST_SHARE: f64 = 0.5;
 
 /// Time after the order until the number of requests in its duration is estimated.
-const VOLUME_TIME: Duration = Duration::from_secs(1);
+const VOLUME_TIME: Duration = Duration::from_secs(2);
 
 /// Time for the sessions pinned to the old version to reach all nodes: three rounds of the exchange.
 const PIN_TIME: Duration = Duration::from_millis(1500);
@@ -142,18 +57,9 @@
 /// Fraction of the duration after which the release may complete and the old engines may stop.
 const COMPLETION_FRACTION: f64 = 0.84;
 
-/// Fraction of the duration after which a release that is not known to be good is reverted; the rest is for
-/// recording this.
-const VERDICT_FRACTION: f64 = 0.97;
-
-/// Requests to a bad version that the operators permit.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Exposure {
-    /// Share of all requests to the service from the order to the end of its duration.
-    pub share: f64,
-    /// Number of requests beyond that share.
-    pub slack: f64,
-}
+/// Time before the end of the duration at which a release that is not known to be good is reverted: a round, and the time
+/// of a call to the store.
+const VERDICT_LEAD: Duration = Duration::from_millis(750);
 
 /// What the version of a request depends on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -193,7 +99,11 @@
     /// Number of hosts of the fleet.
     hosts: usize,
     started_at: BootTime,
+    /// When this process learned of the order.
+    known_since: BootTime,
     stage: Stage,
+    /// Whether responses count as evidence of the stage.
+    is_stage_begun: bool,
     /// Stage that is active until `effective_after`.
     previous_stage: Stage,
     effective_after: Duration,
@@ -221,7 +131,9 @@
             exposure,
             hosts: 1,
             started_at: now,
+            known_since: now,
             stage: Stage::Trial(0),
+            is_stage_begun: true,
             previous_stage: Stage::Trial(0),
             effective_after: Duration::ZERO,
             is_recorded: false,
@@ -265,9 +177,14 @@
         self.ended_at.is_some_and(|it| now.saturating_sub(it) < time)
     }
 
-    /// Sets the number of hosts of the fleet, whose requests are estimated from those that this node knows.
-    pub fn set_hosts(&mut self, hosts: usize) {
+    /// Begins the evidence of a stage that has become active, and takes the number of hosts of the fleet, whose requests
+    /// are estimated from those that this node knows. To be called in each round.
+    pub fn tick(&mut self, hosts: usize, now: BootTime) {
         self.hosts = hosts.max(1);
+        if !self.is_stage_begun && self.active_stage(now) == self.stage {
+            self.is_stage_begun = true;
+            self.evidence.begin_stage();
+        }
     }
 
     /// Records that the order is at least this old, as another node knows.
@@ -297,7 +214,7 @@
             self.previous_stage = self.active_stage(now);
             self.stage = status.stage;
             self.effective_after = status.effective_after;
-            self.evidence.begin_stage();
+            self.is_stage_begun = false;
             if self.stage >= Stage::Complete {
                 self.ended_at = Some(now);
             }
@@ -373,8 +290,7 @@
         let is_first = trial == 0;
         let (id, share) = match subject {
             Subject::Session(id) => (id, self.session_share(trial)),
-            Subject::Request(id) if is_first => (id, self.first_request_share(now)),
-            Subject::Request(id) => (id, self.session_share(trial)),
+            Subject::Request(id) => (id, self.request_share(trial, now)),
         };
         let hash = self.hash(id);
         if !is_within(hash, share) {
@@ -395,13 +311,13 @@
         self.exposure.share * TRIALS[trial].exposures
     }
 
-    /// Share of the requests without a session that get the new version in the first stage.
+    /// Share of the requests without a session that get the new version in a stage.
     ///
     /// The fewer requests there are, the larger it is: the permitted number of requests beyond the share counts
     /// for more, and a decision needs a number of responses rather than a share.
-    fn first_request_share(&self, now: BootTime) -> f64 {
-        let least = self.session_share(0);
-        let elapsed = self.elapsed(now);
+    fn request_share(&self, trial: usize, now: BootTime) -> f64 {
+        let least = self.session_share(trial);
+        let elapsed = now.saturating_sub(self.known_since);
         let (responses, processes) = self.evidence.volume();
         if elapsed < VOLUME_TIME || responses == 0 {
             return least;
@@ -409,7 +325,11 @@
         let of_fleet = responses as f64 * (self.hosts as f64 / processes as f64).max(1.0);
         let in_duration = of_fleet * self.order.duration.as_secs_f64() / elapsed.as_secs_f64();
         let permitted = self.exposure.share + self.exposure.slack / in_duration;
-        (permitted * FIRST_REQUEST_EXPOSURES).clamp(least, MAX_FIRST_SHARE.max(least))
+        let (exposures, most) = match trial {
+            0 => (FIRST_REQUEST_EXPOSURES, MAX_FIRST_SHARE),
+            _ => (TRIALS[trial].exposures, 1.0),
+        };
+        (permitted * exposures).clamp(least, most.max(least))
     }
 
     /// Records that the old version finished a request; the session timeout counts from now, however long the
@@ -506,10 +426,9 @@
             return Decision::Record(Stage::Trial(0));
         }
         let progress = self.elapsed(now).as_secs_f64() / self.order.duration.as_secs_f64().max(0.001);
-        let is_active = self.active_stage(now) == self.stage;
         // In the first stage, routes with few requests yield too few responses in time; the next one yields more.
         let are_routes_assured = stage == 0 || self.evidence.are_routes_assured();
-        if is_active && are_routes_assured && self.evidence.is_service_assured() {
+        if self.is_stage_begun && are_routes_assured && self.evidence.is_service_assured() {
             let (next, begin) = match TRIALS.get(usize::from(stage) + 1) {
                 Some(it) => (Stage::Trial(stage + 1), it.begin),
                 None => (Stage::Complete, COMPLETION_FRACTION),
@@ -518,7 +437,7 @@
                 return Decision::Record(next);
             }
         }
-        match progress >= VERDICT_FRACTION {
+        match self.elapsed(now) + VERDICT_LEAD >= self.order.duration {
             true => Decision::Record(Stage::Reverted),
             false => Decision::Hold,
         }
--- a/crates/forward/tests/permit_schedules.rs
+++ b/crates/forward/tests/permit_schedules/main.rs
@@ -1,19 +1,24 @@
 //! Random schedules of nodes that are stopped, started and cut off while they use an engine with a request limit.
 //!
 //! Guards against a limit that is spent twice because two nodes issue permits, and against one that each part of a
-//! split fleet spends as if it were alone. Deliberate faults show that the checks detect these violations.
+//! split fleet spends as if it were alone, also while datagrams between nodes are delayed and lost, and against an
+//! engine that is then left alone. Deliberate faults show that the checks detect these violations.
 
-use std::collections::VecDeque;
+mod network;
+
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use forward::BootTime;
-use forward::permit::{Decision, Fleet, Issuer};
+use forward::permit::{Fleet, Issuer, Permits};
 use forward::request_limit::Rate;
 use model::{Upstream, hash};
 use proptest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use network::{Event, Network, run_undisturbed, undisturbed};
+
 const NODES: usize = 8;
 
 /// Nodes that each node knows when it starts, though it has not reached them.
@@ -55,12 +60,18 @@
     IssuesAfterRefutation,
     /// A node issues all permits even if it cannot reach other nodes.
     NoShare,
+    /// A permit is lost if its reply arrives after the request has gone on.
+    LatePermitsDropped,
+    /// A permit is kept however late its reply arrives.
+    PermitsKept,
 }
 
 #[derive(Debug, PartialEq, Eq)]
 enum Violation {
     /// Nodes that were in touch sent too many requests.
     Limit,
+    /// An engine got less than the minimum share of its limit.
+    Starved,
 }
 
 #[derive(Debug, Clone)]
@@ -74,6 +85,8 @@
     Heal,
     /// All others take a node for dead until it refutes that.
     DeclareDead(usize),
+    /// Datagrams of a node are delivered after some milliseconds.
+    Stall(usize, u16),
 }
 
 #[derive(Debug, Clone)]
@@ -82,6 +95,12 @@
     part: bool,
     issuer: Issuer,
     fleet: Fleet,
+    permits: Permits,
+    /// Queries for whose reply a request waits.
+    waiting: HashSet<u64>,
+    /// Until when datagrams of the node are delayed.
+    stalled_until: BootTime,
+    started_at: BootTime,
     /// Until when the others take it for dead although it runs.
     refuted_at: BootTime,
     /// Last stop, start or cut.
@@ -95,11 +114,16 @@
 #[derive(Debug)]
 struct Simulation {
     fault: Option<Fault>,
+    network: Network,
     rate: Rate,
     engine: Upstream,
     now: BootTime,
     nodes: Vec<Node>,
     requests: VecDeque<(BootTime, usize)>,
+    /// Events by the time at which they are due.
+    events: BTreeMap<(BootTime, u64), Event>,
+    /// Numbers given to queries and events so far.
+    numbers: u64,
     rng: StdRng,
 }
 
@@ -110,12 +134,16 @@
 }
 
 impl Simulation {
-    fn new(fault: Option<Fault>, rate: Rate, seed: u64) -> Self {
+    fn new(fault: Option<Fault>, network: Network, rate: Rate, seed: u64) -> Self {
         let node = Node {
             running: true,
             part: false,
             issuer: Issuer::new(BootTime::ZERO),
             fleet: Fleet::default(),
+            permits: Permits::default(),
+            waiting: HashSet::new(),
+            stalled_until: BootTime::ZERO,
+            started_at: BootTime::ZERO,
             refuted_at: BootTime::ZERO,
             disturbed_at: BootTime::ZERO,
             present: [true; NODES],
@@ -124,11 +152,14 @@
         };
         Self {
             fault,
+            network,
             rate,
             engine: format!("engine-{seed}").into(),
             now: Duration::from_secs(60),
             nodes: vec![node; NODES],
             requests: VecDeque::new(),
+            events: BTreeMap::new(),
+            numbers: 0,
             rng: StdRng::seed_from_u64(seed),
         }
     }
@@ -152,6 +183,10 @@
                     let delay = Duration::from_millis(self.rng.random_range(REFUTATION_DELAY));
                     self.nodes[node].refuted_at = self.now + delay;
                 }
+                Step::Stall(rank, millis) => {
+                    let node = self.ranked(rank);
+                    self.nodes[node].stalled_until = self.now + Duration::from_millis(millis.into());
+                }
                 Step::Heal => {
                     self.nodes.iter_mut().for_each(|it| it.part = false);
                     self.disturb(&(0..NODES).collect::<Vec<_>>());
@@ -187,6 +222,10 @@
             part,
             issuer: Issuer::new(started_at),
             fleet: Fleet::default(),
+            permits: Permits::default(),
+            waiting: HashSet::new(),
+            stalled_until: BootTime::ZERO,
+            started_at: self.now,
             refuted_at: BootTime::ZERO,
             disturbed_at: self.now,
             present: alone,
@@ -288,9 +327,10 @@
             self.notice_refutations();
             self.update_views();
             self.exchange_notices();
+            self.deliver();
             let first = self.rng.random_range(0..NODES);
             for node in (0..NODES).map(|it| (first + it) % NODES) {
-                if self.nodes[node].running && self.is_granted(node) {
+                if self.nodes[node].running && self.may_send(node) {
                     self.requests.push_back((self.now, node));
                     self.check()?;
                 }
@@ -299,30 +339,6 @@
         Ok(())
     }
 
-    fn is_granted(&mut self, node: usize) -> bool {
-        let issuer = self.issuer_of(node);
-        if !self.reaches(node, issuer) || self.issuer_of(issuer) != issuer {
-            return false;
-        }
-        let known = self.nodes[node].known_hosts();
-        let view = &mut self.nodes[issuer];
-        view.fleet.record(known, self.now);
-        let present = view.present.iter().filter(|it| **it).count();
-        let share = match self.fault {
-            Some(Fault::NoShare) => 1.0,
-            _ => view.fleet.share(present, view.known_hosts(), self.now),
-        };
-        let since = match self.fault {
-            Some(Fault::NoTakeOver) => Issuer::PROPAGATION,
-            _ => Duration::from_secs(60),
-        };
-        let wait = Duration::ZERO;
-        let decision = view
-            .issuer
-            .request(&self.engine, self.rate * share, since, wait, self.now);
-        matches!(decision, Decision::Granted(_))
-    }
-
     fn check(&mut self) -> Result<(), Violation> {
         while self.requests.front().is_some_and(|it| it.0 + WINDOW < self.now) {
             self.requests.pop_front();
@@ -360,38 +376,71 @@
     ]
 }
 
+/// Steps while datagrams are delayed.
+fn impaired_step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        13 => step(),
+        1 => (rank(), 0..10_000_u16).prop_map(|(rank, millis)| Step::Stall(rank, millis)),
+    ]
+}
+
 type Schedule = (usize, u64, Vec<Step>);
 
 /// Limits in requests per second.
 const RATES: [Rate; 4] = [0.5, 2.1, 20.0, 60.0];
 
-fn schedules() -> impl Strategy<Value = Schedule> {
-    let steps = prop::collection::vec(step(), 1..24);
+fn schedules(network: Network) -> impl Strategy<Value = Schedule> {
+    let step = match network {
+        Network::Immediate => step().boxed(),
+        Network::Impaired => impaired_step().boxed(),
+    };
+    let steps = prop::collection::vec(step, 1..24);
     (0..RATES.len(), any::<u64>(), steps)
 }
 
-fn run(fault: Option<Fault>, (rate, seed, steps): &Schedule) -> Result<(), Violation> {
-    Simulation::new(fault, RATES[*rate], *seed).run(steps)
+fn run(network: Network, fault: Option<Fault>, (rate, seed, steps): &Schedule) -> Result<(), Violation> {
+    Simulation::new(fault, network, RATES[*rate], *seed).run(steps)
 }
 
 #[test]
 fn nodes_keep_a_limit_together() {
-    schedule::assert_rules_hold(CASES, &schedules(), |it| run(None, &it));
+    let network = Network::Immediate;
+    schedule::assert_rules_hold(CASES, &schedules(network), |it| run(network, None, &it));
+}
+
+#[test]
+fn nodes_keep_a_limit_together_while_datagrams_are_delayed() {
+    let network = Network::Impaired;
+    schedule::assert_rules_hold(CASES, &schedules(network), |it| run(network, None, &it));
+}
+
+#[test]
+fn engine_gets_what_it_takes_while_datagrams_are_delayed() {
+    schedule::assert_rules_hold(CASES, &undisturbed(), |it| run_undisturbed(None, it));
+}
+
+#[test]
+fn permits_that_are_lost_with_their_request_are_detected() {
+    let fault = Some(Fault::LatePermitsDropped);
+    let run = |it| run_undisturbed(fault, it);
+    schedule::assert_fault_detected(CASES, &undisturbed(), &Violation::Starved, run);
 }
 
 macro_rules! faults {
-    ($($name:ident: $fault:ident => $violation:ident;)*) => {
+    ($($name:ident: $fault:ident in $network:ident;)*) => {
         $(#[test]
         fn $name() {
-            let expected = Violation::$violation;
-            schedule::assert_fault_detected(CASES, &schedules(), &expected, |it| run(Some(Fault::$fault), &it));
+            let network = Network::$network;
+            let run = |it| run(network, Some(Fault::$fault), &it);
+            schedule::assert_fault_detected(CASES, &schedules(network), &Violation::Limit, run);
         })*
     };
 }
 
 faults! {
-    permits_issued_by_each_node_are_detected: IssuedByEachNode => Limit;
-    issuer_that_does_not_wait_is_detected: NoTakeOver => Limit;
-    issuer_that_was_taken_for_dead_is_detected: IssuesAfterRefutation => Limit;
-    issuer_of_a_part_that_issues_for_all_is_detected: NoShare => Limit;
+    permits_issued_by_each_node_are_detected: IssuedByEachNode in Immediate;
+    issuer_that_does_not_wait_is_detected: NoTakeOver in Immediate;
+    issuer_that_was_taken_for_dead_is_detected: IssuesAfterRefutation in Immediate;
+    issuer_of_a_part_that_issues_for_all_is_detected: NoShare in Immediate;
+    permits_that_are_kept_are_detected: PermitsKept in Impaired;
 }
