--- a/crates/load/src/release/node.rs
+++ b/crates/load/src/release/node.rs
@@ -69,8 +69,7 @@
         if self.release.is_some() {
             return;
         }
-        let mut release = Release::new(order, SESSION_TIMEOUT, EXPOSURE, now);
-        release.set_hosts(NODES);
+        let release = Release::new(order, SESSION_TIMEOUT, EXPOSURE, now);
         self.release = Some(release);
     }
 
@@ -160,6 +159,13 @@
         }
     }
 
+    /// Begins a round.
+    pub(super) fn tick(&mut self, now: BootTime) {
+        if let Some(release) = &mut self.release {
+            release.tick(NODES, now);
+        }
+    }
+
     /// The stage that the driver should record now.
     pub(super) fn due(&self, now: BootTime) -> Option<Stage> {
         match self.release.as_ref()?.decide(now) {
--- a/crates/load/src/release/simulation.rs
+++ b/crates/load/src/release/simulation.rs
@@ -352,6 +352,7 @@
         if !self.is_up[node] {
             return;
         }
+        self.nodes[node].tick(now);
         let up: Vec<_> = (0..NODES).filter(|it| self.is_up[*it]).collect();
         let evaluators = &up[..EVALUATORS.min(up.len())];
         let rank = up.iter().position(|it| *it == node);
