--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod client;
 mod clock;
 mod control;
+mod cut_off;
 mod datagrams;
 mod follow;
 mod listener;
