--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -43,6 +43,14 @@
     pub prompt_parts: Vec<u64>,
 }
 
+impl RequestMetadata {
+    /// The hashes of the prompt's parts for a log line.
+    pub(crate) fn prompt_parts_text(&self) -> String {
+        let parts: Vec<_> = self.prompt_parts.iter().map(|it| format!("{it:x}")).collect();
+        parts.join(",")
+    }
+}
+
 /// Metadata that the node adds to a forwarded request.
 #[derive(Debug, Clone)]
 pub struct ForwardMetadata<'a> {
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -322,7 +322,15 @@
         self.shared.metrics.failures.get_or_create(&label).inc();
         let engine = self.engine.as_ref().map_or("", |it| &*it.id);
         let (runs, left_ms) = (self.retry_state.runs(), self.remaining().as_millis() as u64);
-        log::info!(id = self.id, engine, failure = failure.as_str(), runs, left_ms, retry; "attempt failed");
+        let (route, organisation) = (
+            &*self.route.name,
+            self.organisation.as_ref().map_or("", |it| &*it.name),
+        );
+        let prompt_parts = self.metadata.prompt_parts_text();
+        log::info!(
+            id = self.id, engine, failure = failure.as_str(), runs, left_ms, retry, route, organisation, prompt_parts;
+            "attempt failed"
+        );
         if retry {
             self.shared
                 .metrics
