--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use forward::BootTime;
 use forward::configuration::RouteKind;
 use forward::directory::Engine;
+use forward::hold::Admission;
 use forward::release::Arm;
 use forward::retry::Failure;
 use forward::urgency::{self, Urgency};
@@ -28,7 +30,7 @@
 use crate::response::{ResponseBody, strip_connection_headers};
 use crate::selection::{self, Selection};
 use crate::shared::lock;
-use crate::{body, clock, statement};
+use crate::{body, clock, quarantine, statement};
 
 /// Timeout for connecting to an engine. The failure domains of a region are a few milliseconds apart; a lost
 /// packet costs about 200 ms.
@@ -54,6 +56,8 @@
     pub metadata: ResponseMetadata,
     pub body: client::Body,
     pub grading: Option<Grading>,
+    /// When the request was sent.
+    sent_at: BootTime,
     _connection: Connection,
     in_flight: InFlight,
 }
@@ -126,6 +130,7 @@
         Ok(Err(err)) => {
             grading.discard();
             log::info!(id = context.id, engine = *engine.id, error:% = err; "no answer");
+            quarantine::record_broken(context, &engine);
             record_failure(context, &engine, Failure::Lost);
             return AttemptOutcome::failed(Failure::Lost);
         }
@@ -155,6 +160,7 @@
         metadata,
         body,
         grading: None,
+        sent_at,
         _connection: connection,
         in_flight,
     };
@@ -175,6 +181,11 @@
 /// Selects another one if the engine states in another response meanwhile that it takes no requests.
 async fn reach_engine(context: &mut RequestContext, work: Option<Work>) -> Result<Reached, AttemptOutcome> {
     loop {
+        let admission = quarantine::admit(context);
+        if let Admission::Held(wait) = admission {
+            context.held_for = Some(wait);
+            return Err(AttemptOutcome::NoEngine);
+        }
         let (engine, arm) = match selection::select(context, work).await {
             Selection::Engine(engine, arm) => (engine, arm),
             Selection::None => return Err(AttemptOutcome::NoEngine),
@@ -189,6 +200,9 @@
             log::info!(id = context.id, engine = *engine.id; "engine takes no more requests, nothing was sent");
             continue;
         }
+        if admission == Admission::Open && quarantine::is_held(context) {
+            continue;
+        }
         context.tried.push(engine.clone());
         context.open.record_attempt(&engine);
         match result {
@@ -280,7 +294,7 @@
 fn head_timeout(context: &RequestContext) -> Duration {
     let remaining = context.remaining();
     let fraction = match context.route.kind {
-        _ if !context.retry_state.may_run_again(clock::now()) => return remaining,
+        _ if !context.may_run_again(clock::now()) => return remaining,
         RouteKind::Call(Repeat::NonIdempotent) => return remaining,
         RouteKind::Call(Repeat::Idempotent) => CALL_RETRY_FRACTION,
         RouteKind::Stream { .. } => STREAM_RETRY_FRACTION,
@@ -361,7 +375,22 @@
     pub(crate) fn body_failure(&self, context: &RequestContext, err: &hyper::Error) -> Failure {
         match client::is_overlong(err) {
             true => self.cut_off(context, Bound::Framing),
-            false => Failure::Lost,
+            false => {
+                self.record_broken(context);
+                Failure::Lost
+            }
+        }
+    }
+
+    /// Records that the engine broke this response off.
+    pub(crate) fn record_broken(&self, context: &RequestContext) {
+        quarantine::record_broken(context, &self.in_flight.engine);
+    }
+
+    /// Records that this response is complete.
+    pub(crate) fn record_complete(&self, context: &RequestContext) {
+        if self.head.status.is_success() {
+            quarantine::record_served(context, &self.in_flight.engine, self.sent_at);
         }
     }
 
@@ -381,6 +410,7 @@
             Ok(Err(body::Error::Broken(err))) => return Err(self.body_failure(context, &err)),
             Err(_) => return Err(Failure::Silent),
         };
+        self.record_complete(context);
         let Self { mut head, .. } = self;
         strip_connection_headers(&mut head.headers);
         Ok(Response::from_parts(
--- a/crates/entry/src/datagrams.rs
+++ b/crates/entry/src/datagrams.rs
@@ -16,6 +16,7 @@
 use crate::clock;
 use crate::notice::{self, Notice};
 use crate::permit::{self, PermitQuery, PermitReply};
+use crate::quarantine::{self, QuarantineNotice};
 use crate::relay::{self, QueryMessage, ReplyMessage};
 use crate::shared::{Shared, lock};
 use crate::statement::{self, StatementNotice};
@@ -37,6 +38,7 @@
 const STATEMENTS: u8 = b'l';
 const PERMIT_QUERY: u8 = b'p';
 const PERMIT_REPLY: u8 = b'g';
+const QUARANTINE: u8 = b'h';
 
 /// Datagrams that are sent at once to many nodes, and the pause after them. The slowest links have 10 Mbit/s and
 /// short queues; a burst to the whole fleet would always lose its end.
@@ -68,6 +70,7 @@
                 }
                 count = count.wrapping_add(1);
                 handle(&shared, Event::Tick);
+                quarantine::tick(&shared);
             }
             received = shared.socket.recv_from(&mut buffer) => match received {
                 Ok((len, from)) => receive(&shared, &buffer[..len], from),
@@ -146,6 +149,10 @@
             Ok(reply) => permit::deliver_reply(shared, reply),
             Err(err) => log::debug!("cannot decode a permit reply: {err}"),
         },
+        QUARANTINE => match serde_json::from_slice::<QuarantineNotice>(content) {
+            Ok(notice) => quarantine::apply_notice(shared, notice),
+            Err(err) => log::debug!("cannot decode what is held back: {err}"),
+        },
         _ => log::debug!("datagram of unknown kind"),
     }
 }
@@ -192,6 +199,15 @@
     send_json(socket, STATEMENTS, notice, to);
 }
 
+/// Sends what is known about requests that end engines to nodes.
+pub(crate) fn send_quarantine(
+    socket: &UdpSocket,
+    notice: &QuarantineNotice,
+    to: impl IntoIterator<Item = SocketAddr>,
+) {
+    send_json(socket, QUARANTINE, notice, to);
+}
+
 /// Asks a node for a permit.
 pub(crate) fn send_permit_query(socket: &UdpSocket, query: &PermitQuery, to: SocketAddr) {
     send_json(socket, PERMIT_QUERY, query, [to]);
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -38,6 +38,8 @@
     pub engine_statements: Family<Label, Counter>,
     /// Questions for permits to engines with a request limit, by result.
     pub permits: Family<Label, Counter>,
+    /// Changes of what is held back because it ends engines, by change.
+    pub hold_changes: Family<Label, Counter>,
     /// Requests to the store.
     pub store_calls: Counter,
     /// Requests to the store without a usable response.
@@ -66,6 +68,7 @@
             request_limit_changes: Family::default(),
             engine_statements: Family::default(),
             permits: Family::default(),
+            hold_changes: Family::default(),
             store_calls: Counter::default(),
             store_failures: Counter::default(),
             relayed: Family::default(),
@@ -143,6 +146,11 @@
             "Questions for permits to engines with a request limit, by result",
             self.permits.clone(),
         );
+        registry.register(
+            "hold_changes",
+            "Changes of what is held back because it ends engines, by change",
+            self.hold_changes.clone(),
+        );
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
         registry.register(
             "store_failures",
--- a/crates/entry/src/model_choice.rs
+++ b/crates/entry/src/model_choice.rs
@@ -81,7 +81,7 @@
             return false;
         };
         let value = self.record_confidence(model, confidence);
-        if !self.retry_state.may_run_again(now) || !selection::has_open(self, &[]) {
+        if !self.may_run_again(now) || !selection::has_open(self, &[]) {
             return false;
         }
         let answer = Answer {
--- a/crates/entry/src/permit.rs
+++ b/crates/entry/src/permit.rs
@@ -9,12 +9,11 @@
 use forward::directory::Engine;
 use forward::permit::{Decision, Fleet, Issuer, Permits as NodePermits};
 use forward::request_limit::{Rate, Report};
-use membership::Member;
-use model::hash;
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use crate::owner::{self, Owner};
 use crate::pending::PendingReplies;
 use crate::request_limit::{self, LimitReport};
 use crate::shared::{HostCounts, Shared, lock};
@@ -67,13 +66,6 @@
     limit: Option<LimitReport>,
 }
 
-/// The node that issues the permits for an engine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum IssuerNode {
-    Local,
-    Remote(SocketAddr),
-}
-
 /// Gets a permit for a request to an engine, which may wait for up to `max_wait`.
 ///
 /// After a denial, this node asks for no permit for the engine for a while.
@@ -113,9 +105,9 @@
         let _ = request.send(Decision::Granted(Duration::ZERO));
         return;
     };
-    let decision = match issuer_node(&shared, &engine.id) {
-        IssuerNode::Local => Some(issue(&shared, &report, rate, max_wait)),
-        IssuerNode::Remote(address) => query(&shared, &report, max_wait, address).await,
+    let decision = match owner::of(&shared, &engine.id) {
+        Owner::Local => Some(issue(&shared, &report, rate, max_wait)),
+        Owner::Remote(address) => query(&shared, &report, max_wait, address).await,
     };
     let label = match decision {
         Some(Decision::Granted(_)) => "granted",
@@ -148,9 +140,7 @@
     let report = lock(&shared.statements).limits.report(engine, clock::now());
     let max_wait = Duration::from_millis(query.max_wait_ms);
     let decision = match report.as_ref().map(|it| (it, it.rate)) {
-        _ if issuer_node(shared, engine) != IssuerNode::Local => {
-            Decision::Denied(NodePermits::NO_ISSUER_BACKOFF)
-        }
+        _ if owner::of(shared, engine) != Owner::Local => Decision::Denied(NodePermits::NO_ISSUER_BACKOFF),
         Some((report, Some(rate))) => issue(shared, report, rate, max_wait),
         Some((_, None)) => Decision::Granted(Duration::ZERO),
         None => Decision::Denied(NodePermits::NO_ISSUER_BACKOFF),
@@ -175,7 +165,7 @@
 
 /// Forgets engines for which another node has become the issuer.
 pub(crate) fn forget_others(shared: &Shared) {
-    lock(&shared.permits.issuer).retain(|it| issuer_node(shared, it) == IssuerNode::Local);
+    lock(&shared.permits.issuer).retain(|it| owner::of(shared, it) == Owner::Local);
 }
 
 fn issue(shared: &Shared, report: &Report, rate: Rate, max_wait: Duration) -> Decision {
@@ -217,21 +207,3 @@
         false => Decision::Denied(wait),
     })
 }
-
-/// The node that issues the permits for an engine. A node that is about to stop issues none.
-fn issuer_node(shared: &Shared, engine: &str) -> IssuerNode {
-    let table = lock(&shared.members);
-    let own = Some(&*table.local().host).filter(|_| !shared.is_leaving());
-    let others: Vec<&Member> = table.present().collect();
-    let hosts = others.iter().map(|it| &*it.host).chain(own);
-    let chosen = hash::highest(engine, hosts, 1);
-    let Some(host) = chosen.first().filter(|it| Some(**it) != own) else {
-        return IssuerNode::Local;
-    };
-    // A process that was replaced may still be listed as suspected.
-    let member = others
-        .iter()
-        .filter(|it| *it.host == **host)
-        .min_by_key(|it| it.state);
-    member.map_or(IssuerNode::Local, |it| IssuerNode::Remote(it.addresses.gossip))
-}
--- /dev/null
+++ b/crates/entry/src/quarantine.rs
@@ -0,0 +1,232 @@
+//! Records which requests engines break off, and exchanges with other nodes what follows from it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use forward::BootTime;
+use forward::crash::{self, Fingerprint, Traits};
+use forward::directory::Engine;
+use forward::hold::{self, Admission};
+use forward::quarantine::{Message, Quarantine};
+use forward::statement::Run;
+use model::hash;
+use rand::seq::IndexedRandom;
+use serde::{Deserialize, Serialize};
+
+use crate::owner::{self, Owner};
+use crate::protocol::RequestMetadata;
+use crate::request::RequestContext;
+use crate::shared::{HostCounts, Shared, lock};
+use crate::statement::{RunReport, other_nodes};
+use crate::{clock, datagrams};
+
+/// Maximum number of prompt parts of a request that are compared with those of others.
+const MAX_PARTS: usize = 64;
+
+/// Encoded [`Message`].
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub(crate) struct QuarantineNotice {
+    sender: String,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    crashes: Vec<CrashReport>,
+    /// Runs with ages in milliseconds.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    refuted: Vec<(RunReport, u64)>,
+    /// Fingerprints with ages in milliseconds.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    served: Vec<(Fingerprint, u64)>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    holds: Vec<HoldReport>,
+}
+
+/// Encoded [`crash::Report`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct CrashReport {
+    run: RunReport,
+    age_ms: u64,
+    suspects: Vec<Traits>,
+}
+
+/// Encoded [`hold::Report`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct HoldReport {
+    signature: Traits,
+    revision: u32,
+    age_ms: u64,
+    probes: u32,
+    lifted: bool,
+}
+
+impl QuarantineNotice {
+    fn new(sender: String, message: &Message) -> Self {
+        let crash = |it: &crash::Report| CrashReport {
+            run: RunReport::new(&it.run),
+            age_ms: it.age.as_millis() as u64,
+            suspects: it.suspects.clone(),
+        };
+        let hold = |it: &hold::Report| HoldReport {
+            signature: it.signature.clone(),
+            revision: it.revision,
+            age_ms: it.age.as_millis() as u64,
+            probes: it.probes,
+            lifted: it.lifted,
+        };
+        let refuted = |(run, age): &(Run, Duration)| (RunReport::new(run), age.as_millis() as u64);
+        let served = |(fingerprint, age): &(Fingerprint, Duration)| (*fingerprint, age.as_millis() as u64);
+        Self {
+            sender,
+            crashes: message.crashes.iter().map(crash).collect(),
+            refuted: message.refuted.iter().map(refuted).collect(),
+            served: message.served.iter().map(served).collect(),
+            holds: message.holds.iter().map(hold).collect(),
+        }
+    }
+
+    fn into_message(self) -> Message {
+        let crash = |it: CrashReport| crash::Report {
+            run: it.run.into_run(),
+            age: Duration::from_millis(it.age_ms),
+            suspects: it.suspects.into_iter().map(sorted).collect(),
+        };
+        let hold = |it: HoldReport| hold::Report {
+            signature: sorted(it.signature),
+            revision: it.revision,
+            age: Duration::from_millis(it.age_ms),
+            probes: it.probes,
+            lifted: it.lifted,
+        };
+        let refuted = |(run, age_ms): (RunReport, u64)| (run.into_run(), Duration::from_millis(age_ms));
+        let served = |(fingerprint, age_ms)| (fingerprint, Duration::from_millis(age_ms));
+        Message {
+            crashes: self.crashes.into_iter().map(crash).collect(),
+            refuted: self.refuted.into_iter().map(refuted).collect(),
+            served: self.served.into_iter().map(served).collect(),
+            holds: self.holds.into_iter().map(hold).collect(),
+        }
+    }
+}
+
+fn sorted(mut traits: Traits) -> Traits {
+    traits.sort_unstable();
+    traits.dedup();
+    traits
+}
+
+/// What a request may have in common with others: the parts of its prompt, except for its own, which is the last.
+pub(crate) fn traits(metadata: &RequestMetadata) -> Traits {
+    let shared = match &metadata.prompt_parts[..] {
+        [shared @ .., _] => shared,
+        [] => &[],
+    };
+    let fingerprint = |part: &u64| hash::stable(&[b"prompt part".as_slice(), &part.to_be_bytes()].concat());
+    sorted(shared.iter().take(MAX_PARTS).map(fingerprint).collect())
+}
+
+/// Records that an engine broke off a request that was sent to it, as one does whose process ends.
+pub(crate) fn record_broken(context: &RequestContext, engine: &Engine) {
+    lock(&context.shared.quarantine).record_broken(&Run::of(engine), &context.traits, clock::now());
+}
+
+/// Records a complete and successful response of an engine to a request that was sent at `sent_at`.
+pub(crate) fn record_served(context: &RequestContext, engine: &Engine, sent_at: BootTime) {
+    if context.traits.is_empty() {
+        return;
+    }
+    let now = clock::now();
+    let run = Run::of(engine);
+    let lifted = lock(&context.shared.quarantine).record_served(&run, &context.traits, sent_at, now);
+    for signature in lifted {
+        count(&context.shared, "lifted");
+        log::info!(id = context.id, signature:?; "requests no longer held back: one was served");
+    }
+}
+
+/// Whether a request may be sent to an engine.
+///
+/// To be asked right before each attempt: a probe that is let through counts.
+pub(crate) fn admit(context: &RequestContext) -> Admission {
+    let shared = &context.shared;
+    if context.traits.is_empty() {
+        return Admission::Open;
+    }
+    let may_probe = |signature: &Traits| is_prober(shared, signature);
+    let admission = lock(&shared.quarantine).admit(&context.traits, may_probe, clock::now());
+    if admission == Admission::Probe {
+        count(shared, "probe");
+        log::info!(id = context.id; "request that was held back is sent as a probe");
+    }
+    admission
+}
+
+/// Whether requests like this one are held back.
+pub(crate) fn is_held(context: &RequestContext) -> bool {
+    !context.traits.is_empty() && lock(&context.shared.quarantine).is_held(&context.traits)
+}
+
+/// Whether this node lets probes of a signature through. No node does in the smaller part of a fleet that is split.
+fn is_prober(shared: &Shared, signature: &Traits) -> bool {
+    let HostCounts { reachable, known } = shared.host_counts();
+    let key: Vec<_> = signature.iter().map(|it| format!("{it:016x}")).collect();
+    reachable * 2 > known && owner::of(shared, &key.join(",")) == Owner::Local
+}
+
+/// Looks for culprits and sends what is due; called several times a second.
+pub(crate) fn tick(shared: &Arc<Shared>) {
+    let now = clock::now();
+    let hosts = shared.host_counts().reachable;
+    let mut quarantine = lock(&shared.quarantine);
+    let begun = quarantine.hold_culprits(now);
+    let due = quarantine.due(hosts, now, &mut rand::rng());
+    drop(quarantine);
+    for signature in begun {
+        count(shared, "begun");
+        log::warn!(signature:?; "requests held back: requests like them end engines");
+    }
+    if due.to_all.is_empty() && due.to_some.is_empty() {
+        return;
+    }
+    let sender = shared.settings().node.host.to_string();
+    let notices = |messages: Vec<Message>| -> Vec<_> {
+        let notice = |it: &Message| QuarantineNotice::new(sender.clone(), it);
+        messages.iter().map(notice).collect()
+    };
+    let nodes = other_nodes(shared);
+    let some: Vec<_> = nodes
+        .choose_multiple(&mut rand::rng(), Quarantine::FANOUT)
+        .copied()
+        .collect();
+    for notice in notices(due.to_some) {
+        datagrams::send_quarantine(&shared.socket, &notice, some.iter().copied());
+    }
+    let (socket, to_all) = (shared.socket.clone(), notices(due.to_all));
+    if !to_all.is_empty() {
+        tokio::spawn(async move {
+            datagrams::in_bursts(nodes, |it| {
+                for notice in &to_all {
+                    datagrams::send_quarantine(&socket, notice, it.iter().copied());
+                }
+            })
+            .await;
+        });
+    }
+}
+
+/// Applies a notice of another node.
+pub(crate) fn apply_notice(shared: &Shared, notice: QuarantineNotice) {
+    let sender = notice.sender.clone();
+    let changed = lock(&shared.quarantine).apply(&notice.into_message(), clock::now());
+    for hold in changed {
+        let (signature, lifted, probes) = (hold.signature, hold.lifted, hold.probes);
+        count(shared, if lifted { "lifted" } else { "told" });
+        log::info!(signature:?, lifted, probes, sender; "hold told by another node");
+    }
+}
+
+fn count(shared: &Shared, change: &'static str) {
+    shared
+        .metrics
+        .hold_changes
+        .get_or_create(&[("change", change)])
+        .inc();
+}
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -6,20 +6,19 @@
 
 use bytes::Bytes;
 use forward::BootTime;
-use forward::configuration::{Limits, Organisation, Route, RouteKind};
+use forward::configuration::{Organisation, Route, RouteKind};
+use forward::crash::Traits;
 use forward::directory::Engine;
 use forward::escalation::Confidence;
 use forward::release::{Arm, Subject};
 use forward::retry::{Execution, Failure, FinalResponse, RetryDecision, RetryState};
 use forward::retry_budget::RetryReason;
 use forward::work::Work;
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response};
 use model::Name;
-use tokio::time::timeout;
 
 use crate::attempt::{AttemptOutcome, EngineResponse, Resumption, attempt};
 use crate::open_requests::OpenRequest;
@@ -27,18 +26,7 @@
 use crate::response::{Refusal, ResponseBody, TrackedBody, strip_connection_headers};
 use crate::selection::{self, Shortage};
 use crate::shared::{Shared, lock};
-use crate::{authorisation, body, clock, stream};
-
-/// Maximum body size until a configuration is known.
-const DEFAULT_MAX_BODY_BYTES: usize = 4 << 20;
-
-/// Maximum time for the body of a caller that states no deadline.
-const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(60);
-
-/// Bounds on what is read of a body after its refusal. A socket that is closed with unread bytes is reset, and
-/// the caller could lose the refusal.
-const MAX_DISCARDED_BYTES: usize = 1 << 20;
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+use crate::{authorisation, clock, quarantine, request_body, stream};
 
 /// A request in progress.
 #[derive(Debug)]
@@ -54,8 +42,12 @@
     pub headers: HeaderMap,
     pub body: Bytes,
     pub metadata: RequestMetadata,
+    /// What it may have in common with requests that end engines.
+    pub traits: Traits,
     pub arrived: BootTime,
     pub retry_state: RetryState,
+    /// Time until a request like this one is let through, if it is held back.
+    pub held_for: Option<Duration>,
     /// Engines that were tried with the current model. One that turned the request away and closed for a time is not
     /// among them: it may serve the request once it opens.
     pub tried: Vec<Arc<Engine>>,
@@ -137,7 +129,7 @@
     open: &Arc<OpenRequest>,
 ) -> Result<RequestContext, Refusal> {
     let limits = lock(&shared.configuration).value().map(|it| it.limits);
-    let body = read_body(shared, body, limits, metadata.deadline).await?;
+    let body = request_body::read(shared, body, limits, metadata.deadline).await?;
     let now = clock::now();
     let (route, organisation) = authorisation::authorise(shared, &head, &metadata, now)?;
     let timeout = metadata
@@ -167,9 +159,11 @@
         organisation,
         headers,
         body,
+        traits: quarantine::traits(&metadata),
         metadata,
         arrived,
         retry_state,
+        held_for: None,
         tried: Vec::new(),
         engine: None,
         model,
@@ -180,36 +174,6 @@
     })
 }
 
-async fn read_body(
-    shared: &Shared,
-    mut body: Incoming,
-    limits: Option<Limits>,
-    deadline: Option<Duration>,
-) -> Result<Bytes, Refusal> {
-    let max_bytes = limits.map_or(DEFAULT_MAX_BODY_BYTES, |it| it.max_body_bytes);
-    let time_limit = deadline.unwrap_or(DEFAULT_BODY_TIMEOUT);
-    let read = body::read(&mut body, max_bytes, &shared.request_memory);
-    let refusal = match timeout(time_limit, read).await {
-        Ok(Ok(it)) => return Ok(it),
-        Ok(Err(body::Error::Broken(_))) => return Err(Refusal::BodyBroken),
-        Ok(Err(body::Error::TooLong(_) | body::Error::TooManyFrames)) => Refusal::BodyTooLarge,
-        Ok(Err(body::Error::NoMemory)) => Refusal::NoMemory,
-        Err(_) => Refusal::BodyTooSlow,
-    };
-    tokio::spawn(timeout(DISCARD_TIMEOUT, discard(body)));
-    Err(refusal)
-}
-
-async fn discard(mut body: Incoming) {
-    let mut discarded = 0;
-    while discarded < MAX_DISCARDED_BYTES {
-        let Some(Ok(frame)) = body.frame().await else {
-            return;
-        };
-        discarded += frame.data_ref().map_or(0, Bytes::len);
-    }
-}
-
 /// How a request was served.
 enum Served {
     /// With a final response.
@@ -346,15 +310,17 @@
     /// Reserves a retry before a silent attempt is abandoned; without it the request must keep waiting.
     pub(crate) fn reserve_retry(&mut self) -> bool {
         let now = clock::now();
-        if !self.retry_reserved
-            && self.retry_state.may_run_again(now)
-            && selection::has_open(self, &self.tried)
-        {
+        if !self.retry_reserved && self.may_run_again(now) && selection::has_open(self, &self.tried) {
             self.retry_reserved = self.try_reserve_retry(RetryReason::Failure, now);
         }
         self.retry_reserved
     }
 
+    /// Whether a response may be dropped in favour of another run on another engine.
+    pub(crate) fn may_run_again(&self, now: BootTime) -> bool {
+        self.retry_state.may_run_again(now) && !quarantine::is_held(self)
+    }
+
     pub(crate) fn try_reserve_retry(&self, reason: RetryReason, now: BootTime) -> bool {
         self.shared.try_reserve_retry(&self.service, reason, now)
     }
@@ -383,17 +349,25 @@
             (FinalResponse::Engine, Some(response)) => return self.forward_response(response),
             (FinalResponse::Engine | FinalResponse::Unknown, _) => Refusal::Unknown,
             (FinalResponse::TimedOut, _) => Refusal::TimedOut,
-            (FinalResponse::NotRun, _) => match selection::shortage(self) {
-                Some(Shortage::Limited(wait)) => Refusal::Limited(wait),
-                Some(Shortage::Closed(wait)) => Refusal::EnginesClosed(wait),
-                Some(Shortage::Leaving) => Refusal::EnginesLeaving,
-                Some(Shortage::NoEngine) => Refusal::NoEngine,
-                None if self.engine.is_none() => Refusal::NoEngine,
-                None => Refusal::NotRun,
-            },
+            (FinalResponse::NotRun, _) => self.not_run_refusal(),
         })
     }
 
+    /// The refusal that states why the request has not run.
+    fn not_run_refusal(&self) -> Refusal {
+        if let Some(wait) = self.held_for {
+            return Refusal::HeldBack(wait);
+        }
+        match selection::shortage(self) {
+            Some(Shortage::Limited(wait)) => Refusal::Limited(wait),
+            Some(Shortage::Closed(wait)) => Refusal::EnginesClosed(wait),
+            Some(Shortage::Leaving) => Refusal::EnginesLeaving,
+            Some(Shortage::NoEngine) => Refusal::NoEngine,
+            None if self.engine.is_none() => Refusal::NoEngine,
+            None => Refusal::NotRun,
+        }
+    }
+
     /// The final response to a request that is still running shortly before the exit of the process.
     fn finish_before_exit(&self) -> Response<ResponseBody> {
         self.refuse(match self.retry_state.execution() {
--- a/crates/entry/src/response.rs
+++ b/crates/entry/src/response.rs
@@ -122,6 +122,9 @@
 /// Time in which an engine that replaces one that leaves may be listed: some reads of the list of engines.
 const REPLACEMENT_DELAY: Duration = Duration::from_secs(1);
 
+/// Minimum time after which a caller may return whose request is held back.
+const MIN_HOLD_DELAY: Duration = Duration::from_secs(1);
+
 /// Why the node itself rejects or ends a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Refusal {
@@ -151,6 +154,8 @@
     EnginesClosed(Duration),
     /// All engines leave.
     EnginesLeaving,
+    /// Requests like this one end engines; the next one is let through after this time.
+    HeldBack(Duration),
     /// Engines refused the request, or it reached none.
     NotRun,
     /// No engine responded, and the request may have run.
@@ -176,6 +181,7 @@
             | Self::Limited(_)
             | Self::EnginesClosed(_)
             | Self::EnginesLeaving
+            | Self::HeldBack(_)
             | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -198,6 +204,7 @@
             Self::Limited(_) => "engine_limit",
             Self::EnginesClosed(_) => "engines_closed",
             Self::EnginesLeaving => "engines_leaving",
+            Self::HeldBack(_) => "held_back",
             Self::NotRun => "not_run",
             Self::Unknown => "outcome_unknown",
             Self::TimedOut => "timed_out",
@@ -210,6 +217,7 @@
             // Another node may already have the configuration, or may not be stopping.
             Self::NotConfigured | Self::StaleConfiguration | Self::Leaving => Some(Duration::from_millis(50)),
             Self::Limited(wait) | Self::EnginesClosed(wait) => Some(wait),
+            Self::HeldBack(wait) => Some(wait.max(MIN_HOLD_DELAY)),
             Self::EnginesLeaving => Some(REPLACEMENT_DELAY),
             // About the time in which an engine's queue advances.
             Self::NoEngine | Self::NotRun | Self::NoMemory => Some(Duration::from_millis(150)),
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -17,6 +17,7 @@
 use forward::load::Loads;
 use forward::pace::UsualGaps;
 use forward::permit::Fleet;
+use forward::quarantine::Quarantine;
 use forward::release::{Arm, Release, ResponseGrade, Stage, Subject};
 use forward::retry_budget::{RetryBudget, RetryLimit, RetryReason};
 use forward::statement::{Access, Statements};
@@ -50,6 +51,8 @@
     /// What engines state about the requests that they take.
     pub statements: Mutex<Statements>,
     pub permits: Permits,
+    /// Requests that end engines.
+    pub quarantine: Mutex<Quarantine>,
     pub releases: Mutex<BTreeMap<Name, Release>>,
     /// Wakes the exchange of notices about releases, if something must not wait for its next round.
     pub release_changed: Notify,
@@ -130,6 +133,7 @@
             loads: Mutex::default(),
             statements: Mutex::default(),
             permits: Permits::new(clock::now()),
+            quarantine: Mutex::default(),
             releases: Mutex::default(),
             release_changed: Notify::new(),
             host_counts: Mutex::new(HostCounts::of(&members, clock::now())),
--- a/crates/entry/src/statement.rs
+++ b/crates/entry/src/statement.rs
@@ -41,25 +41,25 @@
     limits: Vec<LimitReport>,
     /// Runs of engines that leave; nodes of earlier versions do not send it.
     #[serde(default)]
-    leaving: Vec<LeavingReport>,
+    leaving: Vec<RunReport>,
 }
 
-/// Encoded [`Run`] of an engine that leaves.
+/// Encoded [`Run`] of an engine.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-struct LeavingReport {
+pub(crate) struct RunReport {
     engine: String,
     started_ms: u64,
 }
 
-impl LeavingReport {
-    fn new(run: &Run) -> Self {
+impl RunReport {
+    pub(crate) fn new(run: &Run) -> Self {
         Self {
             engine: run.engine.to_string(),
             started_ms: run.started_ms,
         }
     }
 
-    fn into_run(self) -> Run {
+    pub(crate) fn into_run(self) -> Run {
         Run {
             engine: self.engine.into(),
             started_ms: self.started_ms,
@@ -76,7 +76,7 @@
         let mut statements = lock(&shared.statements);
         let opened = statements.expire(now);
         let mut limits = statements.limits.reports(now);
-        let mut leaving: Vec<_> = statements.leaving().map(LeavingReport::new).collect();
+        let mut leaving: Vec<_> = statements.leaving().map(RunReport::new).collect();
         drop(statements);
         for run in opened {
             count(&shared, "opened");
@@ -110,7 +110,7 @@
     record_limit(shared, engine, metadata, sent_at, id);
     if metadata.leaving && lock(&shared.statements).record_leaving(engine) {
         log_leaving(shared, &engine.id, engine.started_ms, id);
-        let report = LeavingReport {
+        let report = RunReport {
             engine: engine.id.to_string(),
             started_ms: engine.started_ms,
         };
@@ -172,7 +172,7 @@
     for report in &notice.limits {
         request_limit::apply(shared, report, &notice.sender);
     }
-    for run in notice.leaving.into_iter().map(LeavingReport::into_run) {
+    for run in notice.leaving.into_iter().map(RunReport::into_run) {
         if lock(&shared.statements).apply_leaving(run.clone()) {
             log_leaving(shared, &run.engine, run.started_ms, &notice.sender);
         }
@@ -190,7 +190,7 @@
     });
 }
 
-fn notice(shared: &Shared, limits: &[Report], leaving: Vec<LeavingReport>) -> StatementNotice {
+fn notice(shared: &Shared, limits: &[Report], leaving: Vec<RunReport>) -> StatementNotice {
     StatementNotice {
         sender: shared.settings().node.host.to_string(),
         hosts: shared.host_counts().known,
@@ -199,7 +199,7 @@
     }
 }
 
-fn other_nodes(shared: &Shared) -> Vec<SocketAddr> {
+pub(crate) fn other_nodes(shared: &Shared) -> Vec<SocketAddr> {
     let table = lock(&shared.members);
     let others = table.members().filter(|it| it.state != State::Dead);
     others.map(|it| it.addresses.gossip).collect()
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -198,7 +198,7 @@
             return ReadEnd::Failed(Failure::Silent);
         }
         // A silent engine is no reason to end a response that no other engine can resume.
-        let limit = match context.retry_state.may_run_again(clock::now()) {
+        let limit = match context.may_run_again(clock::now()) {
             true => max_gap.min(context.remaining()),
             false => context.remaining(),
         };
@@ -216,9 +216,13 @@
                 if let Some(grading) = &mut engine_response.grading {
                     grading.record_end();
                 }
+                engine_response.record_complete(context);
                 return ReadEnd::Complete;
             }
-            Ok(None) => return ReadEnd::Failed(Failure::Lost),
+            Ok(None) => {
+                engine_response.record_broken(context);
+                return ReadEnd::Failed(Failure::Lost);
+            }
             Ok(Some(Ok(frame))) => {
                 let Ok(data) = frame.into_data() else { continue };
                 splitter.push(&data);
--- /dev/null
+++ b/crates/forward/src/crash.rs
@@ -0,0 +1,356 @@
+//! What the requests have in common that end the engines which begin to answer them.
+//!
+//! An engine whose process ends breaks off all its requests, and at most one of them is to blame. Each node sees only
+//! some of them, so nodes exchange [`Report`]s: the run of an engine that broke off, and the [`Traits`] of the requests
+//! that it had. A fingerprint is a culprit if several runs broke off requests with it and none with it has been served
+//! since the first of them. Sound requests are not blamed for the company that they keep:
+//!
+//! - A run counts once, whatever the number of its requests and of the nodes that saw it break off, and no longer once
+//!   it is known to have gone on with other requests.
+//! - Runs that broke off at the same moment are one event, which counts little, and once only if not all of the runs had
+//!   such requests: its cause lies elsewhere, as with a loss of power.
+//! - A culprit explains the runs that it ended. What only shared these runs with it is not blamed for them.
+//! - While many requests are broken off anyway, more runs are needed.
+//! - Nothing is blamed as long as nothing else is served either.
+
+mod background;
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use crate::BootTime;
+use crate::statement::Run;
+use background::Background;
+
+/// Hash of something that requests have in common.
+pub type Fingerprint = u64;
+
+/// Fingerprints of one request, or those that a culprit consists of; sorted, without duplicates.
+pub type Traits = Vec<Fingerprint>;
+
+/// The end of a run, as one node saw it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Report {
+    /// The run.
+    pub run: Run,
+    /// Time since it broke off its requests.
+    pub age: Duration,
+    /// Traits of these requests.
+    pub suspects: Vec<Traits>,
+}
+
+#[derive(Debug, Clone)]
+struct Crash {
+    at: BootTime,
+    suspects: BTreeSet<Traits>,
+    /// When the run was known to have gone on, so that only connections to it were broken before.
+    refuted_at: Option<BootTime>,
+}
+
+impl Crash {
+    fn concerns(&self, signature: &[Fingerprint]) -> bool {
+        self.suspects.iter().any(|it| contains(it, signature))
+    }
+}
+
+/// Whether a request with these traits has the whole signature.
+pub fn contains(traits: &[Fingerprint], signature: &[Fingerprint]) -> bool {
+    signature.iter().all(|it| traits.binary_search(it).is_ok())
+}
+
+/// What speaks against a fingerprint.
+#[derive(Debug, Clone, Copy)]
+struct Tally {
+    /// When the first run ended.
+    first: BootTime,
+    runs: usize,
+    events: usize,
+}
+
+/// The last complete response to a request with a fingerprint.
+#[derive(Debug, Clone, Copy)]
+struct Served {
+    at: BootTime,
+    /// Time of the newest such response that other nodes know of.
+    told: Option<BootTime>,
+}
+
+/// Runs that ended and fingerprints that were served, as known to one node.
+#[derive(Debug, Clone, Default)]
+pub struct Crashes {
+    runs: HashMap<Run, Crash>,
+    served: HashMap<Fingerprint, Served>,
+    newest_served: Option<BootTime>,
+    background: Background,
+}
+
+impl Crashes {
+    /// Time for which ended runs and served fingerprints are remembered.
+    pub const RETENTION: Duration = Duration::from_secs(60);
+
+    /// Time in which the other nodes report what they know about a run that ended.
+    pub const SETTLING: Duration = Duration::from_millis(300);
+
+    /// Maximum number of runs, of requests of each run, and of fingerprints that were served.
+    const MAX_RUNS: usize = 128;
+    const MAX_SUSPECTS: usize = 128;
+    const MAX_SERVED: usize = 8192;
+
+    /// Number of ended runs that make a culprit, if none of its requests was served before or if some were.
+    const MIN_RUNS: usize = 4;
+    const MIN_RUNS_AFTER_SERVICE: usize = 6;
+
+    /// Limit on the number of runs that a high share of broken requests demands.
+    const MAX_RUNS_DEMANDED: usize = 8;
+
+    /// Probability with which a sound fingerprint may be broken off so often by chance.
+    const CHANCE: f64 = 0.001;
+
+    /// Runs that break off within this time of the previous one belong to the same event.
+    const SAME_EVENT: Duration = Duration::from_millis(20);
+
+    /// Maximum number of runs that one event counts for.
+    const MAX_RUNS_OF_EVENT: usize = 2;
+
+    /// Number of different events that make a culprit.
+    const MIN_EVENTS: usize = 2;
+
+    /// Time after the end of a run in which responses that were already on their way may still arrive.
+    const IN_TRANSIT: Duration = Duration::from_millis(100);
+
+    /// Number of ended runs since the last service that other nodes know of from which on they are told of a later one.
+    const RUNS_TO_TELL: usize = 2;
+
+    /// Time after the end of a run in which culprits are looked for.
+    const SEARCH_TIME: Duration = Duration::from_secs(5);
+
+    /// Records that a run broke off a request.
+    pub fn record_broken(&mut self, run: &Run, suspect: &Traits, now: BootTime) {
+        self.background.record(true, now);
+        self.add(run, std::slice::from_ref(suspect), now);
+    }
+
+    /// Applies the report of another node.
+    pub fn apply(&mut self, report: &Report, now: BootTime) {
+        if report.age < Self::RETENTION {
+            self.add(&report.run, &report.suspects, now.saturating_sub(report.age));
+        }
+    }
+
+    fn add(&mut self, run: &Run, suspects: &[Traits], at: BootTime) {
+        if self.runs.len() >= Self::MAX_RUNS && !self.runs.contains_key(run) {
+            let oldest = self.runs.iter().min_by_key(|it| it.1.at);
+            if let Some(oldest) = oldest.map(|it| it.0.clone()) {
+                self.runs.remove(&oldest);
+            }
+        }
+        let begin = |refuted_at| Crash {
+            at,
+            suspects: BTreeSet::new(),
+            refuted_at,
+        };
+        let crash = self.runs.entry(run.clone()).or_insert_with(|| begin(None));
+        match crash.refuted_at {
+            Some(refuted_at) if at <= refuted_at => return,
+            Some(_) => *crash = begin(None),
+            None => crash.at = crash.at.min(at),
+        }
+        for suspect in suspects {
+            if crash.suspects.len() < Self::MAX_SUSPECTS {
+                crash.suspects.insert(suspect.clone());
+            }
+        }
+    }
+
+    /// Records a complete response of a run to a request that was sent at `sent_at`.
+    ///
+    /// Returns whether the run was taken for ended and has gone on.
+    pub fn record_served(
+        &mut self,
+        run: &Run,
+        traits: &[Fingerprint],
+        sent_at: BootTime,
+        now: BootTime,
+    ) -> bool {
+        self.background.record(false, now);
+        for it in traits {
+            self.mark_served(*it, now);
+        }
+        let went_on = self.runs.get(run).is_some_and(|it| {
+            // A later request may have been sent to the next run at the same address.
+            it.refuted_at.is_none() && sent_at < it.at && it.at + Self::IN_TRANSIT < now
+        });
+        if went_on {
+            self.refute(run, now);
+        }
+        went_on
+    }
+
+    /// Records that a run that was taken for ended served a request at a time.
+    pub fn refute(&mut self, run: &Run, at: BootTime) {
+        if let Some(it) = self.runs.get_mut(run).filter(|it| it.at < at) {
+            it.refuted_at = it.refuted_at.max(Some(at));
+        }
+    }
+
+    /// Applies what another node tells: a fingerprint was served before `age`.
+    pub fn apply_served(&mut self, fingerprint: Fingerprint, age: Duration, now: BootTime) {
+        let at = now.saturating_sub(age);
+        self.mark_served(fingerprint, at);
+        if let Some(it) = self.served.get_mut(&fingerprint) {
+            it.told = it.told.max(Some(at));
+        }
+    }
+
+    fn mark_served(&mut self, fingerprint: Fingerprint, at: BootTime) {
+        self.newest_served = self.newest_served.max(Some(at));
+        if self.served.len() >= Self::MAX_SERVED {
+            self.served
+                .retain(|_, it| at.saturating_sub(it.at) < Self::RETENTION / 4);
+        }
+        if self.served.len() >= Self::MAX_SERVED {
+            return;
+        }
+        let served = self
+            .served
+            .entry(fingerprint)
+            .or_insert(Served { at, told: None });
+        served.at = served.at.max(at);
+    }
+
+    /// Fingerprints that other nodes may blame, although this node has served them later than they know, with the ages
+    /// of these responses. They count as told from now on.
+    pub fn tell_served(&mut self, limit: usize, now: BootTime) -> Vec<(Fingerprint, Duration)> {
+        let mut ends: HashMap<Fingerprint, usize> = HashMap::new();
+        for crash in self.runs.values().filter(|it| it.refuted_at.is_none()) {
+            let fingerprints: BTreeSet<_> = crash.suspects.iter().flatten().collect();
+            for it in fingerprints {
+                let served = self.served.get(it);
+                if served.is_some_and(|it| it.told.is_none_or(|told| told < crash.at)) {
+                    *ends.entry(*it).or_default() += 1;
+                }
+            }
+        }
+        let mut told = vec![];
+        for (fingerprint, ends) in ends {
+            let Some(served) = self.served.get_mut(&fingerprint) else {
+                continue;
+            };
+            let is_later = served.told.is_none_or(|it| it < served.at);
+            if ends >= Self::RUNS_TO_TELL && is_later && told.len() < limit {
+                served.told = Some(served.at);
+                told.push((fingerprint, now.saturating_sub(served.at)));
+            }
+        }
+        told
+    }
+
+    /// Whether a run ended so recently that culprits may have to be looked for again.
+    pub fn is_unsettled(&self, now: BootTime) -> bool {
+        self.runs
+            .values()
+            .any(|it| now.saturating_sub(it.at) < Self::SEARCH_TIME)
+    }
+
+    /// What the requests that ended engines have in common, for each cause that is not `known`.
+    pub fn culprits<'a>(&self, known: impl Iterator<Item = &'a Traits>, now: BootTime) -> Vec<Traits> {
+        let is_settled = |it: &&Crash| it.refuted_at.is_none() && now.saturating_sub(it.at) >= Self::SETTLING;
+        let mut unexplained: Vec<_> = self.runs.values().filter(is_settled).collect();
+        unexplained.sort_by_key(|it| it.at);
+        for signature in known {
+            unexplained.retain(|it| !it.concerns(signature));
+        }
+        let mut culprits = vec![];
+        while let Some(found) = self.worst(&unexplained) {
+            unexplained.retain(|it| !found.iter().any(|signature| it.concerns(signature)));
+            culprits.extend(found);
+        }
+        culprits
+    }
+
+    /// The culprits that explain most runs: more than one only if they explain equally many.
+    fn worst(&self, crashes: &[&Crash]) -> Option<BTreeSet<Traits>> {
+        let events = crashes.chunk_by(|a, b| b.at - a.at <= Self::SAME_EVENT);
+        let mut tallies: HashMap<Fingerprint, Tally> = HashMap::new();
+        for event in events {
+            let mut ended: HashMap<Fingerprint, usize> = HashMap::new();
+            for crash in event {
+                let fingerprints: BTreeSet<_> = crash.suspects.iter().flatten().copied().collect();
+                for it in fingerprints {
+                    if self.served_at(it).is_none_or(|served| served < crash.at) {
+                        *ended.entry(it).or_default() += 1;
+                    }
+                }
+            }
+            for (fingerprint, runs) in ended {
+                let tally = tallies.entry(fingerprint).or_insert(Tally {
+                    first: event[0].at,
+                    runs: 0,
+                    events: 0,
+                });
+                tally.runs += match runs == event.len() {
+                    true => runs.min(Self::MAX_RUNS_OF_EVENT),
+                    false => 1,
+                };
+                tally.events += 1;
+            }
+        }
+        tallies.retain(|fingerprint, tally| self.is_conclusive(*fingerprint, tally));
+        let rank = |(fingerprint, tally): (&Fingerprint, &Tally)| {
+            (self.served_at(*fingerprint).is_none(), tally.runs)
+        };
+        let first = tallies.iter().map(rank).max()?;
+        let worst = tallies.iter().filter(|it| rank(*it) == first);
+        Some(
+            worst
+                .map(|(it, tally)| self.signature(*it, tally.first, crashes))
+                .collect(),
+        )
+    }
+
+    /// Whether the runs that ended show that a fingerprint is a culprit.
+    fn is_conclusive(&self, fingerprint: Fingerprint, tally: &Tally) -> bool {
+        let min_runs = match self.served_at(fingerprint) {
+            None => Self::MIN_RUNS,
+            Some(_) => Self::MIN_RUNS_AFTER_SERVICE,
+        };
+        let demanded = self
+            .background
+            .runs_for(Self::CHANCE)
+            .min(Self::MAX_RUNS_DEMANDED);
+        let others_are_served = self.newest_served.is_some_and(|it| it > tally.first);
+        tally.runs >= min_runs.max(demanded) && tally.events >= Self::MIN_EVENTS && others_are_served
+    }
+
+    /// What all broken requests with a fingerprint have in common and was not shown to be sound.
+    ///
+    /// As long as these can't be told apart, only requests with all of them are blamed.
+    fn signature(&self, fingerprint: Fingerprint, first: BootTime, crashes: &[&Crash]) -> Traits {
+        let is_served = self.served_at(fingerprint).is_some();
+        let is_sound = |it: Fingerprint| match self.served_at(it) {
+            Some(at) => !is_served || at > first,
+            None => false,
+        };
+        let counted = crashes.iter().filter(|it| it.at >= first);
+        let mut requests = counted
+            .flat_map(|it| &it.suspects)
+            .filter(|it| it.contains(&fingerprint));
+        let mut common = requests.next().cloned().unwrap_or_default();
+        for request in requests {
+            common.retain(|it| request.contains(it));
+        }
+        common.retain(|it| *it == fingerprint || !is_sound(*it));
+        common
+    }
+
+    fn served_at(&self, fingerprint: Fingerprint) -> Option<BootTime> {
+        self.served.get(&fingerprint).map(|it| it.at)
+    }
+
+    /// Forgets what is older than [`Self::RETENTION`].
+    pub fn expire(&mut self, now: BootTime) {
+        let is_recent = |at: BootTime| now.saturating_sub(at) < Self::RETENTION;
+        self.runs.retain(|_, it| is_recent(it.at));
+        self.served.retain(|_, it| is_recent(it.at));
+    }
+}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`event_stream`]: event streams split at event boundaries and resumed without gaps or duplicates
 //! - [`statement`]: what engines state about the requests that they take; whether an engine may be used
 //! - [`request_limit`], [`permit`]: rates to which engines limit the requests of all nodes together
+//! - [`crash`], [`hold`], [`quarantine`]: requests that end the engines which begin to answer them, kept away from all
 //! - [`retry_budget`]: the share of the fleet's retry budget that a node may use
 //! - [`relay`]: changes read from the store that nodes pass on to each other
 //! - [`evidence`], [`release`]: how much traffic a new version of a service gets
@@ -24,17 +25,20 @@
 pub mod cached;
 pub mod configuration;
 pub mod congestion;
+pub mod crash;
 pub mod directory;
 pub mod drain;
 pub mod escalation;
 pub mod event_stream;
 pub mod evidence;
 pub mod first_byte;
+pub mod hold;
 pub mod load;
 mod mean;
 pub mod pace;
 pub mod permit;
 pub mod placement;
+pub mod quarantine;
 pub mod relay;
 pub mod release;
 pub mod request_limit;
--- /dev/null
+++ b/crates/forward/src/quarantine.rs
@@ -0,0 +1,230 @@
+//! Keeps requests that end engines away from them, on all nodes.
+//!
+//! [`Quarantine`] joins the evidence ([`crate::crash`]) with what is held back ([`crate::hold`]) and says what nodes
+//! tell each other. Everything is told at once to all nodes. Reports of ended runs are repeated once and holds go
+//! on to random nodes in each round, for nodes that started later or were cut off, and for lost datagrams.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand::seq::SliceRandom;
+
+use crate::BootTime;
+use crate::crash::{self, Crashes, Fingerprint, Traits};
+use crate::hold::{self, Admission, Holds};
+use crate::statement::Run;
+
+/// What one node tells others.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Message {
+    /// Runs that ended.
+    pub crashes: Vec<crash::Report>,
+    /// Runs that were taken for ended, and how long ago they served a request all the same.
+    pub refuted: Vec<(Run, Duration)>,
+    /// Fingerprints that were served, and how long ago.
+    pub served: Vec<(Fingerprint, Duration)>,
+    /// What is held back.
+    pub holds: Vec<hold::Report>,
+}
+
+impl Message {
+    /// Whether there is nothing to tell.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+/// Messages that are due.
+#[derive(Debug, Clone, Default)]
+pub struct Due {
+    /// For all nodes.
+    pub to_all: Vec<Message>,
+    /// For [`Quarantine::FANOUT`] random nodes.
+    pub to_some: Vec<Message>,
+}
+
+/// Requests that end engines, as known to one node.
+#[derive(Debug, Clone, Default)]
+pub struct Quarantine {
+    crashes: Crashes,
+    holds: Holds,
+    /// Own observations that were not told yet, and those of the last round, which are repeated.
+    untold: Vec<(Run, Traits, BootTime)>,
+    told: Vec<(Run, Traits, BootTime)>,
+    refuted: Vec<(Run, BootTime)>,
+    /// Whether a hold changed since it was told.
+    holds_changed: bool,
+    last_round: BootTime,
+}
+
+impl Quarantine {
+    /// Nodes that get a message to some nodes.
+    pub const FANOUT: usize = 2;
+
+    const ROUND_INTERVAL: Duration = Duration::from_millis(500);
+
+    /// Number of nodes that tell in each tick what they have served, on average. More would tell the same.
+    const TELLERS: f64 = 4.0;
+
+    /// Maximum number of items in a message, so that it fits into one packet, and of those of each kind that are told
+    /// at once.
+    const MESSAGE_ITEMS: usize = 8;
+    const MAX_ITEMS: usize = 64;
+
+    /// Records that a run broke off a request.
+    pub fn record_broken(&mut self, run: &Run, traits: &Traits, now: BootTime) {
+        if traits.is_empty() {
+            return;
+        }
+        self.crashes.record_broken(run, traits, now);
+        if self.untold.len() < Self::MAX_ITEMS {
+            self.untold.push((run.clone(), traits.clone(), now));
+        }
+    }
+
+    /// Records a complete response of a run to a request that was sent at `sent_at`; returns the signatures whose hold
+    /// that lifts.
+    pub fn record_served(
+        &mut self,
+        run: &Run,
+        traits: &[Fingerprint],
+        sent_at: BootTime,
+        now: BootTime,
+    ) -> Vec<Traits> {
+        if self.crashes.record_served(run, traits, sent_at, now) {
+            self.refuted.push((run.clone(), now));
+        }
+        let lifted = self.holds.lift(traits, now);
+        self.holds_changed |= !lifted.is_empty();
+        lifted
+    }
+
+    /// Whether a request with these traits may be sent; see [`Holds::admit`].
+    pub fn admit(
+        &mut self,
+        traits: &[Fingerprint],
+        may_probe: impl Fn(&Traits) -> bool,
+        now: BootTime,
+    ) -> Admission {
+        let admission = self.holds.admit(traits, may_probe, now);
+        self.holds_changed |= admission == Admission::Probe;
+        admission
+    }
+
+    /// Whether a request with these traits is held back.
+    pub fn is_held(&self, traits: &[Fingerprint]) -> bool {
+        self.holds.is_held(traits)
+    }
+
+    /// What is held back.
+    pub fn holds(&self, now: BootTime) -> Vec<hold::Report> {
+        let mut holds = self.holds.reports(now);
+        holds.retain(|it| !it.lifted);
+        holds
+    }
+
+    /// Looks for culprits; returns the signatures that are held back from now on.
+    pub fn hold_culprits(&mut self, now: BootTime) -> Vec<Traits> {
+        if !self.crashes.is_unsettled(now) {
+            return vec![];
+        }
+        let mut begun = self.crashes.culprits(self.holds.signatures(), now);
+        begun.retain(|it| self.holds.begin(it, now));
+        self.holds_changed |= !begun.is_empty();
+        begun
+    }
+
+    /// What has to be told now; called several times a second. `hosts` is the number of nodes.
+    pub fn due(&mut self, hosts: usize, now: BootTime, rng: &mut impl Rng) -> Due {
+        let mut observations = std::mem::take(&mut self.untold);
+        let is_round = now.saturating_sub(self.last_round) >= Self::ROUND_INTERVAL;
+        if is_round {
+            self.last_round = now;
+            self.crashes.expire(now);
+            self.holds.expire(now);
+            let repeated = std::mem::replace(&mut self.told, observations.clone());
+            observations.extend(repeated);
+        } else {
+            self.told.extend(observations.iter().cloned());
+        }
+        let mut to_all: Vec<_> = observations
+            .chunks(Self::MESSAGE_ITEMS)
+            .map(|it| Message {
+                crashes: reports(it, now),
+                ..Message::default()
+            })
+            .collect();
+        let refuted = std::mem::take(&mut self.refuted);
+        let aged = |(run, at): &(Run, BootTime)| (run.clone(), now.saturating_sub(*at));
+        to_all.extend(refuted.chunks(Self::MESSAGE_ITEMS).map(|it| Message {
+            refuted: it.iter().map(aged).collect(),
+            ..Message::default()
+        }));
+        if rng.random_bool((Self::TELLERS / hosts.max(1) as f64).min(1.0)) {
+            let served = self.crashes.tell_served(Self::MAX_ITEMS, now);
+            to_all.extend(served.chunks(Self::MESSAGE_ITEMS * 4).map(|it| Message {
+                served: it.to_vec(),
+                ..Message::default()
+            }));
+        }
+        let holds_changed = std::mem::take(&mut self.holds_changed);
+        let mut to_some = vec![];
+        if holds_changed || is_round {
+            let holds = self.sample_holds(now, rng);
+            let message = Message {
+                holds,
+                ..Message::default()
+            };
+            if holds_changed {
+                to_all.push(message);
+            } else if !message.is_empty() {
+                to_some.push(message);
+            }
+        }
+        Due { to_all, to_some }
+    }
+
+    /// The newest hold and some others.
+    fn sample_holds(&self, now: BootTime, rng: &mut impl Rng) -> Vec<hold::Report> {
+        let mut holds = self.holds.reports(now);
+        holds.shuffle(rng);
+        holds.sort_by_key(|it| it.age > Self::ROUND_INTERVAL);
+        holds.truncate(Self::MESSAGE_ITEMS);
+        holds
+    }
+
+    /// Applies a message of another node; returns the holds that it changes.
+    pub fn apply(&mut self, message: &Message, now: BootTime) -> Vec<hold::Report> {
+        for report in &message.crashes {
+            self.crashes.apply(report, now);
+        }
+        for (run, age) in &message.refuted {
+            self.crashes.refute(run, now.saturating_sub(*age));
+        }
+        for (fingerprint, age) in &message.served {
+            self.crashes.apply_served(*fingerprint, *age, now);
+        }
+        let changed = message.holds.iter().filter(|it| self.holds.apply(it, now));
+        changed.cloned().collect()
+    }
+}
+
+/// Joins the observations of each run.
+fn reports(observations: &[(Run, Traits, BootTime)], now: BootTime) -> Vec<crash::Report> {
+    let mut reports: Vec<crash::Report> = vec![];
+    for (run, traits, at) in observations {
+        let age = now.saturating_sub(*at);
+        match reports.iter_mut().find(|it| it.run == *run) {
+            Some(it) => {
+                it.age = it.age.max(age);
+                it.suspects.push(traits.clone());
+            }
+            None => reports.push(crash::Report {
+                run: run.clone(),
+                age,
+                suspects: vec![traits.clone()],
+            }),
+        }
+    }
+    reports
+}
--- a/crates/forward/src/statement.rs
+++ b/crates/forward/src/statement.rs
@@ -52,7 +52,8 @@
 }
 
 impl Run {
-    fn of(engine: &Engine) -> Self {
+    /// The run of an engine that is listed.
+    pub fn of(engine: &Engine) -> Self {
         Self {
             engine: engine.id.clone(),
             started_ms: engine.started_ms,
