--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod decide;
 pub mod faults;
 pub mod path;
+pub mod quarantine;
 pub mod release;
 pub mod report;
 pub mod rollout;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -35,6 +35,7 @@
     // Load.
     ("rush", load::rush::run),
     ("faults", load::faults::run),
+    ("quarantine", load::quarantine::run),
     ("affinity", load::affinity::run),
     ("decide", load::decide::run),
     // The whole way.
--- /dev/null
+++ b/crates/load/src/quarantine/scenario.rs
@@ -0,0 +1,98 @@
+//! What a simulated fleet meets.
+
+use std::time::Duration;
+
+/// Size of a fleet and its load.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Scale {
+    pub nodes: usize,
+    pub engines: usize,
+    /// Sound requests a second.
+    pub rate: f64,
+}
+
+/// What goes wrong besides fatal requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Trouble {
+    None,
+    /// A third of the datagrams between nodes is lost.
+    LostMessages,
+    /// Nodes stop in turn and start with nothing.
+    Restarts,
+    /// Half of the nodes hear nothing from the others for a time.
+    Cut,
+    /// All engines end at the same moment, several times.
+    PowerLosses,
+    /// A third of the engines ends again and again.
+    CrashLoops,
+    /// A fifth of the requests is broken off by engines that go on.
+    BrokenConnections,
+}
+
+impl Trouble {
+    pub(super) const ALL: [Self; 7] = [
+        Self::None,
+        Self::LostMessages,
+        Self::Restarts,
+        Self::Cut,
+        Self::PowerLosses,
+        Self::CrashLoops,
+        Self::BrokenConnections,
+    ];
+
+    pub(super) fn label(self) -> &'static str {
+        match self {
+            Self::None => "nothing else",
+            Self::LostMessages => "a third of the datagrams lost",
+            Self::Restarts => "nodes restart in turn",
+            Self::Cut => "half of the nodes cut off",
+            Self::PowerLosses => "all engines end at once",
+            Self::CrashLoops => "a third of the engines ends again and again",
+            Self::BrokenConnections => "a fifth of the requests broken off",
+        }
+    }
+}
+
+/// What nodes do about requests that end engines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Rule {
+    /// Nothing.
+    None,
+    /// Each node judges by what it sees itself.
+    Alone,
+    /// The nodes tell each other.
+    Fleet,
+}
+
+impl Rule {
+    pub(super) fn label(self) -> &'static str {
+        match self {
+            Self::None => "no rule",
+            Self::Alone => "each node alone",
+            Self::Fleet => "fleet",
+        }
+    }
+}
+
+/// One simulated minute.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Trial {
+    pub scale: Scale,
+    pub trouble: Trouble,
+    pub rule: Rule,
+    /// Fatal requests a second.
+    pub fatal_rate: f64,
+}
+
+impl Trial {
+    pub(super) const LENGTH: Duration = Duration::from_secs(60);
+
+    /// When fatal requests begin to come.
+    pub(super) const FATAL_FROM: Duration = Duration::from_secs(10);
+
+    /// Time in which all nodes have to know a fact, as the platform states it.
+    pub(super) const STABILITY_WINDOW: Duration = Duration::from_secs(3);
+
+    /// Number of ended engines after which fatal requests must reach no more of them.
+    pub(super) const FATAL_ENDS: usize = 5;
+}
--- /dev/null
+++ b/crates/load/src/quarantine/world.rs
@@ -0,0 +1,451 @@
+//! A fleet of nodes before engines, of which some requests end the process. Virtual time.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::time::Duration;
+
+use forward::BootTime;
+use forward::crash::{Fingerprint, Traits};
+use forward::hold::Admission;
+use forward::quarantine::{Message, Quarantine};
+use forward::statement::Run;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::scenario::{Rule, Trial, Trouble};
+
+const FATAL: Fingerprint = 1;
+
+/// Number of different first parts of prompts, and of second ones.
+const FIRST_PARTS: u64 = 8;
+const SECOND_PARTS: u64 = 400;
+
+const TICK: Duration = Duration::from_millis(100);
+const MESSAGE_DELAY: Duration = Duration::from_millis(5);
+const ENGINE_DOWN: Duration = Duration::from_secs(3);
+const NODE_DOWN: Duration = Duration::from_millis(500);
+const MAX_ATTEMPTS: u32 = 3;
+const LOST_MESSAGES: f64 = 0.33;
+const BROKEN_CONNECTIONS: f64 = 0.2;
+
+/// When half of the nodes are cut off.
+const CUT: std::ops::Range<BootTime> = Duration::from_secs(8)..Duration::from_secs(18);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrival { is_fatal: bool },
+    Tick(usize),
+    Deliver { to: usize, started: u32, message: usize },
+    End { flight: u64 },
+    EngineEnds(usize),
+    EngineStarts(usize),
+    NodeStops(usize),
+    NodeStarts(usize),
+    PowerLoss,
+}
+
+#[derive(Debug, Default)]
+struct Node {
+    quarantine: Quarantine,
+    /// Number of its starts.
+    started: u32,
+    up_since: Option<BootTime>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Engine {
+    run: u64,
+    is_up: bool,
+}
+
+/// An attempt at an engine.
+#[derive(Debug, Clone)]
+struct Flight {
+    node: usize,
+    engine: usize,
+    run: u64,
+    traits: Traits,
+    sent_at: BootTime,
+    attempts: u32,
+    /// Whether only its connection breaks at its end.
+    breaks: bool,
+}
+
+impl Flight {
+    fn is_fatal(&self) -> bool {
+        self.traits.contains(&FATAL)
+    }
+}
+
+/// What was seen in one trial.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Outcome {
+    /// Times at which fatal requests ended engines.
+    pub fatal_ends: Vec<BootTime>,
+    /// Fatal requests sent by nodes in touch after the stability window.
+    pub late: usize,
+    pub sound: usize,
+    /// Sound requests that were held back.
+    pub held: usize,
+    /// Largest share of the requests with one first part that were held back.
+    pub worst_held_share: f64,
+    /// Signatures that sound requests have.
+    pub false_holds: usize,
+    /// When the last node began to hold fatal requests back.
+    pub held_by_all_at: Option<BootTime>,
+    /// Datagrams that were sent.
+    pub datagrams: usize,
+}
+
+#[derive(Debug)]
+pub(super) struct World {
+    trial: Trial,
+    rng: SmallRng,
+    now: BootTime,
+    events: BinaryHeap<Reverse<(BootTime, u64, Event)>>,
+    sequence: u64,
+    nodes: Vec<Node>,
+    engines: Vec<Engine>,
+    flights: HashMap<u64, Flight>,
+    /// Messages on their way, and the number of their receivers.
+    messages: HashMap<usize, (Message, usize)>,
+    by_first: HashMap<Fingerprint, (usize, usize)>,
+    outcome: Outcome,
+}
+
+impl World {
+    pub(super) fn run(trial: Trial, seed: u64) -> Outcome {
+        let mut world = Self {
+            trial,
+            rng: SmallRng::seed_from_u64(seed),
+            now: Duration::ZERO,
+            events: BinaryHeap::new(),
+            sequence: 0,
+            nodes: (0..trial.scale.nodes).map(|_| Node::default()).collect(),
+            engines: vec![Engine { run: 0, is_up: true }; trial.scale.engines],
+            flights: HashMap::new(),
+            messages: HashMap::new(),
+            by_first: HashMap::new(),
+            outcome: Outcome::default(),
+        };
+        world.begin();
+        while let Some(Reverse((at, _, event))) = world.events.pop() {
+            if at > Trial::LENGTH {
+                break;
+            }
+            world.now = at;
+            world.handle(event);
+        }
+        world.finish()
+    }
+
+    fn begin(&mut self) {
+        for node in 0..self.nodes.len() {
+            self.nodes[node].up_since = Some(Duration::ZERO);
+            let offset = TICK.mul_f64(self.rng.random_range(0.0..1.0));
+            self.schedule(offset, Event::Tick(node));
+        }
+        self.schedule(Duration::ZERO, Event::Arrival { is_fatal: false });
+        if self.trial.fatal_rate > 0.0 {
+            self.schedule(Trial::FATAL_FROM, Event::Arrival { is_fatal: true });
+        }
+        match self.trial.trouble {
+            Trouble::Restarts => self.schedule(Duration::from_secs(5), Event::NodeStops(0)),
+            Trouble::PowerLosses => {
+                for at in [12, 16, 20, 24, 30, 36] {
+                    self.schedule(Duration::from_secs(at), Event::PowerLoss);
+                }
+            }
+            Trouble::CrashLoops => {
+                for engine in 0..self.engines.len() / 3 {
+                    let at = Duration::from_secs_f64(self.rng.random_range(5.0..10.0));
+                    self.schedule(at, Event::EngineEnds(engine));
+                }
+            }
+            Trouble::None | Trouble::LostMessages | Trouble::Cut | Trouble::BrokenConnections => {}
+        }
+    }
+
+    fn schedule(&mut self, after: Duration, event: Event) {
+        self.sequence += 1;
+        self.events
+            .push(Reverse((self.now + after, self.sequence, event)));
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrival { is_fatal } => self.arrive(is_fatal),
+            Event::Tick(node) => {
+                self.schedule(TICK, Event::Tick(node));
+                self.tick(node);
+            }
+            Event::Deliver { to, started, message } => self.deliver(to, started, message),
+            Event::End { flight } => self.end(flight),
+            Event::EngineEnds(engine) => {
+                self.end_engine(engine);
+                let next = Duration::from_secs_f64(self.rng.random_range(4.0..7.0));
+                self.schedule(next, Event::EngineEnds(engine));
+            }
+            Event::EngineStarts(engine) => self.engines[engine].is_up = true,
+            Event::NodeStops(node) => {
+                self.nodes[node] = Node {
+                    started: self.nodes[node].started + 1,
+                    ..Node::default()
+                };
+                self.flights.retain(|_, it| it.node != node);
+                self.schedule(NODE_DOWN, Event::NodeStarts(node));
+                let next = (node + 1) % self.nodes.len();
+                self.schedule(Duration::from_secs(1), Event::NodeStops(next));
+            }
+            Event::NodeStarts(node) => self.nodes[node].up_since = Some(self.now),
+            Event::PowerLoss => (0..self.engines.len()).for_each(|it| self.end_engine(it)),
+        }
+    }
+
+    fn arrive(&mut self, is_fatal: bool) {
+        let rate = match is_fatal {
+            true => self.trial.fatal_rate,
+            false => self.trial.scale.rate,
+        };
+        let pause = -self.rng.random_range(f64::EPSILON..1.0).ln() / rate;
+        self.schedule(Duration::from_secs_f64(pause), Event::Arrival { is_fatal });
+        let node = self.rng.random_range(0..self.nodes.len());
+        if self.nodes[node].up_since.is_none() {
+            return;
+        }
+        // Some second parts are far more frequent than others.
+        let second = (SECOND_PARTS as f64 * self.rng.random_range(0.0_f64..1.0).powi(3)) as u64;
+        let mut traits = vec![100 + self.rng.random_range(0..FIRST_PARTS), 1000 + second];
+        if is_fatal {
+            traits.extend([FATAL, self.rng.random_range(1 << 20..u64::MAX)]);
+        }
+        traits.sort_unstable();
+        self.send(node, traits, MAX_ATTEMPTS);
+    }
+
+    fn send(&mut self, node: usize, traits: Traits, attempts: u32) {
+        let is_fatal = traits.contains(&FATAL);
+        let is_first = attempts == MAX_ATTEMPTS;
+        let may_probe = self.may_probe(node);
+        let admission = match self.trial.rule {
+            Rule::None => Admission::Open,
+            Rule::Alone | Rule::Fleet => {
+                let quarantine = &mut self.nodes[node].quarantine;
+                quarantine.admit(&traits, |_| may_probe, self.now)
+            }
+        };
+        let is_held = matches!(admission, Admission::Held(_));
+        if !is_fatal && is_first {
+            let first = traits.iter().find(|it| (100..1000).contains(*it));
+            let count = self
+                .by_first
+                .entry(first.copied().unwrap_or_default())
+                .or_default();
+            count.0 += 1;
+            count.1 += usize::from(is_held);
+            self.outcome.sound += 1;
+            self.outcome.held += usize::from(is_held);
+        }
+        let up: Vec<_> = (0..self.engines.len())
+            .filter(|it| self.engines[*it].is_up)
+            .collect();
+        if is_held || up.is_empty() {
+            return;
+        }
+        if is_fatal && self.is_in_touch(node) && self.is_late() {
+            self.outcome.late += 1;
+        }
+        let engine = up[self.rng.random_range(0..up.len())];
+        let time = match is_fatal {
+            true => self.rng.random_range(0.02..0.25),
+            false => self.rng.random_range(0.3..4.0),
+        };
+        let breaks =
+            self.trial.trouble == Trouble::BrokenConnections && self.rng.random_bool(BROKEN_CONNECTIONS);
+        let flight = self.sequence;
+        self.flights.insert(
+            flight,
+            Flight {
+                node,
+                engine,
+                run: self.engines[engine].run,
+                traits,
+                sent_at: self.now,
+                attempts,
+                breaks: breaks && !is_fatal,
+            },
+        );
+        self.schedule(Duration::from_secs_f64(time), Event::End { flight });
+    }
+
+    fn end(&mut self, flight: u64) {
+        let Some(it) = self.flights.remove(&flight) else {
+            return;
+        };
+        if it.is_fatal() {
+            self.outcome.fatal_ends.push(self.now);
+            let engine = it.engine;
+            self.flights.insert(flight, it);
+            self.end_engine(engine);
+        } else if it.breaks {
+            self.break_off(it);
+        } else {
+            let run = self.run_of(&it);
+            let quarantine = &mut self.nodes[it.node].quarantine;
+            quarantine.record_served(&run, &it.traits, it.sent_at, self.now);
+        }
+    }
+
+    fn end_engine(&mut self, engine: usize) {
+        if !self.engines[engine].is_up {
+            return;
+        }
+        self.engines[engine] = Engine {
+            run: self.engines[engine].run + 1,
+            is_up: false,
+        };
+        self.schedule(ENGINE_DOWN, Event::EngineStarts(engine));
+        let mut broken: Vec<_> = self
+            .flights
+            .iter()
+            .filter(|it| it.1.engine == engine)
+            .map(|it| *it.0)
+            .collect();
+        broken.sort_unstable();
+        for flight in broken {
+            if let Some(it) = self.flights.remove(&flight) {
+                self.break_off(it);
+            }
+        }
+    }
+
+    fn break_off(&mut self, flight: Flight) {
+        let run = self.run_of(&flight);
+        let quarantine = &mut self.nodes[flight.node].quarantine;
+        quarantine.record_broken(&run, &flight.traits, self.now);
+        if flight.attempts > 1 {
+            self.send(flight.node, flight.traits, flight.attempts - 1);
+        }
+    }
+
+    fn run_of(&self, flight: &Flight) -> Run {
+        Run {
+            engine: format!("e{}", flight.engine).into(),
+            started_ms: flight.run,
+        }
+    }
+
+    fn tick(&mut self, node: usize) {
+        if self.nodes[node].up_since.is_none() {
+            return;
+        }
+        let hosts = self.nodes.len();
+        let quarantine = &mut self.nodes[node].quarantine;
+        let begun = quarantine.hold_culprits(self.now);
+        let due = quarantine.due(hosts, self.now, &mut self.rng);
+        self.outcome.false_holds += begun.iter().filter(|it| !it.contains(&FATAL)).count();
+        self.note_held(node);
+        if self.trial.rule != Rule::Fleet {
+            return;
+        }
+        let others: Vec<_> = (0..hosts).filter(|it| *it != node).collect();
+        for message in due.to_all {
+            self.post(node, &others, message);
+        }
+        for message in due.to_some {
+            let some: Vec<_> = (0..Quarantine::FANOUT)
+                .map(|_| others[self.rng.random_range(0..others.len())])
+                .collect();
+            self.post(node, &some, message);
+        }
+    }
+
+    fn post(&mut self, from: usize, to: &[usize], message: Message) {
+        self.outcome.datagrams += to.len();
+        let id = self.sequence as usize;
+        let mut receivers = 0;
+        for &to in to {
+            let is_lost = self.trial.trouble == Trouble::LostMessages && self.rng.random_bool(LOST_MESSAGES);
+            if !is_lost && !self.is_cut(from, to) {
+                receivers += 1;
+                let started = self.nodes[to].started;
+                self.schedule(
+                    MESSAGE_DELAY,
+                    Event::Deliver {
+                        to,
+                        started,
+                        message: id,
+                    },
+                );
+            }
+        }
+        if receivers > 0 {
+            self.messages.insert(id, (message, receivers));
+        }
+    }
+
+    fn deliver(&mut self, to: usize, started: u32, message: usize) {
+        let Some((content, receivers)) = self.messages.get_mut(&message) else {
+            return;
+        };
+        *receivers -= 1;
+        let is_last = *receivers == 0;
+        if self.nodes[to].started == started && self.nodes[to].up_since.is_some() {
+            self.nodes[to].quarantine.apply(content, self.now);
+        }
+        if is_last {
+            self.messages.remove(&message);
+        }
+        self.note_held(to);
+    }
+
+    fn note_held(&mut self, node: usize) {
+        let is_held = |it: &Node| it.quarantine.is_held(&[FATAL]);
+        if self.outcome.held_by_all_at.is_none()
+            && is_held(&self.nodes[node])
+            && self.nodes.iter().all(is_held)
+        {
+            self.outcome.held_by_all_at = Some(self.now);
+        }
+    }
+
+    fn side(&self, node: usize) -> bool {
+        node < self.nodes.len() / 2
+    }
+
+    fn is_cut(&self, a: usize, b: usize) -> bool {
+        self.trial.trouble == Trouble::Cut && CUT.contains(&self.now) && self.side(a) != self.side(b)
+    }
+
+    /// Whether a node owns the probes: the first one, or the first one of the larger side of a cut.
+    fn may_probe(&self, node: usize) -> bool {
+        let is_cut_off = self.trial.trouble == Trouble::Cut && CUT.contains(&self.now);
+        let first = match is_cut_off {
+            true => self.nodes.len() / 2,
+            false => 0,
+        };
+        self.trial.rule == Rule::Alone || node == first
+    }
+
+    fn is_in_touch(&self, node: usize) -> bool {
+        let is_up = self.nodes[node].up_since;
+        let is_calm = is_up.is_some_and(|it| it.is_zero() || it + Trial::STABILITY_WINDOW <= self.now);
+        let is_cut = self.trial.trouble == Trouble::Cut
+            && (CUT.start..CUT.end + Trial::STABILITY_WINDOW).contains(&self.now);
+        is_calm && !is_cut
+    }
+
+    fn is_late(&self) -> bool {
+        let known = self.outcome.fatal_ends.get(Trial::FATAL_ENDS - 1);
+        known.is_some_and(|it| *it + Trial::STABILITY_WINDOW < self.now)
+    }
+
+    fn finish(mut self) -> Outcome {
+        let shares = self
+            .by_first
+            .values()
+            .map(|(all, held)| *held as f64 / (*all).max(1) as f64);
+        self.outcome.worst_held_share = shares.fold(0.0, f64::max);
+        self.outcome
+    }
+}
