--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -18,7 +18,7 @@
 use hyper::header::HeaderMap;
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response};
-use model::Name;
+use model::{Name, hash};
 
 use crate::attempt::{AttemptOutcome, EngineResponse, Resumption, attempt};
 use crate::open_requests::OpenRequest;
@@ -42,6 +42,8 @@
     pub headers: HeaderMap,
     pub body: Bytes,
     pub metadata: RequestMetadata,
+    /// Hash of the path, the organisation and the body.
+    content: u64,
     /// What it may have in common with requests that end engines.
     pub traits: Traits,
     pub arrived: BootTime,
@@ -146,19 +148,22 @@
     open.accept(&route.name, deadline);
     let retry_state = RetryState::new(route.kind.repeat(), route.max_attempts, deadline);
     let model = route.models.first().filter(|_| metadata.any_model).cloned();
+    let target = head.uri.path_and_query().map_or("/", |it| it.as_str()).to_owned();
+    let content = content_hash(&target, organisation.as_deref(), &body);
     let mut headers = head.headers;
     strip_connection_headers(&mut headers);
     shared.count_request(&service, now);
     Ok(RequestContext {
         shared: shared.clone(),
         id: metadata.id.clone().unwrap_or_default(),
-        target: head.uri.path_and_query().map_or("/", |it| it.as_str()).to_owned(),
+        target,
         method: head.method,
         route,
         service,
         organisation,
         headers,
         body,
+        content,
         traits: quarantine::traits(&metadata),
         metadata,
         arrived,
@@ -174,6 +179,13 @@
     })
 }
 
+/// Hash that requests have in common which a caller has sent again.
+fn content_hash(target: &str, organisation: Option<&Organisation>, body: &[u8]) -> u64 {
+    let organisation = organisation.map_or("", |it| &it.name);
+    // No path or name contains a zero byte.
+    hash::stable(&[target.as_bytes(), organisation.as_bytes(), body].join(&0))
+}
+
 /// How a request was served.
 enum Served {
     /// With a final response.
@@ -291,8 +303,9 @@
             self.organisation.as_ref().map_or("", |it| &*it.name),
         );
         let prompt_parts = self.metadata.prompt_parts_text();
+        let content = format!("{:x}", self.content);
         log::info!(
-            id = self.id, engine, failure = failure.as_str(), runs, left_ms, retry, route, organisation, prompt_parts;
+            id = self.id, engine, failure = failure.as_str(), runs, left_ms, retry, route, organisation, content, prompt_parts;
             "attempt failed"
         );
         if retry {
