forward, entry: hold back a request that ends engines when it comes again

What callers saw: a service of three engines was down for about 3 of each 4 s as long as one caller repeated one request (in the worst five seconds 23 of 83 requests of the service were served).

Nodes had no notion of the same request sent again, by retries of a node or by its caller at any other node.

The content of a request (path, organisation, body) is now one of its traits beside the parts of its prompt, with limits of its own (crash::Kind). A run is no longer explained as a whole: other requests that it broke off are cleared, and the culprit's own traits still count, so that a fatal part is found although single requests with it are held already. A hold whose runs are all explained by a culprit with more of them is lifted: a sound request that was retried beside a fatal one may meet three ends. Breaks of a run at different times count by the last one.

The simulation gets calls, callers that repeat, and probes after 60 s.

--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use forward::BootTime;
-use forward::crash::{self, Fingerprint, Traits};
+use forward::crash::{self, Fingerprint, Kind, Traits};
 use forward::directory::Engine;
 use forward::hold::{self, Admission};
 use forward::quarantine::{Message, Quarantine};
@@ -113,14 +113,16 @@
     traits
 }
 
-/// What a request may have in common with others: the parts of its prompt, except for its own, which is the last.
-pub(crate) fn traits(metadata: &RequestMetadata) -> Traits {
+/// What a request may have in common with others: all of its content, or parts of its prompt, except for its own part,
+/// which is the last.
+pub(crate) fn traits(metadata: &RequestMetadata, content: u64) -> Traits {
     let shared = match &metadata.prompt_parts[..] {
         [shared @ .., _] => shared,
         [] => &[],
     };
-    let fingerprint = |part: &u64| hash::stable(&[b"prompt part".as_slice(), &part.to_be_bytes()].concat());
-    sorted(shared.iter().take(MAX_PARTS).map(fingerprint).collect())
+    let parts = shared.iter().take(MAX_PARTS);
+    let parts = parts.map(|it| Kind::PromptPart.fingerprint(hash::stable(&it.to_be_bytes())));
+    sorted(parts.chain([Kind::Request.fingerprint(content)]).collect())
 }
 
 /// Records that an engine broke off a request that was sent to it, as one does whose process ends.
@@ -130,9 +132,6 @@
 
 /// Records a complete and successful response of an engine to a request that was sent at `sent_at`.
 pub(crate) fn record_served(context: &RequestContext, engine: &Engine, sent_at: BootTime) {
-    if context.traits.is_empty() {
-        return;
-    }
     let now = clock::now();
     let run = Run::of(engine);
     let lifted = lock(&context.shared.quarantine).record_served(&run, &context.traits, sent_at, now);
@@ -147,9 +146,6 @@
 /// To be asked right before each attempt: a probe that is let through counts.
 pub(crate) fn admit(context: &RequestContext) -> Admission {
     let shared = &context.shared;
-    if context.traits.is_empty() {
-        return Admission::Open;
-    }
     let may_probe = |signature: &Traits| is_prober(shared, signature);
     let admission = lock(&shared.quarantine).admit(&context.traits, may_probe, clock::now());
     if admission == Admission::Probe {
@@ -161,7 +157,7 @@
 
 /// Whether requests like this one are held back.
 pub(crate) fn is_held(context: &RequestContext) -> bool {
-    !context.traits.is_empty() && lock(&context.shared.quarantine).is_held(&context.traits)
+    lock(&context.shared.quarantine).is_held(&context.traits)
 }
 
 /// Whether this node lets probes of a signature through. No node does in the smaller part of a fleet that is split.
@@ -176,13 +172,17 @@
     let now = clock::now();
     let hosts = shared.host_counts().reachable;
     let mut quarantine = lock(&shared.quarantine);
-    let begun = quarantine.hold_culprits(now);
+    let judgement = quarantine.judge(now);
     let due = quarantine.due(hosts, now, &mut rand::rng());
     drop(quarantine);
-    for signature in begun {
+    for signature in judgement.begun {
         count(shared, "begun");
         log::warn!(signature:?; "requests held back: requests like them end engines");
     }
+    for signature in judgement.lifted {
+        count(shared, "explained");
+        log::warn!(signature:?; "requests no longer held back: others have ended the engines");
+    }
     if due.to_all.is_empty() && due.to_some.is_empty() {
         return;
     }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -164,7 +164,7 @@
         headers,
         body,
         content,
-        traits: quarantine::traits(&metadata),
+        traits: quarantine::traits(&metadata, content),
         metadata,
         arrived,
         retry_state,
@@ -182,8 +182,9 @@
 /// Hash that requests have in common which a caller has sent again.
 fn content_hash(target: &str, organisation: Option<&Organisation>, body: &[u8]) -> u64 {
     let organisation = organisation.map_or("", |it| &it.name);
+    let body = hash::stable(body).to_be_bytes();
     // No path or name contains a zero byte.
-    hash::stable(&[target.as_bytes(), organisation.as_bytes(), body].join(&0))
+    hash::stable(&[target.as_bytes(), organisation.as_bytes(), &body].join(&0))
 }
 
 /// How a request was served.
--- a/crates/forward/src/crash.rs
+++ b/crates/forward/src/crash.rs
@@ -9,11 +9,12 @@
 //!   it is known to have gone on with other requests.
 //! - Runs that broke off at the same moment are one event, which counts little, and once only if not all of the runs had
 //!   such requests: its cause lies elsewhere, as with a loss of power.
-//! - A culprit explains the runs that it ended. What only shared these runs with it is not blamed for them.
+//! - A culprit explains the runs that it ended. Other requests that these runs broke off are not blamed for them.
 //! - While many requests are broken off anyway, more runs are needed.
 //! - Nothing is blamed as long as nothing else is served either.
 
 mod background;
+mod kind;
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
@@ -22,6 +23,8 @@
 use crate::statement::Run;
 use background::Background;
 
+pub use kind::Kind;
+
 /// Hash of something that requests have in common.
 pub type Fingerprint = u64;
 
@@ -41,15 +44,17 @@
 
 #[derive(Debug, Clone)]
 struct Crash {
+    /// When it last broke off a request.
     at: BootTime,
-    suspects: BTreeSet<Traits>,
+    /// Requests, and when they were broken off.
+    suspects: HashMap<Traits, BootTime>,
     /// When the run was known to have gone on, so that only connections to it were broken before.
     refuted_at: Option<BootTime>,
 }
 
 impl Crash {
     fn concerns(&self, signature: &[Fingerprint]) -> bool {
-        self.suspects.iter().any(|it| contains(it, signature))
+        self.suspects.keys().any(|it| contains(it, signature))
     }
 }
 
@@ -58,6 +63,23 @@
     signature.iter().all(|it| traits.binary_search(it).is_ok())
 }
 
+/// The end of a run, with those of its requests that may be to blame.
+#[derive(Debug, Clone)]
+struct End<'a> {
+    at: BootTime,
+    /// Requests, and when they were broken off.
+    suspects: Vec<(&'a Traits, BootTime)>,
+}
+
+impl End<'_> {
+    /// Clears the other requests if one of them has the signature of a culprit.
+    fn explain(&mut self, signature: &[Fingerprint]) {
+        if self.suspects.iter().any(|it| contains(it.0, signature)) {
+            self.suspects.retain(|it| contains(it.0, signature));
+        }
+    }
+}
+
 /// What speaks against a fingerprint.
 #[derive(Debug, Clone, Copy)]
 struct Tally {
@@ -96,17 +118,13 @@
     const MAX_SUSPECTS: usize = 128;
     const MAX_SERVED: usize = 8192;
 
-    /// Number of ended runs that make a culprit, if none of its requests was served before or if some were.
-    const MIN_RUNS: usize = 4;
+    /// Number of ended runs that make a culprit some of whose requests were served before.
     const MIN_RUNS_AFTER_SERVICE: usize = 6;
 
-    /// Limit on the number of runs that a high share of broken requests demands.
-    const MAX_RUNS_DEMANDED: usize = 8;
-
     /// Probability with which a sound fingerprint may be broken off so often by chance.
     const CHANCE: f64 = 0.001;
 
-    /// Runs that break off within this time of the previous one belong to the same event.
+    /// Runs that break off within this time of the first one belong to the same event.
     const SAME_EVENT: Duration = Duration::from_millis(20);
 
     /// Maximum number of runs that one event counts for.
@@ -146,18 +164,19 @@
         }
         let begin = |refuted_at| Crash {
             at,
-            suspects: BTreeSet::new(),
+            suspects: HashMap::new(),
             refuted_at,
         };
         let crash = self.runs.entry(run.clone()).or_insert_with(|| begin(None));
         match crash.refuted_at {
             Some(refuted_at) if at <= refuted_at => return,
             Some(_) => *crash = begin(None),
-            None => crash.at = crash.at.min(at),
+            None => crash.at = crash.at.max(at),
         }
         for suspect in suspects {
-            if crash.suspects.len() < Self::MAX_SUSPECTS {
-                crash.suspects.insert(suspect.clone());
+            if crash.suspects.len() < Self::MAX_SUSPECTS || crash.suspects.contains_key(suspect) {
+                let broken_at = crash.suspects.entry(suspect.clone()).or_insert(at);
+                *broken_at = at.max(*broken_at);
             }
         }
     }
@@ -204,12 +223,8 @@
 
     fn mark_served(&mut self, fingerprint: Fingerprint, at: BootTime) {
         self.newest_served = self.newest_served.max(Some(at));
-        if self.served.len() >= Self::MAX_SERVED {
-            self.served
-                .retain(|_, it| at.saturating_sub(it.at) < Self::RETENTION / 4);
-        }
-        if self.served.len() >= Self::MAX_SERVED {
-            return;
+        if self.served.len() >= Self::MAX_SERVED && !self.served.contains_key(&fingerprint) {
+            self.make_room(at);
         }
         let served = self
             .served
@@ -218,12 +233,26 @@
         served.at = served.at.max(at);
     }
 
+    /// Forgets served fingerprints, first those of single requests, which are many.
+    fn make_room(&mut self, now: BootTime) {
+        let is_recent = |it: &Served| now.saturating_sub(it.at) < Self::RETENTION / 4;
+        self.served
+            .retain(|fingerprint, it| Kind::of(*fingerprint) == Kind::PromptPart || is_recent(it));
+        if self.served.len() >= Self::MAX_SERVED {
+            self.served
+                .retain(|fingerprint, it| Kind::of(*fingerprint) == Kind::PromptPart && is_recent(it));
+        }
+        if self.served.len() >= Self::MAX_SERVED {
+            self.served.clear();
+        }
+    }
+
     /// Fingerprints that other nodes may blame, although this node has served them later than they know, with the ages
     /// of these responses. They count as told from now on.
     pub fn tell_served(&mut self, limit: usize, now: BootTime) -> Vec<(Fingerprint, Duration)> {
         let mut ends: HashMap<Fingerprint, usize> = HashMap::new();
         for crash in self.runs.values().filter(|it| it.refuted_at.is_none()) {
-            let fingerprints: BTreeSet<_> = crash.suspects.iter().flatten().collect();
+            let fingerprints: BTreeSet<_> = crash.suspects.keys().flatten().collect();
             for it in fingerprints {
                 let served = self.served.get(it);
                 if served.is_some_and(|it| it.told.is_none_or(|told| told < crash.at)) {
@@ -254,37 +283,74 @@
 
     /// What the requests that ended engines have in common, for each cause that is not `known`.
     pub fn culprits<'a>(&self, known: impl Iterator<Item = &'a Traits>, now: BootTime) -> Vec<Traits> {
-        let is_settled = |it: &&Crash| it.refuted_at.is_none() && now.saturating_sub(it.at) >= Self::SETTLING;
-        let mut unexplained: Vec<_> = self.runs.values().filter(is_settled).collect();
-        unexplained.sort_by_key(|it| it.at);
-        for signature in known {
-            unexplained.retain(|it| !it.concerns(signature));
+        let mut ends = self.ends(now);
+        let mut explanations: Vec<_> = known.cloned().collect();
+        for signature in &explanations {
+            ends.iter_mut().for_each(|it| it.explain(signature));
         }
         let mut culprits = vec![];
-        while let Some(found) = self.worst(&unexplained) {
-            unexplained.retain(|it| !found.iter().any(|signature| it.concerns(signature)));
-            culprits.extend(found);
+        loop {
+            let found = self.worst(&ends, &explanations);
+            if found.is_empty() {
+                return culprits;
+            }
+            for signature in found {
+                ends.iter_mut().for_each(|it| it.explain(&signature));
+                explanations.push(signature.clone());
+                culprits.push(signature);
+            }
         }
-        culprits
+    }
+
+    /// The runs that ended so long ago that other nodes have reported what they know about them.
+    fn ends(&self, now: BootTime) -> Vec<End<'_>> {
+        let is_settled = |it: &&Crash| it.refuted_at.is_none() && now.saturating_sub(it.at) >= Self::SETTLING;
+        let settled = self.runs.values().filter(is_settled);
+        let mut ends: Vec<_> = settled
+            .map(|it| End {
+                at: it.at,
+                suspects: it.suspects.iter().map(|(traits, at)| (traits, *at)).collect(),
+            })
+            .collect();
+        ends.sort_by_key(|it| it.at);
+        ends
     }
 
     /// The culprits that explain most runs: more than one only if they explain equally many.
-    fn worst(&self, crashes: &[&Crash]) -> Option<BTreeSet<Traits>> {
-        let events = crashes.chunk_by(|a, b| b.at - a.at <= Self::SAME_EVENT);
+    fn worst(&self, ends: &[End<'_>], explanations: &[Traits]) -> BTreeSet<Traits> {
+        let mut candidates = vec![];
+        for (fingerprint, tally) in self.tallies(ends) {
+            if !self.is_conclusive(fingerprint, &tally) {
+                continue;
+            }
+            let signature = self.signature(fingerprint, tally.first, ends);
+            if !explanations.iter().any(|it| contains(&signature, it)) {
+                let rank = (self.served_at(fingerprint).is_none(), tally.runs);
+                candidates.push((rank, signature));
+            }
+        }
+        let highest = candidates.iter().map(|it| it.0).max();
+        let worst = candidates.into_iter().filter(|it| Some(it.0) == highest);
+        worst.map(|it| it.1).collect()
+    }
+
+    /// What speaks against each fingerprint.
+    fn tallies(&self, ends: &[End<'_>]) -> HashMap<Fingerprint, Tally> {
         let mut tallies: HashMap<Fingerprint, Tally> = HashMap::new();
-        for event in events {
-            let mut ended: HashMap<Fingerprint, usize> = HashMap::new();
-            for crash in event {
-                let fingerprints: BTreeSet<_> = crash.suspects.iter().flatten().copied().collect();
-                for it in fingerprints {
-                    if self.served_at(it).is_none_or(|served| served < crash.at) {
-                        *ended.entry(it).or_default() += 1;
-                    }
+        let mut rest = ends;
+        while let [first, ..] = rest {
+            let len = rest.partition_point(|it| it.at - first.at <= Self::SAME_EVENT);
+            let (event, later) = rest.split_at(len);
+            rest = later;
+            let mut runs: HashMap<Fingerprint, usize> = HashMap::new();
+            for end in event {
+                for it in self.unserved(end) {
+                    *runs.entry(it).or_default() += 1;
                 }
             }
-            for (fingerprint, runs) in ended {
+            for (fingerprint, runs) in runs {
                 let tally = tallies.entry(fingerprint).or_insert(Tally {
-                    first: event[0].at,
+                    first: first.at,
                     runs: 0,
                     events: 0,
                 });
@@ -295,29 +361,41 @@
                 tally.events += 1;
             }
         }
-        tallies.retain(|fingerprint, tally| self.is_conclusive(*fingerprint, tally));
-        let rank = |(fingerprint, tally): (&Fingerprint, &Tally)| {
-            (self.served_at(*fingerprint).is_none(), tally.runs)
+        tallies
+    }
+
+    /// Fingerprints that were not served after the run broke off a request with them.
+    fn unserved(&self, end: &End<'_>) -> BTreeSet<Fingerprint> {
+        let of_request = |(traits, at): &(&Traits, BootTime)| -> Vec<_> {
+            let is_unserved = |it: &Fingerprint| self.served_at(*it).is_none_or(|served| served < *at);
+            traits.iter().copied().filter(is_unserved).collect()
+        };
+        end.suspects.iter().flat_map(of_request).collect()
+    }
+
+    /// Whether all runs that ended under `signature` ended under the culprit `other` as well, and more did.
+    pub fn is_explained(&self, signature: &Traits, other: &Traits) -> bool {
+        let runs = |signature: &Traits| -> Vec<_> {
+            let counted = self.runs.values().filter(|it| it.refuted_at.is_none());
+            counted.filter(|it| it.concerns(signature)).collect()
         };
-        let first = tallies.iter().map(rank).max()?;
-        let worst = tallies.iter().filter(|it| rank(*it) == first);
-        Some(
-            worst
-                .map(|(it, tally)| self.signature(*it, tally.first, crashes))
-                .collect(),
-        )
+        let (own, others) = (runs(signature), runs(other));
+        let is_same_cause = contains(signature, other);
+        !is_same_cause
+            && !own.is_empty()
+            && own.len() < others.len()
+            && own.iter().all(|it| it.concerns(other))
     }
 
     /// Whether the runs that ended show that a fingerprint is a culprit.
     fn is_conclusive(&self, fingerprint: Fingerprint, tally: &Tally) -> bool {
+        let kind = Kind::of(fingerprint);
         let min_runs = match self.served_at(fingerprint) {
-            None => Self::MIN_RUNS,
+            None => kind.min_runs(),
             Some(_) => Self::MIN_RUNS_AFTER_SERVICE,
         };
-        let demanded = self
-            .background
-            .runs_for(Self::CHANCE)
-            .min(Self::MAX_RUNS_DEMANDED);
+        let demanded = self.background.runs_for(Self::CHANCE);
+        let demanded = demanded.min(kind.max_runs_demanded());
         let others_are_served = self.newest_served.is_some_and(|it| it > tally.first);
         tally.runs >= min_runs.max(demanded) && tally.events >= Self::MIN_EVENTS && others_are_served
     }
@@ -325,15 +403,16 @@
     /// What all broken requests with a fingerprint have in common and was not shown to be sound.
     ///
     /// As long as these can't be told apart, only requests with all of them are blamed.
-    fn signature(&self, fingerprint: Fingerprint, first: BootTime, crashes: &[&Crash]) -> Traits {
+    fn signature(&self, fingerprint: Fingerprint, first: BootTime, ends: &[End<'_>]) -> Traits {
         let is_served = self.served_at(fingerprint).is_some();
         let is_sound = |it: Fingerprint| match self.served_at(it) {
             Some(at) => !is_served || at > first,
             None => false,
         };
-        let counted = crashes.iter().filter(|it| it.at >= first);
+        let counted = ends.iter().filter(|it| it.at >= first);
         let mut requests = counted
             .flat_map(|it| &it.suspects)
+            .map(|it| it.0)
             .filter(|it| it.contains(&fingerprint));
         let mut common = requests.next().cloned().unwrap_or_default();
         for request in requests {
--- /dev/null
+++ b/crates/forward/src/crash/kind.rs
@@ -0,0 +1,45 @@
+//! What fingerprints stand for.
+
+use super::Fingerprint;
+
+/// What requests with the same fingerprint have in common.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// A part of their prompts.
+    PromptPart,
+    /// Everything: they are the same request, sent again by its caller.
+    Request,
+}
+
+impl Kind {
+    /// The fingerprint of this kind with a hash, which loses its highest bit.
+    pub fn fingerprint(self, hash: u64) -> Fingerprint {
+        hash << 1 | u64::from(self == Self::Request)
+    }
+
+    pub(super) fn of(fingerprint: Fingerprint) -> Self {
+        match fingerprint & 1 {
+            0 => Self::PromptPart,
+            _ => Self::Request,
+        }
+    }
+
+    /// Number of ended runs that make a culprit, if none of its requests was served before.
+    ///
+    /// One request may meet several ends by chance, as it is retried when all others are. But blaming it keeps nobody
+    /// else from being served.
+    pub(super) fn min_runs(self) -> usize {
+        match self {
+            Self::PromptPart => 4,
+            Self::Request => 3,
+        }
+    }
+
+    /// Limit on the number of runs that a high share of broken requests demands.
+    pub(super) fn max_runs_demanded(self) -> usize {
+        match self {
+            Self::PromptPart => 8,
+            Self::Request => 6,
+        }
+    }
+}
--- a/crates/forward/src/hold.rs
+++ b/crates/forward/src/hold.rs
@@ -66,9 +66,9 @@
 
 impl Holds {
     /// Time until the first probe; doubled with each further one.
-    const FIRST_PROBE: Duration = Duration::from_secs(30);
+    const FIRST_PROBE: Duration = Duration::from_secs(60);
 
-    /// Limit on the doublings, which gives a probe at least every 16 minutes.
+    /// Limit on the doublings, which gives a probe at least every 32 minutes.
     const MAX_DOUBLINGS: u32 = 5;
 
     /// Time after a due probe at which a hold is forgotten: no such request has come to the node that may probe.
@@ -147,9 +147,14 @@
 
     /// Lifts the holds on requests with these traits, as one of them was served; returns their signatures.
     pub fn lift(&mut self, traits: &[Fingerprint], now: BootTime) -> Vec<Traits> {
+        self.lift_where(|signature| contains(traits, signature), now)
+    }
+
+    /// Lifts the holds of some signatures, and returns these.
+    pub fn lift_where(&mut self, is_lifted: impl Fn(&Traits) -> bool, now: BootTime) -> Vec<Traits> {
         let mut lifted = vec![];
         for (signature, hold) in &mut self.holds {
-            if !hold.lifted && contains(traits, signature) {
+            if !hold.lifted && is_lifted(signature) {
                 hold.lifted = true;
                 hold.revision += 1;
                 hold.changed_at = now;
--- a/crates/forward/src/quarantine.rs
+++ b/crates/forward/src/quarantine.rs
@@ -34,6 +34,15 @@
     }
 }
 
+/// What follows from the evidence.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Judgement {
+    /// Signatures that are held back from now on.
+    pub begun: Vec<Traits>,
+    /// Signatures that are held back no more.
+    pub lifted: Vec<Traits>,
+}
+
 /// Messages that are due.
 #[derive(Debug, Clone, Default)]
 pub struct Due {
@@ -73,9 +82,6 @@
 
     /// Records that a run broke off a request.
     pub fn record_broken(&mut self, run: &Run, traits: &Traits, now: BootTime) {
-        if traits.is_empty() {
-            return;
-        }
         self.crashes.record_broken(run, traits, now);
         if self.untold.len() < Self::MAX_ITEMS {
             self.untold.push((run.clone(), traits.clone(), now));
@@ -123,15 +129,18 @@
         holds
     }
 
-    /// Looks for culprits; returns the signatures that are held back from now on.
-    pub fn hold_culprits(&mut self, now: BootTime) -> Vec<Traits> {
+    /// Looks for culprits, and lifts the holds on requests that are explained by others.
+    pub fn judge(&mut self, now: BootTime) -> Judgement {
         if !self.crashes.is_unsettled(now) {
-            return vec![];
+            return Judgement::default();
         }
         let mut begun = self.crashes.culprits(self.holds.signatures(), now);
         begun.retain(|it| self.holds.begin(it, now));
-        self.holds_changed |= !begun.is_empty();
-        begun
+        let held: Vec<_> = self.holds.signatures().cloned().collect();
+        let is_explained = |it: &Traits| held.iter().any(|other| self.crashes.is_explained(it, other));
+        let lifted = self.holds.lift_where(is_explained, now);
+        self.holds_changed |= !begun.is_empty() || !lifted.is_empty();
+        Judgement { begun, lifted }
     }
 
     /// What has to be told now; called several times a second. `hosts` is the number of nodes.
--- a/crates/load/src/quarantine.rs
+++ b/crates/load/src/quarantine.rs
@@ -4,29 +4,48 @@
 
 use crate::report::{Report, Table, Target};
 
+mod flight;
+mod outcome;
 mod scenario;
+mod traffic;
 mod world;
 
 #[cfg(test)]
 mod tests;
 
-use scenario::{Rule, Scale, Trial, Trouble};
-use world::{Outcome, World};
+use outcome::Outcome;
+use scenario::{Rule, Scale, Service, Trial, Trouble};
+use world::World;
 
 const SEEDS: u64 = 12;
 
-const SCALES: [Scale; 3] = [
+const SCALES: [Scale; 5] = [
     Scale {
+        service: Service::Plain,
+        nodes: 8,
+        engines: 3,
+        rate: 32.0,
+    },
+    Scale {
+        service: Service::Plain,
+        nodes: 60,
+        engines: 40,
+        rate: 400.0,
+    },
+    Scale {
+        service: Service::Model,
         nodes: 8,
         engines: 18,
         rate: 93.0,
     },
     Scale {
+        service: Service::Model,
         nodes: 60,
         engines: 300,
         rate: 450.0,
     },
     Scale {
+        service: Service::Model,
         nodes: 340,
         engines: 1360,
         rate: 970.0,
@@ -98,7 +117,8 @@
     let mean = |of: &dyn Fn(&Outcome) -> f64| outcomes.iter().map(of).sum::<f64>() / outcomes.len() as f64;
     let worst = |of: &dyn Fn(&Outcome) -> f64| outcomes.iter().map(of).fold(0.0, f64::max);
     let name = format!(
-        "{} nodes, {}, {}, {} fatal/s",
+        "{:?}, {} nodes, {}, {}, {} fatal/s",
+        trial.scale.service,
         trial.scale.nodes,
         trial.rule.label(),
         trial.trouble.label(),
@@ -108,7 +128,7 @@
     let held_by_all = |it: &Outcome| {
         let known = it
             .fatal_ends
-            .get(Trial::FATAL_ENDS - 1)
+            .get(trial.fatal_ends() - 1)
             .copied()
             .unwrap_or_default();
         it.held_by_all_at
--- a/crates/load/src/quarantine/scenario.rs
+++ b/crates/load/src/quarantine/scenario.rs
@@ -2,9 +2,19 @@
 
 use std::time::Duration;
 
+/// What the engines of a service serve.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Service {
+    /// Streams for prompts of several parts, of which one is fatal.
+    Model,
+    /// Calls, of which one that comes again is fatal.
+    Plain,
+}
+
 /// Size of a fleet and its load.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Scale {
+    pub service: Service,
     pub nodes: usize,
     pub engines: usize,
     /// Sound requests a second.
@@ -94,5 +104,10 @@
     pub(super) const STABILITY_WINDOW: Duration = Duration::from_secs(3);
 
     /// Number of ended engines after which fatal requests must reach no more of them.
-    pub(super) const FATAL_ENDS: usize = 5;
+    pub(super) fn fatal_ends(&self) -> usize {
+        match self.scale.service {
+            Service::Model => 5,
+            Service::Plain => 3,
+        }
+    }
 }
--- a/crates/load/src/quarantine/tests.rs
+++ b/crates/load/src/quarantine/tests.rs
@@ -1,19 +1,27 @@
 //! Short runs of the simulated fleet with fixed seeds.
 
-use super::scenario::{Rule, Scale, Trial, Trouble};
+use super::scenario::{Rule, Scale, Service, Trial, Trouble};
 use super::world::World;
 use super::{MAX_HELD_SHARE, MAX_LATE};
 
-const SCALE: Scale = Scale {
+const MODEL: Scale = Scale {
+    service: Service::Model,
     nodes: 8,
     engines: 18,
     rate: 93.0,
 };
 
-fn check(trouble: Trouble, fatal_rate: f64) {
+const PLAIN: Scale = Scale {
+    service: Service::Plain,
+    nodes: 8,
+    engines: 3,
+    rate: 32.0,
+};
+
+fn check(scale: Scale, trouble: Trouble, fatal_rate: f64) {
     for seed in 1..=4 {
         let trial = Trial {
-            scale: SCALE,
+            scale,
             trouble,
             rule: Rule::Fleet,
             fatal_rate,
@@ -28,25 +36,32 @@
 }
 
 macro_rules! trials {
-    ($($name:ident: $trouble:ident, $rate:expr;)*) => {
+    ($($name:ident: $scale:ident, $trouble:ident, $rate:expr;)*) => {
         $(#[test]
         fn $name() {
-            check(Trouble::$trouble, $rate);
+            check($scale, Trouble::$trouble, $rate);
         })*
     };
 }
 
 trials! {
-    fatal_requests_are_not_sent_on_for_ever: None, 2.0;
-    lost_datagrams_do_not_hide_fatal_requests: LostMessages, 2.0;
-    nodes_that_restart_do_not_send_what_is_known_to_be_fatal: Restarts, 2.0;
-    halves_of_a_cut_fleet_share_one_limit: Cut, 2.0;
-    fatal_requests_are_found_beside_power_losses: PowerLosses, 2.0;
-    fatal_requests_are_found_beside_crash_loops: CrashLoops, 2.0;
-    fatal_requests_are_found_beside_broken_connections: BrokenConnections, 2.0;
-    power_losses_are_not_blamed_on_requests: PowerLosses, 0.0;
-    crash_loops_are_not_blamed_on_requests: CrashLoops, 0.0;
-    broken_connections_are_not_blamed_on_requests: BrokenConnections, 0.0;
+    fatal_requests_are_not_sent_on_for_ever: MODEL, None, 2.0;
+    lost_datagrams_do_not_hide_fatal_requests: MODEL, LostMessages, 2.0;
+    nodes_that_restart_do_not_send_what_is_known_to_be_fatal: MODEL, Restarts, 2.0;
+    halves_of_a_cut_fleet_share_one_limit: MODEL, Cut, 2.0;
+    fatal_requests_are_found_beside_power_losses: MODEL, PowerLosses, 2.0;
+    fatal_requests_are_found_beside_crash_loops: MODEL, CrashLoops, 2.0;
+    fatal_requests_are_found_beside_broken_connections: MODEL, BrokenConnections, 2.0;
+    fatal_request_that_comes_again_is_not_sent_on_for_ever: PLAIN, None, 0.5;
+    lost_datagrams_do_not_hide_a_fatal_request_that_comes_again: PLAIN, LostMessages, 0.5;
+    nodes_that_restart_do_not_send_a_fatal_request_that_comes_again: PLAIN, Restarts, 0.5;
+    halves_of_a_cut_fleet_share_one_limit_on_a_request_that_comes_again: PLAIN, Cut, 0.5;
+    fatal_request_that_comes_again_is_found_beside_power_losses: PLAIN, PowerLosses, 0.5;
+    fatal_request_that_comes_again_is_found_beside_broken_connections: PLAIN, BrokenConnections, 0.5;
+    crash_loops_are_not_blamed_on_calls: PLAIN, CrashLoops, 0.0;
+    power_losses_are_not_blamed_on_requests: MODEL, PowerLosses, 0.0;
+    crash_loops_are_not_blamed_on_requests: MODEL, CrashLoops, 0.0;
+    broken_connections_are_not_blamed_on_requests: MODEL, BrokenConnections, 0.0;
 }
 
 /// Guards against a simulation that cannot fail: without a rule, or with nodes that judge alone, the limit is exceeded.
@@ -54,7 +69,7 @@
 fn limit_is_exceeded_without_the_rule_and_by_nodes_that_judge_alone() {
     for rule in [Rule::None, Rule::Alone] {
         let trial = Trial {
-            scale: SCALE,
+            scale: MODEL,
             trouble: Trouble::None,
             rule,
             fatal_rate: 2.0,
--- /dev/null
+++ b/crates/load/src/quarantine/traffic.rs
@@ -0,0 +1,63 @@
+//! What the simulated requests have in common.
+
+use std::ops::Range;
+
+use forward::crash::{Fingerprint, Kind, Traits};
+use rand::Rng;
+
+use super::scenario::Service;
+
+/// Number of different first parts of prompts, and of second ones.
+const FIRST_PARTS: u64 = 8;
+const SECOND_PARTS: u64 = 400;
+
+/// First numbers of what these and all other fingerprints stand for.
+const FIRST_PART: u64 = 100;
+const SECOND_PART: u64 = 1000;
+const OTHERS: Range<u64> = 1 << 20..1 << 60;
+
+/// Number of the fatal part or request.
+const FATAL: u64 = 1;
+
+impl Service {
+    /// Traits of the next request.
+    pub(super) fn traits(self, is_fatal: bool, rng: &mut impl Rng) -> Traits {
+        let part = |it| Kind::PromptPart.fingerprint(it);
+        let own = rng.random_range(OTHERS);
+        let mut traits = match self {
+            Self::Plain if is_fatal => vec![Kind::Request.fingerprint(FATAL)],
+            Self::Plain => vec![Kind::Request.fingerprint(own)],
+            Self::Model => {
+                // Some second parts are far more frequent than others.
+                let second = SECOND_PARTS as f64 * rng.random_range(0.0_f64..1.0).powi(3);
+                vec![
+                    part(FIRST_PART + rng.random_range(0..FIRST_PARTS)),
+                    part(SECOND_PART + second as u64),
+                    Kind::Request.fingerprint(own),
+                ]
+            }
+        };
+        if is_fatal && self == Self::Model {
+            traits.extend([part(FATAL), part(rng.random_range(OTHERS))]);
+        }
+        traits.sort_unstable();
+        traits
+    }
+
+    /// What the fatal requests have in common.
+    pub(super) fn fatal_fingerprint(self) -> Fingerprint {
+        match self {
+            Self::Model => Kind::PromptPart.fingerprint(FATAL),
+            Self::Plain => Kind::Request.fingerprint(FATAL),
+        }
+    }
+}
+
+/// What requests are grouped by: the first part of their prompts, or nothing.
+pub(super) fn first_part(traits: &[Fingerprint]) -> Fingerprint {
+    let first_parts = (FIRST_PART..FIRST_PART + FIRST_PARTS).map(|it| Kind::PromptPart.fingerprint(it));
+    first_parts
+        .into_iter()
+        .find(|it| traits.contains(it))
+        .unwrap_or_default()
+}
--- a/crates/load/src/quarantine/world.rs
+++ b/crates/load/src/quarantine/world.rs
@@ -2,38 +2,38 @@
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
+use std::ops::Range;
 use std::time::Duration;
 
 use forward::BootTime;
-use forward::crash::{Fingerprint, Traits};
+use forward::crash::Fingerprint;
 use forward::hold::Admission;
 use forward::quarantine::{Message, Quarantine};
 use forward::statement::Run;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::scenario::{Rule, Trial, Trouble};
-
-const FATAL: Fingerprint = 1;
-
-/// Number of different first parts of prompts, and of second ones.
-const FIRST_PARTS: u64 = 8;
-const SECOND_PARTS: u64 = 400;
+use super::flight::Flight;
+use super::outcome::Outcome;
+use super::scenario::{Rule, Service, Trial, Trouble};
+use super::traffic::first_part;
 
 const TICK: Duration = Duration::from_millis(100);
 const MESSAGE_DELAY: Duration = Duration::from_millis(5);
 const ENGINE_DOWN: Duration = Duration::from_secs(3);
 const NODE_DOWN: Duration = Duration::from_millis(500);
 const MAX_ATTEMPTS: u32 = 3;
+const REPEAT_DELAY: Duration = Duration::from_millis(300);
 const LOST_MESSAGES: f64 = 0.33;
 const BROKEN_CONNECTIONS: f64 = 0.2;
 
 /// When half of the nodes are cut off.
-const CUT: std::ops::Range<BootTime> = Duration::from_secs(8)..Duration::from_secs(18);
+const CUT: Range<BootTime> = Duration::from_secs(8)..Duration::from_secs(18);
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrival { is_fatal: bool },
+    Repeat { flight: u64 },
     Tick(usize),
     Deliver { to: usize, started: u32, message: usize },
     End { flight: u64 },
@@ -58,45 +58,6 @@
     is_up: bool,
 }
 
-/// An attempt at an engine.
-#[derive(Debug, Clone)]
-struct Flight {
-    node: usize,
-    engine: usize,
-    run: u64,
-    traits: Traits,
-    sent_at: BootTime,
-    attempts: u32,
-    /// Whether only its connection breaks at its end.
-    breaks: bool,
-}
-
-impl Flight {
-    fn is_fatal(&self) -> bool {
-        self.traits.contains(&FATAL)
-    }
-}
-
-/// What was seen in one trial.
-#[derive(Debug, Clone, Default)]
-pub(super) struct Outcome {
-    /// Times at which fatal requests ended engines.
-    pub fatal_ends: Vec<BootTime>,
-    /// Fatal requests sent by nodes in touch after the stability window.
-    pub late: usize,
-    pub sound: usize,
-    /// Sound requests that were held back.
-    pub held: usize,
-    /// Largest share of the requests with one first part that were held back.
-    pub worst_held_share: f64,
-    /// Signatures that sound requests have.
-    pub false_holds: usize,
-    /// When the last node began to hold fatal requests back.
-    pub held_by_all_at: Option<BootTime>,
-    /// Datagrams that were sent.
-    pub datagrams: usize,
-}
-
 #[derive(Debug)]
 pub(super) struct World {
     trial: Trial,
@@ -107,6 +68,8 @@
     nodes: Vec<Node>,
     engines: Vec<Engine>,
     flights: HashMap<u64, Flight>,
+    /// Requests that callers will send again.
+    repeats: HashMap<u64, Flight>,
     /// Messages on their way, and the number of their receivers.
     messages: HashMap<usize, (Message, usize)>,
     by_first: HashMap<Fingerprint, (usize, usize)>,
@@ -124,6 +87,7 @@
             nodes: (0..trial.scale.nodes).map(|_| Node::default()).collect(),
             engines: vec![Engine { run: 0, is_up: true }; trial.scale.engines],
             flights: HashMap::new(),
+            repeats: HashMap::new(),
             messages: HashMap::new(),
             by_first: HashMap::new(),
             outcome: Outcome::default(),
@@ -175,6 +139,7 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrival { is_fatal } => self.arrive(is_fatal),
+            Event::Repeat { flight } => self.repeat(flight),
             Event::Tick(node) => {
                 self.schedule(TICK, Event::Tick(node));
                 self.tick(node);
@@ -209,80 +174,94 @@
         };
         let pause = -self.rng.random_range(f64::EPSILON..1.0).ln() / rate;
         self.schedule(Duration::from_secs_f64(pause), Event::Arrival { is_fatal });
-        let node = self.rng.random_range(0..self.nodes.len());
-        if self.nodes[node].up_since.is_none() {
-            return;
+        let traits = self.trial.scale.service.traits(is_fatal, &mut self.rng);
+        if !is_fatal {
+            self.outcome.sound += 1;
+            self.by_first.entry(first_part(&traits)).or_default().0 += 1;
         }
-        // Some second parts are far more frequent than others.
-        let second = (SECOND_PARTS as f64 * self.rng.random_range(0.0_f64..1.0).powi(3)) as u64;
-        let mut traits = vec![100 + self.rng.random_range(0..FIRST_PARTS), 1000 + second];
-        if is_fatal {
-            traits.extend([FATAL, self.rng.random_range(1 << 20..u64::MAX)]);
+        let node = self.rng.random_range(0..self.nodes.len());
+        self.send(Flight {
+            traits,
+            is_fatal,
+            attempts: MAX_ATTEMPTS,
+            repeats: 1,
+            was_held: false,
+            node,
+            engine: 0,
+            run: 0,
+            sent_at: self.now,
+            breaks: false,
+        });
+    }
+
+    fn repeat(&mut self, flight: u64) {
+        if let Some(mut it) = self.repeats.remove(&flight) {
+            it.node = self.rng.random_range(0..self.nodes.len());
+            self.send(it);
         }
-        traits.sort_unstable();
-        self.send(node, traits, MAX_ATTEMPTS);
     }
 
-    fn send(&mut self, node: usize, traits: Traits, attempts: u32) {
-        let is_fatal = traits.contains(&FATAL);
-        let is_first = attempts == MAX_ATTEMPTS;
-        let may_probe = self.may_probe(node);
+    /// Sends a request on from its node, or back to its caller.
+    fn send(&mut self, mut flight: Flight) {
+        if self.nodes[flight.node].up_since.is_none() {
+            return self.return_to_caller(flight);
+        }
+        let may_probe = self.may_probe(flight.node);
         let admission = match self.trial.rule {
             Rule::None => Admission::Open,
             Rule::Alone | Rule::Fleet => {
-                let quarantine = &mut self.nodes[node].quarantine;
-                quarantine.admit(&traits, |_| may_probe, self.now)
+                let quarantine = &mut self.nodes[flight.node].quarantine;
+                quarantine.admit(&flight.traits, |_| may_probe, self.now)
             }
         };
         let is_held = matches!(admission, Admission::Held(_));
-        if !is_fatal && is_first {
-            let first = traits.iter().find(|it| (100..1000).contains(*it));
-            let count = self
-                .by_first
-                .entry(first.copied().unwrap_or_default())
-                .or_default();
-            count.0 += 1;
-            count.1 += usize::from(is_held);
-            self.outcome.sound += 1;
-            self.outcome.held += usize::from(is_held);
+        if is_held && !flight.is_fatal && !flight.was_held {
+            flight.was_held = true;
+            self.outcome.held += 1;
+            self.by_first.entry(first_part(&flight.traits)).or_default().1 += 1;
         }
         let up: Vec<_> = (0..self.engines.len())
             .filter(|it| self.engines[*it].is_up)
             .collect();
         if is_held || up.is_empty() {
-            return;
+            return self.return_to_caller(flight);
         }
-        if is_fatal && self.is_in_touch(node) && self.is_late() {
+        if flight.is_fatal && self.is_in_touch(flight.node) && self.is_late() {
             self.outcome.late += 1;
         }
-        let engine = up[self.rng.random_range(0..up.len())];
-        let time = match is_fatal {
-            true => self.rng.random_range(0.02..0.25),
-            false => self.rng.random_range(0.3..4.0),
+        flight.engine = up[self.rng.random_range(0..up.len())];
+        flight.run = self.engines[flight.engine].run;
+        flight.sent_at = self.now;
+        flight.attempts -= 1;
+        flight.breaks = !flight.is_fatal
+            && self.trial.trouble == Trouble::BrokenConnections
+            && self.rng.random_bool(BROKEN_CONNECTIONS);
+        let time = match (flight.is_fatal, self.trial.scale.service) {
+            (true, _) => self.rng.random_range(0.01..0.25),
+            (false, Service::Model) => self.rng.random_range(0.3..4.0),
+            (false, Service::Plain) => self.rng.random_range(0.01..0.1),
         };
-        let breaks =
-            self.trial.trouble == Trouble::BrokenConnections && self.rng.random_bool(BROKEN_CONNECTIONS);
-        let flight = self.sequence;
-        self.flights.insert(
-            flight,
-            Flight {
-                node,
-                engine,
-                run: self.engines[engine].run,
-                traits,
-                sent_at: self.now,
-                attempts,
-                breaks: breaks && !is_fatal,
-            },
-        );
-        self.schedule(Duration::from_secs_f64(time), Event::End { flight });
+        let id = self.sequence;
+        self.flights.insert(id, flight);
+        self.schedule(Duration::from_secs_f64(time), Event::End { flight: id });
+    }
+
+    fn return_to_caller(&mut self, mut flight: Flight) {
+        if flight.repeats == 0 {
+            return;
+        }
+        flight.repeats -= 1;
+        flight.attempts = MAX_ATTEMPTS;
+        let id = self.sequence;
+        self.repeats.insert(id, flight);
+        self.schedule(REPEAT_DELAY, Event::Repeat { flight: id });
     }
 
     fn end(&mut self, flight: u64) {
         let Some(it) = self.flights.remove(&flight) else {
             return;
         };
-        if it.is_fatal() {
+        if it.is_fatal {
             self.outcome.fatal_ends.push(self.now);
             let engine = it.engine;
             self.flights.insert(flight, it);
@@ -323,8 +302,9 @@
         let run = self.run_of(&flight);
         let quarantine = &mut self.nodes[flight.node].quarantine;
         quarantine.record_broken(&run, &flight.traits, self.now);
-        if flight.attempts > 1 {
-            self.send(flight.node, flight.traits, flight.attempts - 1);
+        match flight.attempts {
+            0 => self.return_to_caller(flight),
+            _ => self.send(flight),
         }
     }
 
@@ -340,10 +320,11 @@
             return;
         }
         let hosts = self.nodes.len();
+        let fatal = self.trial.scale.service.fatal_fingerprint();
         let quarantine = &mut self.nodes[node].quarantine;
-        let begun = quarantine.hold_culprits(self.now);
+        let begun = quarantine.judge(self.now).begun;
         let due = quarantine.due(hosts, self.now, &mut self.rng);
-        self.outcome.false_holds += begun.iter().filter(|it| !it.contains(&FATAL)).count();
+        self.outcome.false_holds += begun.iter().filter(|it| !it.contains(&fatal)).count();
         self.note_held(node);
         if self.trial.rule != Rule::Fleet {
             return;
@@ -400,7 +381,8 @@
     }
 
     fn note_held(&mut self, node: usize) {
-        let is_held = |it: &Node| it.quarantine.is_held(&[FATAL]);
+        let fatal = self.trial.scale.service.fatal_fingerprint();
+        let is_held = |it: &Node| it.quarantine.is_held(&[fatal]);
         if self.outcome.held_by_all_at.is_none()
             && is_held(&self.nodes[node])
             && self.nodes.iter().all(is_held)
@@ -436,7 +418,7 @@
     }
 
     fn is_late(&self) -> bool {
-        let known = self.outcome.fatal_ends.get(Trial::FATAL_ENDS - 1);
+        let known = self.outcome.fatal_ends.get(self.trial.fatal_ends() - 1);
         known.is_some_and(|it| *it + Trial::STABILITY_WINDOW < self.now)
     }
 
