stream: a stream without framing or events is broken off, not complete

What callers saw: a 200 without any event that looked complete, where an engine ended right after the head of a response that has neither a length nor chunks. Cause: the end of the connection was taken for the end of the stream unless it came inside an event. stream_that_ends_before_its_first_event_is_resumed failed with an empty body before and passes now; three more cases of platform/tests/unframed.rs passed already.

--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -9,6 +9,7 @@
 use forward::retry::Failure;
 use http_body_util::BodyExt;
 use hyper::Response;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use tokio::sync::mpsc::{self, Sender};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
@@ -212,7 +213,7 @@
             }
             Err(_) => continue,
             Ok(Some(Err(err))) => return ReadEnd::Failed(engine_response.body_failure(context, &err)),
-            Ok(None) if splitter.partial_event().is_empty() => {
+            Ok(None) if is_complete(engine_response, splitter) => {
                 if let Some(grading) = &mut engine_response.grading {
                     grading.record_end();
                 }
@@ -253,6 +254,16 @@
     }
 }
 
+/// Whether a stream that has ended is complete.
+///
+/// A body without framing ends with its connection, also if the engine fails. That shows if it ends inside an event or
+/// has none.
+fn is_complete(engine_response: &EngineResponse, splitter: &Splitter) -> bool {
+    let headers = &engine_response.head.headers;
+    let is_framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    splitter.partial_event().is_empty() && (is_framed || splitter.has_yielded())
+}
+
 /// Complete events taken from a stream.
 #[derive(Debug, Default)]
 struct Batch {
--- a/crates/forward/src/event_stream.rs
+++ b/crates/forward/src/event_stream.rs
@@ -20,6 +20,7 @@
     start: usize,
     /// End of the part of the buffer that contains no further event boundary.
     scanned: usize,
+    has_yielded: bool,
 }
 
 impl Splitter {
@@ -40,6 +41,7 @@
         let bytes = self.buffer[self.start..end].to_vec();
         self.start = end;
         self.scanned = end;
+        self.has_yielded = true;
         Some(Event {
             id: id(&bytes),
             bytes,
@@ -51,6 +53,11 @@
         &self.buffer[self.start..]
     }
 
+    /// Whether there was a complete event.
+    pub fn has_yielded(&self) -> bool {
+        self.has_yielded
+    }
+
     /// Bytes of memory in use.
     pub fn memory(&self) -> usize {
         self.buffer.capacity()
