--- a/crates/forward/src/quarantine.rs
+++ b/crates/forward/src/quarantine.rs
@@ -61,9 +61,12 @@
     untold: Vec<(Run, Traits, BootTime)>,
     told: Vec<(Run, Traits, BootTime)>,
     refuted: Vec<(Run, BootTime)>,
+    /// Observations that may be told now.
+    allowance: f64,
     /// Whether a hold changed since it was told.
     holds_changed: bool,
     last_round: BootTime,
+    last_due: BootTime,
 }
 
 impl Quarantine {
@@ -80,6 +83,14 @@
     const MESSAGE_ITEMS: usize = 8;
     const MAX_ITEMS: usize = 64;
 
+    /// Observations that all nodes together tell each node in a second, and those that a node may tell at once after a
+    /// pause. Where more requests are broken off, it is not for a few of them.
+    const TOLD_PER_SECOND: f64 = 256.0;
+    const MAX_ALLOWANCE: f64 = 32.0;
+
+    /// Observations that a node of a large fleet may tell in a second.
+    const MIN_TOLD_PER_SECOND: f64 = 1.0;
+
     /// Records that a run broke off a request.
     pub fn record_broken(&mut self, run: &Run, traits: &Traits, now: BootTime) {
         self.crashes.record_broken(run, traits, now);
@@ -145,7 +156,7 @@
 
     /// What has to be told now; called several times a second. `hosts` is the number of nodes.
     pub fn due(&mut self, hosts: usize, now: BootTime, rng: &mut impl Rng) -> Due {
-        let mut observations = std::mem::take(&mut self.untold);
+        let mut observations = self.take_untold(hosts, now);
         let is_round = now.saturating_sub(self.last_round) >= Self::ROUND_INTERVAL;
         if is_round {
             self.last_round = now;
@@ -193,6 +204,17 @@
         Due { to_all, to_some }
     }
 
+    /// Own observations to be told now; the others have to wait.
+    fn take_untold(&mut self, hosts: usize, now: BootTime) -> Vec<(Run, Traits, BootTime)> {
+        let rate = (Self::TOLD_PER_SECOND / hosts.max(1) as f64).max(Self::MIN_TOLD_PER_SECOND);
+        let elapsed = now.saturating_sub(self.last_due).as_secs_f64();
+        self.last_due = now;
+        self.allowance = (self.allowance + rate * elapsed).min(Self::MAX_ALLOWANCE);
+        let count = self.untold.len().min(self.allowance as usize);
+        self.allowance -= count as f64;
+        self.untold.drain(..count).collect()
+    }
+
     /// The newest hold and some others.
     fn sample_holds(&self, now: BootTime, rng: &mut impl Rng) -> Vec<hold::Report> {
         let mut holds = self.holds.reports(now);
--- a/crates/load/src/quarantine.rs
+++ b/crates/load/src/quarantine.rs
@@ -19,6 +19,9 @@
 
 const SEEDS: u64 = 12;
 
+/// Threads over which seeds are spread; the figures do not depend on it.
+const THREADS: u64 = 3;
+
 const SCALES: [Scale; 5] = [
     Scale {
         service: Service::Plain,
@@ -88,11 +91,12 @@
         series: vec![],
     };
     for scale in SCALES {
-        // A large fleet is simulated less often: its figures vary less.
+        // The figures of a large fleet vary less.
         let seeds = (SEEDS * 8 / scale.nodes as u64).clamp(1, SEEDS);
         for rule in [Rule::None, Rule::Alone, Rule::Fleet] {
             for trouble in Trouble::ALL {
-                if rule != Rule::Fleet && trouble != Trouble::None {
+                let is_large = scale.nodes > 100;
+                if (rule != Rule::Fleet || is_large) && trouble != Trouble::None {
                     continue;
                 }
                 for fatal_rate in FATAL_RATES {
@@ -111,9 +115,7 @@
 }
 
 fn measure(report: &mut Report, trial: Trial, seeds: u64) {
-    let outcomes: Vec<_> = (0..seeds)
-        .map(|it| World::run(trial, report.seed * 1000 + it))
-        .collect();
+    let outcomes = simulate(trial, report.seed * 1000, seeds);
     let mean = |of: &dyn Fn(&Outcome) -> f64| outcomes.iter().map(of).sum::<f64>() / outcomes.len() as f64;
     let worst = |of: &dyn Fn(&Outcome) -> f64| outcomes.iter().map(of).fold(0.0, f64::max);
     let name = format!(
@@ -165,3 +167,21 @@
         ]);
     }
 }
+
+fn simulate(trial: Trial, first: u64, seeds: u64) -> Vec<Outcome> {
+    let part = seeds.div_ceil(THREADS).max(1);
+    let run = |from: u64| {
+        let seeds = from..(from + part).min(seeds);
+        seeds.map(|it| World::run(trial, first + it)).collect::<Vec<_>>()
+    };
+    std::thread::scope(|scope| {
+        let parts: Vec<_> = (0..seeds)
+            .step_by(part as usize)
+            .map(|from| scope.spawn(move || run(from)))
+            .collect();
+        let joined = parts
+            .into_iter()
+            .map(|it| it.join().expect("a simulation panicked"));
+        joined.flatten().collect()
+    })
+}
