quarantine: name what is held back in logs and /state as the other lines do

A signature names the part as the platform's header does, or the content hash of the line 'attempt failed'. A refusal logs the traits and the wait.

--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -13,7 +13,7 @@
 
 use crate::response::{ResponseBody, full_response};
 use crate::shared::{HostCounts, Shared, lock};
-use crate::{clock, follow, relay};
+use crate::{clock, follow, quarantine, relay};
 
 /// Number of members in the caller's failure domain from which on only these are returned. Traffic between
 /// domains is billed; with a single member, a caller would have no alternative when that one fails.
@@ -141,6 +141,17 @@
             })
         })
         .collect();
+    let held_back: Vec<_> = lock(&shared.quarantine)
+        .holds(now)
+        .iter()
+        .map(|it| {
+            json!({
+                "signature": quarantine::describe(&it.signature),
+                "age_ms": it.age.as_millis() as u64,
+                "probes": it.probes,
+            })
+        })
+        .collect();
     let HostCounts { reachable, known } = shared.host_counts();
     json!({
         "ready": shared.is_ready(),
@@ -154,5 +165,6 @@
         "engines": engines,
         "members": members,
         "releases": releases,
+        "held_back": held_back,
     })
 }
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -9,7 +9,6 @@
 use forward::hold::{self, Admission};
 use forward::quarantine::{Message, Quarantine};
 use forward::statement::Run;
-use model::hash;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 
@@ -107,6 +106,12 @@
     }
 }
 
+/// Traits for people, in the form of the other lines about a request.
+pub(crate) fn describe(traits: &Traits) -> String {
+    let names: Vec<_> = traits.iter().map(|it| Kind::describe(*it)).collect();
+    names.join(",")
+}
+
 fn sorted(mut traits: Traits) -> Traits {
     traits.sort_unstable();
     traits.dedup();
@@ -121,7 +126,7 @@
         [] => &[],
     };
     let parts = shared.iter().take(MAX_PARTS);
-    let parts = parts.map(|it| Kind::PromptPart.fingerprint(hash::stable(&it.to_be_bytes())));
+    let parts = parts.map(|it| Kind::PromptPart.fingerprint(*it));
     sorted(parts.chain([Kind::Request.fingerprint(content)]).collect())
 }
 
@@ -137,7 +142,8 @@
     let lifted = lock(&context.shared.quarantine).record_served(&run, &context.traits, sent_at, now);
     for signature in lifted {
         count(&context.shared, "lifted");
-        log::info!(id = context.id, signature:?; "requests no longer held back: one was served");
+        let signature = describe(&signature);
+        log::info!(id = context.id, signature; "requests no longer held back: one was served");
     }
 }
 
@@ -148,9 +154,16 @@
     let shared = &context.shared;
     let may_probe = |signature: &Traits| is_prober(shared, signature);
     let admission = lock(&shared.quarantine).admit(&context.traits, may_probe, clock::now());
-    if admission == Admission::Probe {
-        count(shared, "probe");
-        log::info!(id = context.id; "request that was held back is sent as a probe");
+    match admission {
+        Admission::Open => {}
+        Admission::Probe => {
+            count(shared, "probe");
+            log::info!(id = context.id; "request that was held back is sent as a probe");
+        }
+        Admission::Held(wait) => {
+            let (traits, wait_ms) = (describe(&context.traits), wait.as_millis() as u64);
+            log::info!(id = context.id, traits, wait_ms; "request held back: requests like it end engines");
+        }
     }
     admission
 }
@@ -177,11 +190,13 @@
     drop(quarantine);
     for signature in judgement.begun {
         count(shared, "begun");
-        log::warn!(signature:?; "requests held back: requests like them end engines");
+        let signature = describe(&signature);
+        log::warn!(signature; "requests held back: requests like them end engines");
     }
     for signature in judgement.lifted {
         count(shared, "explained");
-        log::warn!(signature:?; "requests no longer held back: others have ended the engines");
+        let signature = describe(&signature);
+        log::warn!(signature; "requests no longer held back: others have ended the engines");
     }
     if due.to_all.is_empty() && due.to_some.is_empty() {
         return;
@@ -217,9 +232,9 @@
     let sender = notice.sender.clone();
     let changed = lock(&shared.quarantine).apply(&notice.into_message(), clock::now());
     for hold in changed {
-        let (signature, lifted, probes) = (hold.signature, hold.lifted, hold.probes);
+        let (signature, lifted, probes) = (describe(&hold.signature), hold.lifted, hold.probes);
         count(shared, if lifted { "lifted" } else { "told" });
-        log::info!(signature:?, lifted, probes, sender; "hold told by another node");
+        log::info!(signature, lifted, probes, sender; "hold told by another node");
     }
 }
 
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -183,8 +183,8 @@
 fn content_hash(target: &str, organisation: Option<&Organisation>, body: &[u8]) -> u64 {
     let organisation = organisation.map_or("", |it| &it.name);
     let body = hash::stable(body).to_be_bytes();
-    // No path or name contains a zero byte.
-    hash::stable(&[target.as_bytes(), organisation.as_bytes(), &body].join(&0))
+    // No path or name contains a zero byte. Fingerprints have 63 bits of a hash.
+    hash::stable(&[target.as_bytes(), organisation.as_bytes(), &body].join(&0)) >> 1
 }
 
 /// How a request was served.
--- a/crates/forward/src/crash/kind.rs
+++ b/crates/forward/src/crash/kind.rs
@@ -24,6 +24,15 @@
         }
     }
 
+    /// Kind and hash of a fingerprint for people.
+    pub fn describe(fingerprint: Fingerprint) -> String {
+        let hash = fingerprint >> 1;
+        match Self::of(fingerprint) {
+            Self::PromptPart => format!("part:{hash:x}"),
+            Self::Request => format!("content:{hash:x}"),
+        }
+    }
+
     /// Number of ended runs that make a culprit, if none of its requests was served before.
     ///
     /// One request may meet several ends by chance, as it is retried when all others are. But blaming it keeps nobody
