crash: find what was served before it became fatal

Three causes: requests from before the change that are answered after it reset the evidence and lifted the hold; a single request and its part were not known to have the same cause, so each explained the other.

A served request speaks for ends of runs before it was sent only, a hold is lifted only by one that was sent after the first end, and one culprit covers or explains another by the requests that were broken off, not by signatures.

--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -53,6 +53,7 @@
     signature: Traits,
     revision: u32,
     age_ms: u64,
+    first_end_age_ms: u64,
     probes: u32,
     lifted: bool,
 }
@@ -68,6 +69,7 @@
             signature: it.signature.clone(),
             revision: it.revision,
             age_ms: it.age.as_millis() as u64,
+            first_end_age_ms: it.first_end_age.as_millis() as u64,
             probes: it.probes,
             lifted: it.lifted,
         };
@@ -92,6 +94,7 @@
             signature: sorted(it.signature),
             revision: it.revision,
             age: Duration::from_millis(it.age_ms),
+            first_end_age: Duration::from_millis(it.first_end_age_ms),
             probes: it.probes,
             lifted: it.lifted,
         };
--- a/crates/forward/src/crash.rs
+++ b/crates/forward/src/crash.rs
@@ -2,8 +2,8 @@
 //!
 //! An engine whose process ends breaks off all its requests, and at most one of them is to blame. Each node sees only
 //! some of them, so nodes exchange [`Report`]s: the run of an engine that broke off, and the [`Traits`] of the requests
-//! that it had. A fingerprint is a culprit if several runs broke off requests with it and none with it has been served
-//! since the first of them. Sound requests are not blamed for the company that they keep:
+//! that it had. A fingerprint is a culprit if several runs broke off requests with it and none with it that was sent
+//! since the first of them has been served. Sound requests are not blamed for the company that they keep:
 //!
 //! - A run counts once, whatever the number of its requests and of the nodes that saw it break off, and no longer once
 //!   it is known to have gone on with other requests.
@@ -14,6 +14,7 @@
 //! - Nothing is blamed as long as nothing else is served either.
 
 mod background;
+mod end;
 mod kind;
 
 use std::collections::{BTreeSet, HashMap};
@@ -22,6 +23,7 @@
 use crate::BootTime;
 use crate::statement::Run;
 use background::Background;
+use end::{End, is_covered};
 
 pub use kind::Kind;
 
@@ -42,6 +44,15 @@
     pub suspects: Vec<Traits>,
 }
 
+/// What requests have in common that end engines.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Culprit {
+    /// The fingerprints that all of them have.
+    pub signature: Traits,
+    /// When the first run ended.
+    pub first_end: BootTime,
+}
+
 #[derive(Debug, Clone)]
 struct Crash {
     /// When it last broke off a request.
@@ -63,23 +74,6 @@
     signature.iter().all(|it| traits.binary_search(it).is_ok())
 }
 
-/// The end of a run, with those of its requests that may be to blame.
-#[derive(Debug, Clone)]
-struct End<'a> {
-    at: BootTime,
-    /// Requests, and when they were broken off.
-    suspects: Vec<(&'a Traits, BootTime)>,
-}
-
-impl End<'_> {
-    /// Clears the other requests if one of them has the signature of a culprit.
-    fn explain(&mut self, signature: &[Fingerprint]) {
-        if self.suspects.iter().any(|it| contains(it.0, signature)) {
-            self.suspects.retain(|it| contains(it.0, signature));
-        }
-    }
-}
-
 /// What speaks against a fingerprint.
 #[derive(Debug, Clone, Copy)]
 struct Tally {
@@ -89,11 +83,12 @@
     events: usize,
 }
 
-/// The last complete response to a request with a fingerprint.
+/// The newest request with a fingerprint that was served.
 #[derive(Debug, Clone, Copy)]
 struct Served {
+    /// When it was sent: it shows nothing about runs that ended later.
     at: BootTime,
-    /// Time of the newest such response that other nodes know of.
+    /// When the newest such request was sent that other nodes know of.
     told: Option<BootTime>,
 }
 
@@ -192,8 +187,9 @@
         now: BootTime,
     ) -> bool {
         self.background.record(false, now);
+        self.newest_served = self.newest_served.max(Some(now));
         for it in traits {
-            self.mark_served(*it, now);
+            self.mark_served(*it, sent_at);
         }
         let went_on = self.runs.get(run).is_some_and(|it| {
             // A later request may have been sent to the next run at the same address.
@@ -212,9 +208,10 @@
         }
     }
 
-    /// Applies what another node tells: a fingerprint was served before `age`.
+    /// Applies what another node tells: a request with a fingerprint was served that was sent before `age`.
     pub fn apply_served(&mut self, fingerprint: Fingerprint, age: Duration, now: BootTime) {
         let at = now.saturating_sub(age);
+        self.newest_served = self.newest_served.max(Some(at));
         self.mark_served(fingerprint, at);
         if let Some(it) = self.served.get_mut(&fingerprint) {
             it.told = it.told.max(Some(at));
@@ -222,7 +219,6 @@
     }
 
     fn mark_served(&mut self, fingerprint: Fingerprint, at: BootTime) {
-        self.newest_served = self.newest_served.max(Some(at));
         if self.served.len() >= Self::MAX_SERVED && !self.served.contains_key(&fingerprint) {
             self.make_room(at);
         }
@@ -247,8 +243,8 @@
         }
     }
 
-    /// Fingerprints that other nodes may blame, although this node has served them later than they know, with the ages
-    /// of these responses. They count as told from now on.
+    /// Fingerprints that other nodes may blame, although this node has served later requests with them than they know,
+    /// and the times since these were sent. They count as told from now on.
     pub fn tell_served(&mut self, limit: usize, now: BootTime) -> Vec<(Fingerprint, Duration)> {
         let mut ends: HashMap<Fingerprint, usize> = HashMap::new();
         for crash in self.runs.values().filter(|it| it.refuted_at.is_none()) {
@@ -282,7 +278,7 @@
     }
 
     /// What the requests that ended engines have in common, for each cause that is not `known`.
-    pub fn culprits<'a>(&self, known: impl Iterator<Item = &'a Traits>, now: BootTime) -> Vec<Traits> {
+    pub fn culprits<'a>(&self, known: impl Iterator<Item = &'a Traits>, now: BootTime) -> Vec<Culprit> {
         let mut ends = self.ends(now);
         let mut explanations: Vec<_> = known.cloned().collect();
         for signature in &explanations {
@@ -294,10 +290,10 @@
             if found.is_empty() {
                 return culprits;
             }
-            for signature in found {
-                ends.iter_mut().for_each(|it| it.explain(&signature));
-                explanations.push(signature.clone());
-                culprits.push(signature);
+            for culprit in found {
+                ends.iter_mut().for_each(|it| it.explain(&culprit.signature));
+                explanations.push(culprit.signature.clone());
+                culprits.push(culprit);
             }
         }
     }
@@ -317,16 +313,17 @@
     }
 
     /// The culprits that explain most runs: more than one only if they explain equally many.
-    fn worst(&self, ends: &[End<'_>], explanations: &[Traits]) -> BTreeSet<Traits> {
+    fn worst(&self, ends: &[End<'_>], explanations: &[Traits]) -> BTreeSet<Culprit> {
         let mut candidates = vec![];
         for (fingerprint, tally) in self.tallies(ends) {
             if !self.is_conclusive(fingerprint, &tally) {
                 continue;
             }
             let signature = self.signature(fingerprint, tally.first, ends);
-            if !explanations.iter().any(|it| contains(&signature, it)) {
+            if !explanations.iter().any(|it| is_covered(&signature, it, ends)) {
                 let rank = (self.served_at(fingerprint).is_none(), tally.runs);
-                candidates.push((rank, signature));
+                let first_end = tally.first;
+                candidates.push((rank, Culprit { signature, first_end }));
             }
         }
         let highest = candidates.iter().map(|it| it.0).max();
@@ -373,15 +370,17 @@
         end.suspects.iter().flat_map(of_request).collect()
     }
 
-    /// Whether all runs that ended under `signature` ended under the culprit `other` as well, and more did.
+    /// Whether all runs that ended under `signature` ended under other requests with the signature `other` as well, and
+    /// more did.
     pub fn is_explained(&self, signature: &Traits, other: &Traits) -> bool {
         let runs = |signature: &Traits| -> Vec<_> {
             let counted = self.runs.values().filter(|it| it.refuted_at.is_none());
             counted.filter(|it| it.concerns(signature)).collect()
         };
         let (own, others) = (runs(signature), runs(other));
-        let is_same_cause = contains(signature, other);
-        !is_same_cause
+        let mut requests = own.iter().flat_map(|it| it.suspects.keys());
+        let are_different = requests.all(|it| !contains(it, signature) || !contains(it, other));
+        are_different
             && !own.is_empty()
             && own.len() < others.len()
             && own.iter().all(|it| it.concerns(other))
--- a/crates/forward/src/hold.rs
+++ b/crates/forward/src/hold.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use crate::BootTime;
-use crate::crash::{Fingerprint, Traits, contains};
+use crate::crash::{Culprit, Fingerprint, Traits, contains};
 
 /// A hold in a message to another node.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -19,6 +19,8 @@
     pub revision: u32,
     /// Time since the last change.
     pub age: Duration,
+    /// Time since the first run ended under such a request.
+    pub first_end_age: Duration,
     /// Requests that were let through since the hold began.
     pub probes: u32,
     /// Whether the hold has ended because such a request was served.
@@ -29,6 +31,7 @@
 struct Hold {
     revision: u32,
     changed_at: BootTime,
+    first_end: BootTime,
     probes: u32,
     lifted: bool,
 }
@@ -81,7 +84,8 @@
     const MAX_HOLDS: usize = 128;
 
     /// Begins to hold requests back; returns whether that is new.
-    pub fn begin(&mut self, signature: &Traits, now: BootTime) -> bool {
+    pub fn begin(&mut self, culprit: &Culprit, now: BootTime) -> bool {
+        let signature = &culprit.signature;
         let known = self.holds.get(signature);
         if signature.is_empty() || known.is_some_and(|it| !it.lifted) {
             return false;
@@ -89,6 +93,7 @@
         let hold = Hold {
             revision: known.map_or(0, |it| it.revision) + 1,
             changed_at: now,
+            first_end: culprit.first_end,
             probes: 0,
             lifted: false,
         };
@@ -145,23 +150,20 @@
         self.holds.iter().filter(|it| !it.1.lifted).map(|it| it.0)
     }
 
-    /// Lifts the holds on requests with these traits, as one of them was served; returns their signatures.
-    pub fn lift(&mut self, traits: &[Fingerprint], now: BootTime) -> Vec<Traits> {
-        self.lift_where(|signature| contains(traits, signature), now)
+    /// Lifts the holds on requests with these traits, as one that was sent at `sent_at` was served; returns their
+    /// signatures.
+    ///
+    /// One that was sent before engines ended shows only that such requests were sound until then.
+    pub fn lift(&mut self, traits: &[Fingerprint], sent_at: BootTime, now: BootTime) -> Vec<Traits> {
+        let lifted = |(signature, hold): &(&Traits, &mut Hold)| {
+            contains(traits, signature) && hold.first_end < sent_at
+        };
+        lift_all(self.holds.iter_mut().filter(lifted), now)
     }
 
     /// Lifts the holds of some signatures, and returns these.
     pub fn lift_where(&mut self, is_lifted: impl Fn(&Traits) -> bool, now: BootTime) -> Vec<Traits> {
-        let mut lifted = vec![];
-        for (signature, hold) in &mut self.holds {
-            if !hold.lifted && is_lifted(signature) {
-                hold.lifted = true;
-                hold.revision += 1;
-                hold.changed_at = now;
-                lifted.push(signature.clone());
-            }
-        }
-        lifted
+        lift_all(self.holds.iter_mut().filter(|it| is_lifted(it.0)), now)
     }
 
     /// Applies the report of another node; returns whether it changes what is held back.
@@ -174,6 +176,7 @@
         let hold = Hold {
             revision: report.revision,
             changed_at: now.saturating_sub(report.age),
+            first_end: now.saturating_sub(report.first_end_age),
             probes: report.probes,
             lifted: report.lifted,
         };
@@ -191,6 +194,7 @@
             signature: signature.clone(),
             revision: it.revision,
             age: now.saturating_sub(it.changed_at),
+            first_end_age: now.saturating_sub(it.first_end),
             probes: it.probes,
             lifted: it.lifted,
         };
@@ -202,3 +206,14 @@
         self.holds.retain(|_, it| now < it.expires_at());
     }
 }
+
+fn lift_all<'a>(holds: impl Iterator<Item = (&'a Traits, &'a mut Hold)>, now: BootTime) -> Vec<Traits> {
+    let mut lifted = vec![];
+    for (signature, hold) in holds.filter(|it| !it.1.lifted) {
+        hold.lifted = true;
+        hold.revision += 1;
+        hold.changed_at = now;
+        lifted.push(signature.clone());
+    }
+    lifted
+}
--- a/crates/forward/src/quarantine.rs
+++ b/crates/forward/src/quarantine.rs
@@ -21,7 +21,7 @@
     pub crashes: Vec<crash::Report>,
     /// Runs that were taken for ended, and how long ago they served a request all the same.
     pub refuted: Vec<(Run, Duration)>,
-    /// Fingerprints that were served, and how long ago.
+    /// Fingerprints of requests that were served, and how long ago these were sent.
     pub served: Vec<(Fingerprint, Duration)>,
     /// What is held back.
     pub holds: Vec<hold::Report>,
@@ -111,7 +111,7 @@
         if self.crashes.record_served(run, traits, sent_at, now) {
             self.refuted.push((run.clone(), now));
         }
-        let lifted = self.holds.lift(traits, now);
+        let lifted = self.holds.lift(traits, sent_at, now);
         self.holds_changed |= !lifted.is_empty();
         lifted
     }
@@ -145,8 +145,9 @@
         if !self.crashes.is_unsettled(now) {
             return Judgement::default();
         }
-        let mut begun = self.crashes.culprits(self.holds.signatures(), now);
-        begun.retain(|it| self.holds.begin(it, now));
+        let mut culprits = self.crashes.culprits(self.holds.signatures(), now);
+        culprits.retain(|it| self.holds.begin(it, now));
+        let begun: Vec<_> = culprits.into_iter().map(|it| it.signature).collect();
         let held: Vec<_> = self.holds.signatures().cloned().collect();
         let is_explained = |it: &Traits| held.iter().any(|other| self.crashes.is_explained(it, other));
         let lifted = self.holds.lift_where(is_explained, now);
--- a/crates/load/src/quarantine.rs
+++ b/crates/load/src/quarantine.rs
@@ -17,7 +17,7 @@
 use scenario::{Rule, Scale, Service, Trial, Trouble};
 use world::World;
 
-const SEEDS: u64 = 12;
+const SEEDS: u64 = 6;
 
 /// Threads over which seeds are spread; the figures do not depend on it.
 const THREADS: u64 = 3;
