crash: find fatal requests that leave no engine to serve others

The condition protects parts that sound requests have, so it holds for those only: not for single requests, and not for parts that were never served once eight runs ended. Served parts are remembered for half an hour.

--- a/crates/forward/src/crash.rs
+++ b/crates/forward/src/crash.rs
@@ -11,11 +11,13 @@
 //!   such requests: its cause lies elsewhere, as with a loss of power.
 //! - A culprit explains the runs that it ended. Other requests that these runs broke off are not blamed for them.
 //! - While many requests are broken off anyway, more runs are needed.
-//! - Nothing is blamed as long as nothing else is served either.
+//! - As long as nothing else is served either, no part is blamed that sound requests are known to have.
 
 mod background;
+mod culprit;
 mod end;
 mod kind;
+mod report;
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
@@ -25,7 +27,9 @@
 use background::Background;
 use end::{End, is_covered};
 
+pub use culprit::Culprit;
 pub use kind::Kind;
+pub use report::Report;
 
 /// Hash of something that requests have in common.
 pub type Fingerprint = u64;
@@ -33,26 +37,6 @@
 /// Fingerprints of one request, or those that a culprit consists of; sorted, without duplicates.
 pub type Traits = Vec<Fingerprint>;
 
-/// The end of a run, as one node saw it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Report {
-    /// The run.
-    pub run: Run,
-    /// Time since it broke off its requests.
-    pub age: Duration,
-    /// Traits of these requests.
-    pub suspects: Vec<Traits>,
-}
-
-/// What requests have in common that end engines.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Culprit {
-    /// The fingerprints that all of them have.
-    pub signature: Traits,
-    /// When the first run ended.
-    pub first_end: BootTime,
-}
-
 #[derive(Debug, Clone)]
 struct Crash {
     /// When it last broke off a request.
@@ -102,9 +86,12 @@
 }
 
 impl Crashes {
-    /// Time for which ended runs and served fingerprints are remembered.
+    /// Time for which ended runs and served requests are remembered.
     pub const RETENTION: Duration = Duration::from_secs(60);
 
+    /// Time for which parts of prompts are remembered that were served: longer than most outages.
+    const SERVED_RETENTION: Duration = Duration::from_secs(1800);
+
     /// Time in which the other nodes report what they know about a run that ended.
     pub const SETTLING: Duration = Duration::from_millis(300);
 
@@ -389,14 +376,20 @@
     /// Whether the runs that ended show that a fingerprint is a culprit.
     fn is_conclusive(&self, fingerprint: Fingerprint, tally: &Tally) -> bool {
         let kind = Kind::of(fingerprint);
-        let min_runs = match self.served_at(fingerprint) {
-            None => kind.min_runs(),
-            Some(_) => Self::MIN_RUNS_AFTER_SERVICE,
+        let was_served = self.served_at(fingerprint).is_some();
+        let min_runs = match was_served {
+            false => kind.min_runs(),
+            true => Self::MIN_RUNS_AFTER_SERVICE,
         };
         let demanded = self.background.runs_for(Self::CHANCE);
         let demanded = demanded.min(kind.max_runs_demanded());
-        let others_are_served = self.newest_served.is_some_and(|it| it > tally.first);
-        tally.runs >= min_runs.max(demanded) && tally.events >= Self::MIN_EVENTS && others_are_served
+        let is_suspect = tally.runs >= min_runs.max(demanded) && tally.events >= Self::MIN_EVENTS;
+        is_suspect && (self.is_contrasted(tally) || kind.is_harmless_to_blame(was_served, tally.runs))
+    }
+
+    /// Whether other requests were served since the first run ended. Otherwise the engines may be at fault.
+    fn is_contrasted(&self, tally: &Tally) -> bool {
+        self.newest_served.is_some_and(|it| it > tally.first)
     }
 
     /// What all broken requests with a fingerprint have in common and was not shown to be sound.
@@ -421,14 +414,26 @@
         common
     }
 
+    /// Whether no request with some of these parts of prompts is known to have been served.
+    pub fn has_unserved_part(&self, traits: &[Fingerprint]) -> bool {
+        let mut parts = traits.iter().filter(|it| Kind::of(**it) == Kind::PromptPart);
+        parts.any(|it| self.served_at(*it).is_none())
+    }
+
     fn served_at(&self, fingerprint: Fingerprint) -> Option<BootTime> {
         self.served.get(&fingerprint).map(|it| it.at)
     }
 
-    /// Forgets what is older than [`Self::RETENTION`].
+    /// Forgets what is older than [`Self::RETENTION`] or [`Self::SERVED_RETENTION`].
     pub fn expire(&mut self, now: BootTime) {
         let is_recent = |at: BootTime| now.saturating_sub(at) < Self::RETENTION;
         self.runs.retain(|_, it| is_recent(it.at));
-        self.served.retain(|_, it| is_recent(it.at));
+        self.served.retain(|fingerprint, it| {
+            let retention = match Kind::of(*fingerprint) {
+                Kind::PromptPart => Self::SERVED_RETENTION,
+                Kind::Request => Self::RETENTION,
+            };
+            now.saturating_sub(it.at) < retention
+        });
     }
 }
--- a/crates/forward/src/crash/kind.rs
+++ b/crates/forward/src/crash/kind.rs
@@ -44,6 +44,15 @@
         }
     }
 
+    /// Whether blaming a fingerprint of this kind can cost no sound request its service, although it may be the engines'
+    /// fault: a single request, or a part that no sound request is known to have.
+    pub(super) fn is_harmless_to_blame(self, was_served: bool, runs: usize) -> bool {
+        match self {
+            Self::PromptPart => !was_served && runs >= self.max_runs_demanded(),
+            Self::Request => true,
+        }
+    }
+
     /// Limit on the number of runs that a high share of broken requests demands.
     pub(super) fn max_runs_demanded(self) -> usize {
         match self {
--- a/crates/forward/src/quarantine.rs
+++ b/crates/forward/src/quarantine.rs
@@ -81,12 +81,12 @@
     /// Maximum number of items in a message, so that it fits into one packet, and of those of each kind that are told
     /// at once.
     const MESSAGE_ITEMS: usize = 8;
-    const MAX_ITEMS: usize = 64;
+    const MAX_ITEMS: usize = 256;
 
     /// Observations that all nodes together tell each node in a second, and those that a node may tell at once after a
     /// pause. Where more requests are broken off, it is not for a few of them.
     const TOLD_PER_SECOND: f64 = 256.0;
-    const MAX_ALLOWANCE: f64 = 32.0;
+    const MAX_ALLOWANCE: f64 = 128.0;
 
     /// Observations that a node of a large fleet may tell in a second.
     const MIN_TOLD_PER_SECOND: f64 = 1.0;
@@ -205,12 +205,15 @@
         Due { to_all, to_some }
     }
 
-    /// Own observations to be told now; the others have to wait.
+    /// Own observations to be told now; the others have to wait. Those with a part that was never served come first, as
+    /// others would blame what only shared an engine with them.
     fn take_untold(&mut self, hosts: usize, now: BootTime) -> Vec<(Run, Traits, BootTime)> {
         let rate = (Self::TOLD_PER_SECOND / hosts.max(1) as f64).max(Self::MIN_TOLD_PER_SECOND);
         let elapsed = now.saturating_sub(self.last_due).as_secs_f64();
         self.last_due = now;
         self.allowance = (self.allowance + rate * elapsed).min(Self::MAX_ALLOWANCE);
+        self.untold
+            .sort_by_key(|it| !self.crashes.has_unserved_part(&it.1));
         let count = self.untold.len().min(self.allowance as usize);
         self.allowance -= count as f64;
         self.untold.drain(..count).collect()
--- a/crates/load/src/quarantine/tests.rs
+++ b/crates/load/src/quarantine/tests.rs
@@ -54,6 +54,8 @@
     fatal_requests_are_found_beside_broken_connections: MODEL, BrokenConnections, 2.0;
     part_that_becomes_fatal_is_not_sent_on_for_ever: MODEL, ServedBefore, 2.0;
     request_that_becomes_fatal_is_not_sent_on_for_ever: PLAIN, ServedBefore, 0.5;
+    fatal_request_that_leaves_no_engine_is_not_sent_on_for_ever: PLAIN, None, 8.0;
+    fatal_part_that_leaves_no_engine_is_not_sent_on_for_ever: MODEL, None, 20.0;
     fatal_request_that_comes_again_is_not_sent_on_for_ever: PLAIN, None, 0.5;
     lost_datagrams_do_not_hide_a_fatal_request_that_comes_again: PLAIN, LostMessages, 0.5;
     nodes_that_restart_do_not_send_a_fatal_request_that_comes_again: PLAIN, Restarts, 0.5;
