crash: fewer ends make a culprit while many requests break, and nodes tell at once

The share of broken requests contains the victims of the culprit, and demanded up to 6 and 8 ends. It now demands at most 5 of a part that was never served and nothing beyond 3 of a single request; blaming these costs nobody else.

--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -11,6 +11,7 @@
 use forward::statement::Run;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
 
 use crate::owner::{self, Owner};
 use crate::protocol::RequestMetadata;
@@ -135,7 +136,15 @@
 
 /// Records that an engine broke off a request that was sent to it, as one does whose process ends.
 pub(crate) fn record_broken(context: &RequestContext, engine: &Engine) {
-    lock(&context.shared.quarantine).record_broken(&Run::of(engine), &context.traits, clock::now());
+    let shared = &context.shared;
+    let run = Run::of(engine);
+    if lock(&shared.quarantine).record_broken(&run, &context.traits, clock::now()) {
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            sleep(Quarantine::TELL_DELAY).await;
+            tick(&shared);
+        });
+    }
 }
 
 /// Records a complete and successful response of an engine to a request that was sent at `sent_at`.
--- a/crates/forward/src/crash.rs
+++ b/crates/forward/src/crash.rs
@@ -74,9 +74,6 @@
     const MAX_RUNS: usize = 128;
     const MAX_SUSPECTS: usize = 128;
 
-    /// Number of ended runs that make a culprit some of whose requests were served before.
-    const MIN_RUNS_AFTER_SERVICE: usize = 6;
-
     /// Probability with which a sound fingerprint may be broken off so often by chance.
     const CHANCE: f64 = 0.001;
 
@@ -346,13 +343,10 @@
     fn is_conclusive(&self, fingerprint: Fingerprint, tally: &Tally) -> bool {
         let kind = Kind::of(fingerprint);
         let was_served = self.served_at(fingerprint).is_some();
-        let min_runs = match was_served {
-            false => kind.min_runs(),
-            true => Self::MIN_RUNS_AFTER_SERVICE,
-        };
+        let min_runs = kind.min_runs(was_served);
         let demanded = self.background.runs_for(Self::CHANCE);
-        let demanded = demanded.min(kind.max_runs_demanded());
-        let is_suspect = tally.runs >= min_runs.max(demanded) && tally.events >= Self::MIN_EVENTS;
+        let demanded = demanded.clamp(*min_runs.start(), *min_runs.end());
+        let is_suspect = tally.runs >= demanded && tally.events >= Self::MIN_EVENTS;
         is_suspect && (self.is_contrasted(tally) || kind.is_harmless_to_blame(was_served, tally.runs))
     }
 
--- a/crates/forward/src/crash/kind.rs
+++ b/crates/forward/src/crash/kind.rs
@@ -1,5 +1,7 @@
 //! What fingerprints stand for.
 
+use std::ops::RangeInclusive;
+
 use super::Fingerprint;
 
 /// What requests with the same fingerprint have in common.
@@ -12,6 +14,9 @@
 }
 
 impl Kind {
+    /// Number of ended runs that make a culprit of a part while nothing is served.
+    const RUNS_WITHOUT_SERVICE: usize = 8;
+
     /// The fingerprint of this kind with a hash, which loses its highest bit.
     pub fn fingerprint(self, hash: u64) -> Fingerprint {
         hash << 1 | u64::from(self == Self::Request)
@@ -33,14 +38,15 @@
         }
     }
 
-    /// Number of ended runs that make a culprit, if none of its requests was served before.
+    /// Number of ended runs that make a culprit, and its limit while many requests break off.
     ///
     /// One request may meet several ends by chance, as it is retried when all others are. But blaming it keeps nobody
-    /// else from being served.
-    pub(super) fn min_runs(self) -> usize {
-        match self {
-            Self::PromptPart => 4,
-            Self::Request => 3,
+    /// else from being served, and so does a part that no sound request is known to have.
+    pub(super) fn min_runs(self, was_served: bool) -> RangeInclusive<usize> {
+        match (self, was_served) {
+            (Self::PromptPart, false) => 4..=5,
+            (Self::PromptPart, true) => 6..=8,
+            (Self::Request, _) => 3..=3,
         }
     }
 
@@ -48,16 +54,8 @@
     /// fault: a single request, or a part that no sound request is known to have.
     pub(super) fn is_harmless_to_blame(self, was_served: bool, runs: usize) -> bool {
         match self {
-            Self::PromptPart => !was_served && runs >= self.max_runs_demanded(),
+            Self::PromptPart => !was_served && runs >= Self::RUNS_WITHOUT_SERVICE,
             Self::Request => true,
         }
     }
-
-    /// Limit on the number of runs that a high share of broken requests demands.
-    pub(super) fn max_runs_demanded(self) -> usize {
-        match self {
-            Self::PromptPart => 8,
-            Self::Request => 6,
-        }
-    }
 }
--- a/crates/forward/src/quarantine.rs
+++ b/crates/forward/src/quarantine.rs
@@ -75,6 +75,10 @@
     /// Nodes that get a message to some nodes.
     pub const FANOUT: usize = 2;
 
+    /// Time in which the other requests arrive that a run breaks off at its end. A node may end soon after, so it must not
+    /// wait longer.
+    pub const TELL_DELAY: Duration = Duration::from_millis(10);
+
     /// Time from the first event of a response after which its request is known to end no engine, and from then on
     /// between two records of that.
     pub const PROGRESS_TIME: Duration = Duration::from_secs(2);
@@ -97,13 +101,16 @@
     /// Observations that a node of a large fleet may tell in a second.
     const MIN_TOLD_PER_SECOND: f64 = 1.0;
 
-    /// Records that a run broke off a request.
-    pub fn record_broken(&mut self, run: &Run, traits: &Traits, now: BootTime) {
+    /// Records that a run broke off a request; returns whether it is the first one to be told, so that [`Self::due`] has to
+    /// be called after [`Self::TELL_DELAY`].
+    pub fn record_broken(&mut self, run: &Run, traits: &Traits, now: BootTime) -> bool {
+        let is_first = self.untold.is_empty();
         self.crashes.record_broken(run, traits, now);
         self.judge_at.get_or_insert(now + Crashes::SETTLING);
         if self.untold.len() < Self::MAX_ITEMS {
             self.untold.push((run.clone(), traits.clone(), now));
         }
+        is_first
     }
 
     /// Records a complete response of a run to a request that was sent at `sent_at`; returns the signatures whose hold
--- a/crates/load/src/quarantine/event.rs
+++ b/crates/load/src/quarantine/event.rs
@@ -6,6 +6,7 @@
     Arrival { is_fatal: bool },
     Repeat { flight: u64 },
     Tick(usize),
+    Tell(usize),
     Deliver { to: usize, started: u32, message: usize },
     Progress { flight: u64 },
     End { flight: u64 },
--- a/crates/load/src/quarantine/tests.rs
+++ b/crates/load/src/quarantine/tests.rs
@@ -59,6 +59,7 @@
     fatal_request_that_leaves_no_engine_is_not_sent_on_for_ever: PLAIN, None, 8.0;
     fatal_part_that_leaves_no_engine_is_not_sent_on_for_ever: MODEL, None, 20.0;
     fatal_request_that_comes_again_is_not_sent_on_for_ever: PLAIN, None, 0.5;
+    few_fatal_requests_are_found_while_nodes_restart: MODEL, Restarts, 0.5;
     lost_datagrams_do_not_hide_a_fatal_request_that_comes_again: PLAIN, LostMessages, 0.5;
     nodes_that_restart_do_not_send_a_fatal_request_that_comes_again: PLAIN, Restarts, 0.5;
     halves_of_a_cut_fleet_share_one_limit_on_a_request_that_comes_again: PLAIN, Cut, 0.5;
--- a/crates/load/src/quarantine/world.rs
+++ b/crates/load/src/quarantine/world.rs
@@ -139,6 +139,7 @@
                 self.schedule(TICK, Event::Tick(node));
                 self.tick(node);
             }
+            Event::Tell(node) => self.tick(node),
             Event::Deliver { to, started, message } => self.deliver(to, started, message),
             Event::Progress { flight } => self.progress(flight),
             Event::End { flight } => self.end(flight),
@@ -311,7 +312,9 @@
     fn break_off(&mut self, flight: Flight) {
         let run = run_of(&flight);
         let quarantine = &mut self.nodes[flight.node].quarantine;
-        quarantine.record_broken(&run, &flight.traits, self.now);
+        if quarantine.record_broken(&run, &flight.traits, self.now) {
+            self.schedule(Quarantine::TELL_DELAY, Event::Tell(flight.node));
+        }
         match flight.attempts {
             0 => self.return_to_caller(flight),
             _ => self.send(flight),
