--- a/crates/forward/src/crash/kind.rs
+++ b/crates/forward/src/crash/kind.rs
@@ -40,8 +40,8 @@
 
     /// Number of ended runs that make a culprit, and its limit while many requests break off.
     ///
-    /// One request may meet several ends by chance, as it is retried when all others are. But blaming it keeps nobody
-    /// else from being served, and so does a part that no sound request is known to have.
+    /// A request that is retried beside a fatal one may meet several ends by chance. Few are enough where a mistake costs
+    /// nobody else: for a single request, and for a part that no sound request is known to have.
     pub(super) fn min_runs(self, was_served: bool) -> RangeInclusive<usize> {
         match (self, was_served) {
             (Self::PromptPart, false) => 4..=5,
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -13,7 +13,7 @@
 //! - [`event_stream`]: event streams split at event boundaries and resumed without gaps or duplicates
 //! - [`statement`]: what engines state about the requests that they take; whether an engine may be used
 //! - [`request_limit`], [`permit`]: rates to which engines limit the requests of all nodes together
-//! - [`crash`], [`hold`], [`quarantine`]: requests that end the engines which begin to answer them, kept away from all
+//! - [`crash`], [`hold`], [`quarantine`]: requests that end the engines which begin to answer them
 //! - [`retry_budget`]: the share of the fleet's retry budget that a node may use
 //! - [`relay`]: changes read from the store that nodes pass on to each other
 //! - [`evidence`], [`release`]: how much traffic a new version of a service gets
