request: prompts that come with the same path and body are not the same request

Cause: the fingerprint of a request that comes again hashed path, organisation and body, while the platform names the prompt in the head. Where path and body are the same, all prompts were one request: three fatal ones held back every other, for a minute and more. Ruled out: holds on the shared first parts (the held signature was content:...).

requests_with_other_prompts_are_not_held_back_as_the_same_request: 8 of 8 refused before, none after.

--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -42,7 +42,7 @@
     pub headers: HeaderMap,
     pub body: Bytes,
     pub metadata: RequestMetadata,
-    /// Hash of the path, the organisation and the body.
+    /// Hash of the path, the organisation, the prompt and the body.
     content: u64,
     /// What it may have in common with requests that end engines.
     pub traits: Traits,
@@ -149,7 +149,7 @@
     let retry_state = RetryState::new(route.kind.repeat(), route.max_attempts, deadline);
     let model = route.models.first().filter(|_| metadata.any_model).cloned();
     let target = head.uri.path_and_query().map_or("/", |it| it.as_str()).to_owned();
-    let content = content_hash(&target, organisation.as_deref(), &body);
+    let content = content_hash(&target, organisation.as_deref(), &metadata, &body);
     let mut headers = head.headers;
     strip_connection_headers(&mut headers);
     shared.count_request(&service, now);
@@ -179,12 +179,25 @@
     })
 }
 
-/// Hash that requests have in common which a caller has sent again.
-fn content_hash(target: &str, organisation: Option<&Organisation>, body: &[u8]) -> u64 {
+/// Hash that requests have in common which a caller has sent again. The head names a prompt of its own, whatever the
+/// body has.
+fn content_hash(
+    target: &str,
+    organisation: Option<&Organisation>,
+    metadata: &RequestMetadata,
+    body: &[u8],
+) -> u64 {
     let organisation = organisation.map_or("", |it| &it.name);
     let body = hash::stable(body).to_be_bytes();
     // No path or name contains a zero byte. Fingerprints have 63 bits of a hash.
-    hash::stable(&[target.as_bytes(), organisation.as_bytes(), &body].join(&0)) >> 1
+    let prompt = metadata.prompt_parts_text();
+    let content = [
+        target.as_bytes(),
+        organisation.as_bytes(),
+        prompt.as_bytes(),
+        &body,
+    ];
+    hash::stable(&content.join(&0)) >> 1
 }
 
 /// How a request was served.
