quarantine: no holds on parts of sound prompts after a loss of engines

Engines that end at one moment looked like many events. Ages now count until a message is sent, also those of release orders and request limits. - A part is known as sound up to the time at which a request was sent, not answered: a response to an earlier request cleared a part that had become fatal since. - A single request, never served by nature, came before a part that met three times as many ends, and cleared the fatal requests beside it. - Parts that were served before are tested after 2 s by one request, then at intervals four times as long; a probe that was sent to no engine is due again. Parts that meet equally many ends are all held, as the probes tell them apart.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -190,43 +190,56 @@
             context.held_for = Some(wait);
             return Err(AttemptOutcome::NoEngine);
         }
-        let (engine, arm) = match selection::select(context, work).await {
-            Selection::Engine(engine, arm) => (engine, arm),
-            Selection::None => return Err(AttemptOutcome::NoEngine),
-        };
-        log_attempt(context, &engine, arm);
-        context.arm = Some(arm);
-        context.engine = Some(engine.clone());
-        let in_flight = InFlight::start(&context.shared, &engine, work.unwrap_or_default());
-        let limit = CONNECT_TIMEOUT.min(context.remaining());
-        let result = client::connect(engine.address, limit).await;
-        if !context.shared.access(&engine, clock::now()).may_send() {
-            log::info!(id = context.id, engine = *engine.id; "engine takes no more requests, nothing was sent");
-            continue;
-        }
-        if admission == Admission::Open && quarantine::is_held(context) {
-            continue;
+        let result = try_reach_engine(context, work, &admission).await;
+        if admission == Admission::Probe && !matches!(result, Some(Ok(_))) {
+            quarantine::return_probe(context);
         }
-        context.tried.push(engine.clone());
-        context.open.record_attempt(&engine);
-        match result {
-            Ok(connection) => {
-                return Ok(Reached {
-                    engine,
-                    arm,
-                    connection,
-                    in_flight,
-                });
-            }
-            Err(err) => {
-                log::info!(id = context.id, engine = *engine.id, error:% = err; "engine unreachable");
-                record_failure(context, &engine, Failure::Unreachable);
-                return Err(AttemptOutcome::failed(Failure::Unreachable));
-            }
+        if let Some(result) = result {
+            return result;
         }
     }
 }
 
+/// Like [`reach_engine`]; `None` if the request must be admitted again and another engine selected.
+async fn try_reach_engine(
+    context: &mut RequestContext,
+    work: Option<Work>,
+    admission: &Admission,
+) -> Option<Result<Reached, AttemptOutcome>> {
+    let (engine, arm) = match selection::select(context, work).await {
+        Selection::Engine(engine, arm) => (engine, arm),
+        Selection::None => return Some(Err(AttemptOutcome::NoEngine)),
+    };
+    log_attempt(context, &engine, arm);
+    context.arm = Some(arm);
+    context.engine = Some(engine.clone());
+    let in_flight = InFlight::start(&context.shared, &engine, work.unwrap_or_default());
+    let limit = CONNECT_TIMEOUT.min(context.remaining());
+    let result = client::connect(engine.address, limit).await;
+    if !context.shared.access(&engine, clock::now()).may_send() {
+        log::info!(id = context.id, engine = *engine.id; "engine takes no more requests, nothing was sent");
+        return None;
+    }
+    if *admission == Admission::Open && quarantine::is_held(context) {
+        return None;
+    }
+    context.tried.push(engine.clone());
+    context.open.record_attempt(&engine);
+    Some(match result {
+        Ok(connection) => Ok(Reached {
+            engine,
+            arm,
+            connection,
+            in_flight,
+        }),
+        Err(err) => {
+            log::info!(id = context.id, engine = *engine.id, error:% = err; "engine unreachable");
+            record_failure(context, &engine, Failure::Unreachable);
+            Err(AttemptOutcome::failed(Failure::Unreachable))
+        }
+    })
+}
+
 /// Logs the chosen engine and the state that led to the choice.
 fn log_attempt(context: &RequestContext, engine: &Engine, arm: Arm) {
     let now = clock::now();
--- a/crates/entry/src/datagrams.rs
+++ b/crates/entry/src/datagrams.rs
@@ -213,14 +213,19 @@
     send_json(socket, PERMIT_QUERY, query, [to]);
 }
 
-/// Calls `send` for nodes in random order, in bursts with pauses between them.
-pub(crate) async fn in_bursts(mut to: Vec<SocketAddr>, send: impl Fn(&[SocketAddr])) {
+/// Calls `send` for nodes in random order, in bursts with pauses between them, with the time since the call of this
+/// function.
+///
+/// In a fleet of some hundred nodes the last burst leaves about a second after the first, so ages in a message
+/// have to be counted until it is sent.
+pub(crate) async fn in_bursts(mut to: Vec<SocketAddr>, send: impl Fn(&[SocketAddr], Duration)) {
+    let begin = clock::now();
     to.shuffle(&mut rand::rng());
     for (index, chunk) in to.chunks(BURST_SIZE).enumerate() {
         if index > 0 {
             sleep(BURST_PAUSE).await;
         }
-        send(chunk);
+        send(chunk, clock::now().saturating_sub(begin));
     }
 }
 
--- a/crates/entry/src/notice.rs
+++ b/crates/entry/src/notice.rs
@@ -32,7 +32,7 @@
 const AGE_UNIT: Duration = Duration::from_millis(20);
 
 /// A notice about a release.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Notice {
     service: String,
     order: u64,
@@ -55,7 +55,7 @@
 }
 
 /// Order of a release, and its age.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 struct OrderDetails {
     target: String,
     duration_ms: u64,
@@ -64,7 +64,7 @@
 }
 
 /// A recorded release status.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 struct RecordedStatus {
     stage: u8,
     elapsed_ms: u64,
@@ -146,6 +146,16 @@
 }
 
 impl Notice {
+    /// The notice some time after it was made, except that sessions stay pinned for so much longer.
+    pub(crate) fn aged(mut self, time: Duration) -> Self {
+        let elapsed = self.details.iter_mut().map(|it| &mut it.elapsed_ms);
+        let elapsed = elapsed.chain(self.status.iter_mut().map(|it| &mut it.elapsed_ms));
+        for it in elapsed {
+            *it = it.saturating_add(time.as_millis() as u64);
+        }
+        self
+    }
+
     /// The order that the notice is about; `None` if it does not contain it.
     fn release_order(&self) -> Option<ReleaseOrder> {
         let details = self.details.as_ref()?;
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -56,6 +56,9 @@
     age_ms: u64,
     first_end_age_ms: u64,
     probes: u32,
+    /// Nodes of earlier versions do not send it.
+    #[serde(default)]
+    was_served: bool,
     lifted: bool,
 }
 
@@ -72,6 +75,7 @@
             age_ms: it.age.as_millis() as u64,
             first_end_age_ms: it.first_end_age.as_millis() as u64,
             probes: it.probes,
+            was_served: it.was_served,
             lifted: it.lifted,
         };
         let refuted = |(run, age): &(Run, Duration)| (RunReport::new(run), age.as_millis() as u64);
@@ -97,6 +101,7 @@
             age: Duration::from_millis(it.age_ms),
             first_end_age: Duration::from_millis(it.first_end_age_ms),
             probes: it.probes,
+            was_served: it.was_served,
             lifted: it.lifted,
         };
         let refuted = |(run, age_ms): (RunReport, u64)| (run.into_run(), Duration::from_millis(age_ms));
@@ -191,6 +196,14 @@
     admission
 }
 
+/// Makes a probe due again that found no engine.
+pub(crate) fn return_probe(context: &RequestContext) {
+    let shared = &context.shared;
+    count(shared, "probe_returned");
+    lock(&shared.quarantine).return_probe(&context.traits, clock::now());
+    log::info!(id = context.id; "probe sent to no engine");
+}
+
 /// Whether requests like this one are held back.
 pub(crate) fn is_held(context: &RequestContext) -> bool {
     lock(&context.shared.quarantine).is_held(&context.traits)
@@ -225,24 +238,22 @@
         return;
     }
     let sender = shared.settings().node.host.to_string();
-    let notices = |messages: Vec<Message>| -> Vec<_> {
-        let notice = |it: &Message| QuarantineNotice::new(sender.clone(), it);
-        messages.iter().map(notice).collect()
-    };
     let nodes = other_nodes(shared);
     let some: Vec<_> = nodes
         .choose_multiple(&mut rand::rng(), Quarantine::FANOUT)
         .copied()
         .collect();
-    for notice in notices(due.to_some) {
+    for message in due.to_some {
+        let notice = QuarantineNotice::new(sender.clone(), &message);
         datagrams::send_quarantine(&shared.socket, &notice, some.iter().copied());
     }
-    let (socket, to_all) = (shared.socket.clone(), notices(due.to_all));
+    let (socket, to_all) = (shared.socket.clone(), due.to_all);
     if !to_all.is_empty() {
         tokio::spawn(async move {
-            datagrams::in_bursts(nodes, |it| {
-                for notice in &to_all {
-                    datagrams::send_quarantine(&socket, notice, it.iter().copied());
+            datagrams::in_bursts(nodes, |it, delay| {
+                for message in &to_all {
+                    let notice = QuarantineNotice::new(sender.clone(), &message.aged(delay));
+                    datagrams::send_quarantine(&socket, &notice, it.iter().copied());
                 }
             })
             .await;
--- a/crates/entry/src/releases.rs
+++ b/crates/entry/src/releases.rs
@@ -201,8 +201,12 @@
 
 /// Sends notices to nodes.
 async fn send_notices(socket: Arc<UdpSocket>, notices: Vec<Notice>, to: Vec<SocketAddr>) {
-    for notice in &notices {
-        let send = |chunk: &[SocketAddr]| datagrams::send_notice(&socket, notice, chunk.iter().copied());
+    let made_at = clock::now();
+    for notice in notices {
+        let send = |chunk: &[SocketAddr], _| {
+            let aged = notice.clone().aged(clock::now().saturating_sub(made_at));
+            datagrams::send_notice(&socket, &aged, chunk.iter().copied());
+        };
         datagrams::in_bursts(to.clone(), send).await;
     }
 }
--- a/crates/entry/src/request_limit.rs
+++ b/crates/entry/src/request_limit.rs
@@ -30,6 +30,16 @@
         }
     }
 
+    /// The report some time after it was made.
+    pub(crate) fn aged(&self, time: Duration) -> Self {
+        let millis = time.as_millis() as u64;
+        Self {
+            since_ms: self.since_ms.saturating_add(millis),
+            age_ms: self.age_ms.saturating_add(millis),
+            ..self.clone()
+        }
+    }
+
     pub(crate) fn engine(&self) -> &str {
         &self.engine
     }
--- a/crates/entry/src/statement.rs
+++ b/crates/entry/src/statement.rs
@@ -44,6 +44,16 @@
     leaving: Vec<RunReport>,
 }
 
+impl StatementNotice {
+    /// The notice some time after it was made.
+    fn aged(&self, time: Duration) -> Self {
+        Self {
+            limits: self.limits.iter().map(|it| it.aged(time)).collect(),
+            ..self.clone()
+        }
+    }
+}
+
 /// Encoded [`Run`] of an engine.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct RunReport {
@@ -183,8 +193,8 @@
 fn announce(shared: &Shared, notice: StatementNotice) {
     let (socket, to) = (shared.socket.clone(), other_nodes(shared));
     tokio::spawn(async move {
-        datagrams::in_bursts(to, |it| {
-            datagrams::send_statements(&socket, &notice, it.iter().copied());
+        datagrams::in_bursts(to, |it, delay| {
+            datagrams::send_statements(&socket, &notice.aged(delay), it.iter().copied());
         })
         .await;
     });
--- a/crates/forward/src/crash.rs
+++ b/crates/forward/src/crash.rs
@@ -157,7 +157,7 @@
         now: BootTime,
     ) -> bool {
         for it in traits {
-            self.service.record(*it, now);
+            self.service.record(*it, sent_at, now);
         }
         let went_on = self.runs.get(run).is_some_and(|it| {
             // A later request may have been sent to the next run at the same address.
@@ -266,18 +266,20 @@
             }
             let signature = self.signature(fingerprint, tally.first, ends);
             if !explanations.iter().any(|it| is_covered(&signature, it, ends)) {
-                let rank = (self.served_at(fingerprint).is_none(), tally.runs);
-                let first_end = tally.first;
-                candidates.push((rank, Culprit { signature, first_end }));
+                // A single request is never served before, and may have been beside the fatal ones several times.
+                let is_unserved_part =
+                    Kind::of(fingerprint) == Kind::PromptPart && self.served_at(fingerprint).is_none();
+                let rank = (is_unserved_part, tally.runs);
+                let culprit = Culprit {
+                    was_served: self.was_served(&signature),
+                    signature,
+                    first_end: tally.first,
+                };
+                candidates.push((rank, culprit));
             }
         }
         let highest = candidates.iter().map(|it| it.0).max();
         candidates.retain(|it| Some(it.0) == highest);
-        // Frequent parts of sound requests meet many ends. A culprit that was served before soon meets more of them.
-        let is_ambiguous = candidates.len() > 1 && highest.is_some_and(|(is_unserved, _)| !is_unserved);
-        if is_ambiguous {
-            return BTreeSet::new();
-        }
         candidates.into_iter().map(|it| it.1).collect()
     }
 
--- a/crates/forward/src/crash/culprit.rs
+++ b/crates/forward/src/crash/culprit.rs
@@ -11,4 +11,6 @@
     pub signature: Traits,
     /// When the first run ended.
     pub first_end: BootTime,
+    /// Whether requests with something of the signature were served before, so that sound ones may have it too.
+    pub was_served: bool,
 }
--- a/crates/forward/src/crash/service.rs
+++ b/crates/forward/src/crash/service.rs
@@ -34,11 +34,11 @@
 
     const MAX_FINGERPRINTS: usize = 8192;
 
-    /// Records that a fingerprint was served.
-    pub(super) fn record(&mut self, fingerprint: Fingerprint, at: BootTime) {
-        self.last = self.last.max(Some(at));
+    /// Records that a request with a fingerprint was served that was sent at `at`.
+    pub(super) fn record(&mut self, fingerprint: Fingerprint, at: BootTime, now: BootTime) {
+        self.last = self.last.max(Some(now));
         if self.served.len() >= Self::MAX_FINGERPRINTS && !self.served.contains_key(&fingerprint) {
-            self.make_room(at);
+            self.make_room(now);
         }
         // With so many frequent parts, one more is not known as served.
         if self.served.len() < Self::MAX_FINGERPRINTS || self.served.contains_key(&fingerprint) {
@@ -50,7 +50,7 @@
 
     /// Records what another node tells.
     pub(super) fn record_told(&mut self, fingerprint: Fingerprint, at: BootTime) {
-        self.record(fingerprint, at);
+        self.record(fingerprint, at, at);
         if let Some(it) = self.served.get_mut(&fingerprint) {
             it.told = it.told.max(Some(at));
         }
--- a/crates/forward/src/hold.rs
+++ b/crates/forward/src/hold.rs
@@ -23,6 +23,8 @@
     pub first_end_age: Duration,
     /// Requests that were let through since the hold began.
     pub probes: u32,
+    /// Whether requests like these were served before.
+    pub was_served: bool,
     /// Whether the hold has ended because such a request was served.
     pub lifted: bool,
 }
@@ -33,13 +35,26 @@
     changed_at: BootTime,
     first_end: BootTime,
     probes: u32,
+    was_served: bool,
     lifted: bool,
 }
 
 impl Hold {
     fn probe_at(&self) -> BootTime {
-        let doublings = self.probes.min(Holds::MAX_DOUBLINGS);
-        self.changed_at + Holds::FIRST_PROBE * (1 << doublings)
+        self.changed_at + self.probe_interval(self.probes)
+    }
+
+    /// Time from the last probe, or from the begin of the hold, to the next probe.
+    ///
+    /// Requests that were served before may be sound, so they are tried soon; those that still end engines are held back
+    /// for longer each time.
+    fn probe_interval(&self, probes: u32) -> Duration {
+        let (first, factor) = match self.was_served {
+            true => (Holds::FIRST_PROBE_OF_SERVED, 4_u32),
+            false => (Holds::FIRST_PROBE, 2),
+        };
+        let interval = first.saturating_mul(factor.saturating_pow(probes));
+        interval.min(Holds::MAX_PROBE_INTERVAL)
     }
 
     fn expires_at(&self) -> BootTime {
@@ -68,11 +83,15 @@
 }
 
 impl Holds {
-    /// Time until the first probe; doubled with each further one.
+    /// Time until the first probe.
     const FIRST_PROBE: Duration = Duration::from_secs(60);
 
-    /// Limit on the doublings, which gives a probe at least every 32 minutes.
-    const MAX_DOUBLINGS: u32 = 5;
+    /// Time until the first probe of requests that were served before: about that in which engines return and all
+    /// nodes know of the hold.
+    const FIRST_PROBE_OF_SERVED: Duration = Duration::from_secs(2);
+
+    /// Maximum time between two probes.
+    const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(32 * 60);
 
     /// Time after a due probe at which a hold is forgotten: no such request has come to the node that may probe.
     const RETENTION: Duration = Duration::from_secs(600);
@@ -95,6 +114,7 @@
             changed_at: now,
             first_end: culprit.first_end,
             probes: 0,
+            was_served: culprit.was_served,
             lifted: false,
         };
         self.insert(signature.clone(), hold);
@@ -140,6 +160,17 @@
         Admission::Probe
     }
 
+    /// Makes a probe due again that was let through and then sent to no engine.
+    pub fn return_probe(&mut self, traits: &[Fingerprint], now: BootTime) {
+        for (signature, hold) in &mut self.holds {
+            if !hold.lifted && hold.probes > 0 && contains(traits, signature) {
+                hold.probes -= 1;
+                hold.revision += 1;
+                hold.changed_at = now.saturating_sub(hold.probe_interval(hold.probes));
+            }
+        }
+    }
+
     /// Whether a request with these traits is held back.
     pub fn is_held(&self, traits: &[Fingerprint]) -> bool {
         self.signatures().any(|it| contains(traits, it))
@@ -178,6 +209,7 @@
             changed_at: now.saturating_sub(report.age),
             first_end: now.saturating_sub(report.first_end_age),
             probes: report.probes,
+            was_served: report.was_served,
             lifted: report.lifted,
         };
         let was_held = known.is_some_and(|it| !it.lifted);
@@ -196,6 +228,7 @@
             age: now.saturating_sub(it.changed_at),
             first_end_age: now.saturating_sub(it.first_end),
             probes: it.probes,
+            was_served: it.was_served,
             lifted: it.lifted,
         };
         self.holds.iter().map(report).collect()
--- a/crates/forward/src/quarantine.rs
+++ b/crates/forward/src/quarantine.rs
@@ -28,6 +28,22 @@
 }
 
 impl Message {
+    /// The message some time after it was made.
+    pub fn aged(&self, time: Duration) -> Self {
+        let mut message = self.clone();
+        let crashes = message.crashes.iter_mut().map(|it| &mut it.age);
+        let refuted = message.refuted.iter_mut().map(|it| &mut it.1);
+        let served = message.served.iter_mut().map(|it| &mut it.1);
+        let holds = message
+            .holds
+            .iter_mut()
+            .flat_map(|it| [&mut it.age, &mut it.first_end_age]);
+        for age in crashes.chain(refuted).chain(served).chain(holds) {
+            *age += time;
+        }
+        message
+    }
+
     /// Whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
         *self == Self::default()
@@ -167,6 +183,12 @@
         admission
     }
 
+    /// Makes a probe due again that was sent to no engine.
+    pub fn return_probe(&mut self, traits: &[Fingerprint], now: BootTime) {
+        self.holds.return_probe(traits, now);
+        self.holds_changed = true;
+    }
+
     /// Whether a request with these traits is held back.
     pub fn is_held(&self, traits: &[Fingerprint]) -> bool {
         self.holds.is_held(traits)
--- a/crates/forward/tests/quarantine.rs
+++ b/crates/forward/tests/quarantine.rs
@@ -65,6 +65,7 @@
     Culprit {
         signature: signature.clone(),
         first_end,
+        was_served: false,
     }
 }
 
@@ -226,6 +227,63 @@
     );
 }
 
+/// Guards against holds on parts of sound requests that nobody tests for a minute.
+#[test]
+fn parts_that_were_served_before_are_probed_soon_and_then_seldom() {
+    let shared = prompt(&[SYSTEM]);
+    let mut holds = Holds::default();
+    let culprit = Culprit {
+        was_served: true,
+        ..culprit(&shared, ms(0))
+    };
+    holds.begin(&culprit, ms(0));
+    let mut probes = vec![];
+    for second in 0..60 {
+        if admit(&mut holds, &shared, true, ms(second * 1000)) == Admission::Probe {
+            probes.push(second);
+        }
+    }
+    assert_eq!(probes, [2, 10, 42]);
+}
+
+/// Guards against probes that are used up by requests that found no engine, as in an outage of all engines.
+#[test]
+fn probe_that_was_sent_to_no_engine_is_due_again() {
+    let fatal = prompt(&[FATAL]);
+    let mut holds = Holds::default();
+    holds.begin(&culprit(&fatal, ms(0)), ms(0));
+    assert_eq!(admit(&mut holds, &fatal, true, ms(60_000)), Admission::Probe);
+    assert_ne!(admit(&mut holds, &fatal, true, ms(60_001)), Admission::Probe);
+    holds.return_probe(&fatal, ms(60_002));
+    assert_eq!(admit(&mut holds, &fatal, true, ms(60_003)), Admission::Probe);
+    assert_eq!(
+        admit(&mut holds, &fatal, true, ms(61_003)),
+        Admission::Held(ms(119_000)),
+        "it counts as the first one"
+    );
+}
+
+/// Guards against messages whose content looks more recent than it is, as they reach some hundred nodes one after the
+/// other.
+#[test]
+fn all_ages_of_a_message_grow_until_it_is_sent() {
+    let mut node = Quarantine::default();
+    node.record_broken(&run(1), &prompt(&[FATAL]), ms(1000));
+    let due = node.due(2, ms(1100), &mut SmallRng::seed_from_u64(1));
+    let [message] = &due.to_all[..] else {
+        panic!("one message expected: {due:?}");
+    };
+    assert_eq!(message.crashes[0].age, ms(100));
+    assert_eq!(message.aged(ms(500)).crashes[0].age, ms(600));
+    let refuted = Message {
+        refuted: vec![(run(1), ms(10))],
+        served: vec![(part(SYSTEM), ms(20))],
+        ..Message::default()
+    };
+    let aged = refuted.aged(ms(500));
+    assert_eq!((aged.refuted[0].1, aged.served[0].1), (ms(510), ms(520)));
+}
+
 /// Guards against a hold that ends because a request was served that was sent before the part became fatal.
 #[test]
 fn request_from_before_the_first_end_lifts_nothing() {
--- a/crates/load/src/quarantine.rs
+++ b/crates/load/src/quarantine.rs
@@ -29,30 +29,35 @@
         nodes: 8,
         engines: 3,
         rate: 32.0,
+        first_parts: 8,
     },
     Scale {
         service: Service::Plain,
         nodes: 60,
         engines: 40,
         rate: 400.0,
+        first_parts: 8,
     },
     Scale {
         service: Service::Model,
         nodes: 8,
         engines: 18,
         rate: 93.0,
+        first_parts: 8,
     },
     Scale {
         service: Service::Model,
         nodes: 60,
         engines: 300,
         rate: 450.0,
+        first_parts: 8,
     },
     Scale {
         service: Service::Model,
         nodes: 340,
         engines: 1360,
         rate: 970.0,
+        first_parts: 8,
     },
 ];
 
@@ -65,6 +70,9 @@
 /// Share of the requests with one first part that may be held back.
 const MAX_HELD_SHARE: f64 = 0.5;
 
+/// Share of the sound requests that have to be served from [`Trial::STABILITY_WINDOW`] after the return of the engines.
+const MIN_SERVED_SHARE: f64 = 0.95;
+
 /// Runs all scenarios.
 pub fn run(seed: u64) -> Report {
     let columns = [
@@ -76,6 +84,7 @@
         "held by all s",
         "sound held",
         "worst first part",
+        "sound served once engines are back",
         "false holds",
         "datagrams a node and s",
     ];
@@ -138,6 +147,10 @@
             .map_or(Trial::LENGTH, |at| at.saturating_sub(known))
             .as_secs_f64()
     };
+    let least_served = outcomes
+        .iter()
+        .map(Outcome::share_served_when_settled)
+        .fold(1.0, f64::min);
     let seconds = Trial::LENGTH.as_secs_f64() * trial.scale.nodes as f64;
     report.table.rows.push(vec![
         name.clone(),
@@ -154,6 +167,7 @@
             mean(&|it| it.held as f64 / it.sound.max(1) as f64) * 100.0
         ),
         format!("{:.3}%", worst(&|it| it.worst_held_share) * 100.0),
+        format!("{least_served:.3}"),
         format!("{:.2}", mean(&|it| it.false_holds as f64)),
         format!("{:.2}", mean(&|it| it.datagrams as f64) / seconds),
     ]);
@@ -166,6 +180,13 @@
                 worst(&|it| it.worst_held_share),
             ),
         ]);
+        if trial.trouble.breaks_no_requests() {
+            report.targets.push(Target::at_least(
+                format!("{name}: sound served once engines are back"),
+                MIN_SERVED_SHARE,
+                least_served,
+            ));
+        }
     }
 }
 
--- a/crates/load/src/quarantine/event.rs
+++ b/crates/load/src/quarantine/event.rs
@@ -14,5 +14,5 @@
     EngineStarts(usize),
     NodeStops(usize),
     NodeStarts(usize),
-    PowerLoss,
+    EnginesEnd { count: usize },
 }
--- a/crates/load/src/quarantine/flight.rs
+++ b/crates/load/src/quarantine/flight.rs
@@ -11,6 +11,8 @@
     /// Attempts of this node that are left, and times that the caller will send the request again.
     pub attempts: u32,
     pub repeats: u32,
+    /// When the caller first sent it.
+    pub arrived: BootTime,
     pub was_held: bool,
     pub node: usize,
     pub engine: usize,
--- a/crates/load/src/quarantine/scenario.rs
+++ b/crates/load/src/quarantine/scenario.rs
@@ -19,6 +19,8 @@
     pub engines: usize,
     /// Sound requests a second.
     pub rate: f64,
+    /// Number of different first parts of prompts.
+    pub first_parts: u64,
 }
 
 /// What goes wrong besides fatal requests.
@@ -33,6 +35,8 @@
     Cut,
     /// All engines end at the same moment, several times.
     PowerLosses,
+    /// Some of the engines end at the same moment, several times.
+    PartialPowerLosses,
     /// A third of the engines ends again and again.
     CrashLoops,
     /// A fifth of the requests is broken off by engines that go on.
@@ -42,17 +46,30 @@
 }
 
 impl Trouble {
-    pub(super) const ALL: [Self; 8] = [
+    pub(super) const ALL: [Self; 9] = [
         Self::None,
         Self::LostMessages,
         Self::Restarts,
         Self::Cut,
         Self::PowerLosses,
+        Self::PartialPowerLosses,
         Self::CrashLoops,
         Self::BrokenConnections,
         Self::ServedBefore,
     ];
 
+    /// Whether requests are broken off only because of fatal ones.
+    pub(super) fn breaks_no_requests(self) -> bool {
+        !matches!(
+            self,
+            Self::PowerLosses
+                | Self::PartialPowerLosses
+                | Self::CrashLoops
+                | Self::BrokenConnections
+                | Self::Restarts
+        )
+    }
+
     pub(super) fn label(self) -> &'static str {
         match self {
             Self::None => "nothing else",
@@ -60,6 +77,7 @@
             Self::Restarts => "nodes restart in turn",
             Self::Cut => "half of the nodes cut off",
             Self::PowerLosses => "all engines end at once",
+            Self::PartialPowerLosses => "some engines end at once",
             Self::CrashLoops => "a third of the engines ends again and again",
             Self::BrokenConnections => "a fifth of the requests broken off",
             Self::ServedBefore => "fatal requests were served before",
@@ -101,12 +119,18 @@
 impl Trial {
     pub(super) const LENGTH: Duration = Duration::from_secs(60);
 
+    /// Time from the arrival of a request to its end, at most; a caller sends it once more.
+    pub(super) const LONGEST_REQUEST: Duration = Duration::from_secs(15);
+
     /// When fatal requests begin to come.
     pub(super) const FATAL_FROM: Duration = Duration::from_secs(10);
 
     /// Time in which all nodes have to know a fact, as the platform states it.
     pub(super) const STABILITY_WINDOW: Duration = Duration::from_secs(3);
 
+    /// Time from the end of an engine to its next run.
+    pub(super) const ENGINE_DOWN: Duration = Duration::from_millis(2500);
+
     /// Number of ended engines after which fatal requests must reach no more of them.
     pub(super) fn fatal_ends(&self) -> usize {
         match self.scale.service {
--- a/crates/load/src/quarantine/world.rs
+++ b/crates/load/src/quarantine/world.rs
@@ -11,17 +11,22 @@
 use forward::quarantine::{Message, Quarantine};
 use forward::statement::Run;
 use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 
 use super::event::Event;
 use super::flight::Flight;
 use super::outcome::Outcome;
 use super::scenario::{Rule, Service, Trial, Trouble};
-use super::traffic::{first_part, is_long};
+use super::traffic::is_long;
 
 const TICK: Duration = Duration::from_millis(100);
 const MESSAGE_DELAY: Duration = Duration::from_millis(5);
-const ENGINE_DOWN: Duration = Duration::from_secs(3);
+
+/// Number of datagrams that nodes send at once to others, and the pause after them.
+const BURST_SIZE: usize = 8;
+const BURST_PAUSE: Duration = Duration::from_millis(20);
+
 const NODE_DOWN: Duration = Duration::from_millis(500);
 const MAX_ATTEMPTS: u32 = 3;
 const REPEAT_DELAY: Duration = Duration::from_millis(300);
@@ -108,7 +113,15 @@
             Trouble::Restarts => self.schedule(Duration::from_secs(5), Event::NodeStops(0)),
             Trouble::PowerLosses => {
                 for at in [12, 16, 20, 24, 30, 36] {
-                    self.schedule(Duration::from_secs(at), Event::PowerLoss);
+                    let count = self.engines.len();
+                    self.schedule(Duration::from_secs(at), Event::EnginesEnd { count });
+                }
+            }
+            Trouble::PartialPowerLosses => {
+                // The first time soon after the start, when little was served.
+                for (at, part) in [(1, 8), (4, 4), (12, 8), (16, 4), (20, 8), (24, 4)] {
+                    let count = self.engines.len() / part;
+                    self.schedule(Duration::from_secs(at), Event::EnginesEnd { count });
                 }
             }
             Trouble::CrashLoops => {
@@ -160,7 +173,7 @@
                 self.schedule(Duration::from_secs(1), Event::NodeStops(next));
             }
             Event::NodeStarts(node) => self.nodes[node].up_since = Some(self.now),
-            Event::PowerLoss => (0..self.engines.len()).for_each(|it| self.end_engine(it)),
+            Event::EnginesEnd { count } => (0..count).for_each(|it| self.end_engine(it)),
         }
     }
 
@@ -171,10 +184,12 @@
         };
         let pause = -self.rng.random_range(f64::EPSILON..1.0).ln() / rate;
         self.schedule(Duration::from_secs_f64(pause), Event::Arrival { is_fatal });
-        let traits = self.trial.scale.service.traits(is_fatal, &mut self.rng);
+        let traits = self.trial.scale.traits(is_fatal, &mut self.rng);
         if !is_fatal {
             self.outcome.sound += 1;
-            self.by_first.entry(first_part(&traits)).or_default().0 += 1;
+            self.outcome.sound_arrivals.push(self.now);
+            let first = self.trial.scale.first_part(&traits);
+            self.by_first.entry(first).or_default().0 += 1;
         }
         let node = self.rng.random_range(0..self.nodes.len());
         self.send(Flight {
@@ -182,6 +197,7 @@
             is_fatal: false,
             attempts: MAX_ATTEMPTS,
             repeats: 1,
+            arrived: self.now,
             was_held: false,
             node,
             engine: 0,
@@ -216,7 +232,8 @@
         if is_held && !flight.traits.contains(&fatal) && !flight.was_held {
             flight.was_held = true;
             self.outcome.held += 1;
-            self.by_first.entry(first_part(&flight.traits)).or_default().1 += 1;
+            let first = self.trial.scale.first_part(&flight.traits);
+            self.by_first.entry(first).or_default().1 += 1;
         }
         let up: Vec<_> = (0..self.engines.len())
             .filter(|it| self.engines[*it].is_up)
@@ -283,6 +300,9 @@
             let run = run_of(&it);
             let quarantine = &mut self.nodes[it.node].quarantine;
             quarantine.record_served(&run, &it.traits, it.sent_at, self.now);
+            if !it.traits.contains(&self.trial.scale.service.fatal_fingerprint()) {
+                self.outcome.sound_served.push(it.arrived);
+            }
         }
     }
 
@@ -294,7 +314,7 @@
             run: self.engines[engine].run + 1,
             is_up: false,
         };
-        self.schedule(ENGINE_DOWN, Event::EngineStarts(engine));
+        self.schedule(Trial::ENGINE_DOWN, Event::EngineStarts(engine));
         let mut broken: Vec<_> = self
             .flights
             .iter()
@@ -335,19 +355,28 @@
         if self.trial.rule != Rule::Fleet {
             return;
         }
-        let others: Vec<_> = (0..hosts).filter(|it| *it != node).collect();
+        let mut others: Vec<_> = (0..hosts).filter(|it| *it != node).collect();
+        others.shuffle(&mut self.rng);
         for message in due.to_all {
-            self.post(node, &others, message);
+            self.post(node, &others, &message);
         }
         for message in due.to_some {
             let some: Vec<_> = (0..Quarantine::FANOUT)
                 .map(|_| others[self.rng.random_range(0..others.len())])
                 .collect();
-            self.post(node, &some, message);
+            self.post(node, &some, &message);
         }
     }
 
-    fn post(&mut self, from: usize, to: &[usize], message: Message) {
+    /// Sends a message in bursts, with the ages that it has at the time of each.
+    fn post(&mut self, from: usize, to: &[usize], message: &Message) {
+        for (index, burst) in to.chunks(BURST_SIZE).enumerate() {
+            let delay = BURST_PAUSE * index as u32;
+            self.post_burst(from, burst, delay, message.aged(delay));
+        }
+    }
+
+    fn post_burst(&mut self, from: usize, to: &[usize], delay: Duration, message: Message) {
         self.outcome.datagrams += to.len();
         let id = self.sequence as usize;
         let mut receivers = 0;
@@ -357,7 +386,7 @@
                 receivers += 1;
                 let started = self.nodes[to].started;
                 self.schedule(
-                    MESSAGE_DELAY,
+                    delay + MESSAGE_DELAY,
                     Event::Deliver {
                         to,
                         started,
@@ -434,6 +463,10 @@
             .values()
             .map(|(all, held)| *held as f64 / (*all).max(1) as f64);
         self.outcome.worst_held_share = shares.fold(0.0, f64::max);
+        let known = self.outcome.fatal_ends.get(self.trial.fatal_ends() - 1);
+        self.outcome.settled_at = known.map_or(Trial::FATAL_FROM, |it| *it + Trial::STABILITY_WINDOW)
+            + Trial::ENGINE_DOWN
+            + Trial::STABILITY_WINDOW;
         self.outcome
     }
 }
