relay: many changes of engines, and the operators' records, pass between nodes

Until the end of the outage a reply of another node had no room for the changes (8 KiB, about 40 of them), so it said that it knows nothing, and the store was the only other source: the news took 8.7 s at worst (p50 0.35 s, p99 8.5 s). Ruled out: lost datagrams and evictions (the nodes asked four others in turn and were answered), readers without access (p50). - A query goes on from the changes that earlier replies had. - After the readers a node asks two deputies, which read the store if no reader can, and after a failure of the store two random nodes. - A reader that has to read the whole list again passes on what differs; all others had to read it too. Not to positions in between, which the schedules found at once. - New records of the operators are got from the node that has them, as the store sent them.

--- a/crates/entry/src/follow/engines.rs
+++ b/crates/entry/src/follow/engines.rs
@@ -6,14 +6,14 @@
 
 use forward::BootTime;
 use forward::directory::{Directory, Engine};
-use forward::relay::{AcceptedReply, Position};
+use forward::relay::Position;
 use model::{Name, Upstream};
 use tokio::time::sleep;
 
 use super::{TopicAccess, read_all};
 use crate::clock;
 use crate::protocol::{Record, Tail, Topic};
-use crate::relay::{self, EngineChange, RelayedTopic};
+use crate::relay::{self, DirectRead, EngineChange, Relayed, RelayedTopic};
 use crate::shared::{Shared, lock};
 use crate::store::{self, Error};
 
@@ -40,17 +40,20 @@
 /// Returns the next position; `None` if records are missing and all entries must be read again.
 async fn follow(shared: &Shared, from: Position, access: &mut TopicAccess) -> Option<Position> {
     let interval = shared.settings().store.engine_poll;
-    let reply = query(shared, from, access.is_lost()).await;
-    let from = reply.as_ref().map_or(from, |it| it.next);
-    let is_relayed = reply.is_some();
-    if let Some(reply) = reply {
-        let changes = reply.changes.into_iter().map(EngineChange::into_entry);
-        apply(shared, changes, reply.next, reply.current_at);
-    }
+    let (from, reason) = match query(shared, from, access.is_lost()).await {
+        Ok(Relayed { reply, .. }) => {
+            let changes = reply.changes.into_iter().map(EngineChange::into_entry);
+            apply(shared, changes, reply.next, reply.current_at);
+            (reply.next, DirectRead::Retry)
+        }
+        Err(reason) => (from, reason),
+    };
+    let is_relayed = reason == DirectRead::Retry;
     if is_relayed && !access.is_due() {
         sleep(interval.div_f64(relay::QUERIES_PER_INTERVAL)).await;
         return Some(from);
     }
+    reason.count(shared);
     let result = read_changes(shared, from).await;
     let Some(next) = access.complete(result, !is_relayed).await else {
         return Some(from);
@@ -61,12 +64,12 @@
     next
 }
 
-async fn query(shared: &Shared, from: Position, is_lost: bool) -> Option<AcceptedReply<EngineChange>> {
+async fn query(shared: &Shared, from: Position, is_lost: bool) -> Result<Relayed, DirectRead> {
     let store = &shared.settings().store;
     // An evicted engine that still runs renews its entry with the next heartbeat, which other nodes do not
     // pass on.
     if lock(&shared.directory).has_evicted_within(clock::now(), store.heartbeat * EVICTION_HEARTBEATS) {
-        return None;
+        return Err(DirectRead::Evicted);
     }
     relay::query(shared, RelayedTopic::Engines, from, is_lost).await
 }
@@ -85,10 +88,20 @@
         Some((known, _)) if known.era < end.era => {
             log::warn!(era = end.era, before = known.era, offset = end.offset; "list of engines restored from a copy");
             directory.restore(present.collect(), requested_at);
+            journal.reset(end, requested_at);
+        }
+        Some((known, _)) if known <= end => {
+            // Other nodes would have to read the whole list too if they could not follow from here.
+            let changed = directory.replace(present.collect(), requested_at);
+            let change = |id: &Upstream| EngineChange::new(id, directory.listed(id).map(|it| &**it));
+            let changes = changed.iter().map(change).collect();
+            journal.extend_by_difference(end, changes, requested_at);
+        }
+        _ => {
+            directory.replace(present.collect(), requested_at);
+            journal.reset(end, requested_at);
         }
-        _ => directory.replace(present.collect(), requested_at),
     }
-    journal.reset(end, requested_at);
     drop(journal);
     forget_removed(shared, &directory);
     if !shared.engines_known.swap(true, Ordering::Relaxed) {
@@ -100,7 +113,8 @@
 /// Reads changes from the store; `None` if records are missing and all entries must be read again.
 async fn read_changes(shared: &Shared, from: Position) -> Result<Option<Position>, Error> {
     let requested_at = clock::now();
-    match store::tail(shared, Topic::Engines, from, Duration::ZERO).await? {
+    let (tail, _) = store::tail(shared, Topic::Engines, from, Duration::ZERO).await?;
+    match tail {
         Tail::Expired => Ok(None),
         Tail::Records { records, next } => {
             let entries = records.into_iter().filter_map(|it| match it {
--- a/crates/entry/src/follow/operators.rs
+++ b/crates/entry/src/follow/operators.rs
@@ -1,5 +1,6 @@
 //! Follows the configuration and the release orders written by operators.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use forward::BootTime;
@@ -12,7 +13,8 @@
 use super::{TopicAccess, read_all};
 use crate::clock;
 use crate::protocol::{Record, Tail, Topic};
-use crate::relay::{self, RelayedTopic};
+use crate::relay::operators::OperatorsRead;
+use crate::relay::{self, DirectRead, Relayed, RelayedTopic};
 use crate::shared::{Shared, lock};
 use crate::store::{self, Error};
 
@@ -32,18 +34,56 @@
 ///
 /// Returns the next position; `None` if records are missing and all must be read again.
 async fn follow(shared: &Shared, from: Position, access: &mut TopicAccess) -> Option<Position> {
-    let reply = relay::query(shared, RelayedTopic::Operators, from, access.is_lost()).await;
-    let is_confirmed = reply.as_ref().is_some_and(|it| it.next == from);
-    if let Some(reply) = reply.filter(|it| it.next == from) {
-        confirm(shared, from, reply.current_at);
-    }
+    let relayed = relay::query(shared, RelayedTopic::Operators, from, access.is_lost()).await;
+    let (known, is_confirmed) = match &relayed {
+        Ok(relayed) => follow_peer(shared, from, relayed).await,
+        Err(_) => (from, false),
+    };
     if is_confirmed && !access.is_due() {
         let wait = shared.settings().store.config_wait;
         sleep(wait.div_f64(relay::QUERIES_PER_INTERVAL)).await;
-        return Some(from);
+        return Some(known);
+    }
+    relayed.err().unwrap_or(DirectRead::Retry).count(shared);
+    let result = wait_for_operators(shared, known).await;
+    access
+        .complete(result, !is_confirmed)
+        .await
+        .unwrap_or(Some(known))
+}
+
+/// Gets the records from another node that it knows of.
+///
+/// Returns the position up to which the records are known, and whether that is the end that the node stated.
+async fn follow_peer(shared: &Shared, from: Position, relayed: &Relayed) -> (Position, bool) {
+    let end = relayed.reply.next;
+    let mut known = from;
+    while known < end {
+        match get_operators(shared, relayed.peer, known).await {
+            Ok(next) => known = next,
+            Err(err) => {
+                log::info!(peer:% = relayed.peer, error:% = err; "operators' records not received from another node");
+                return (known, false);
+            }
+        }
     }
-    let result = wait_for_operators(shared, from).await;
-    access.complete(result, !is_confirmed).await.unwrap_or(Some(from))
+    confirm(shared, known, relayed.reply.current_at);
+    (known, true)
+}
+
+/// Gets and applies records from another node; returns the position after them.
+async fn get_operators(shared: &Shared, peer: SocketAddr, from: Position) -> Result<Position, Error> {
+    let read = relay::operators::get(peer, from).await?;
+    let tail = store::parse_tail(shared, Topic::Operators, read.from, &read.reply)?;
+    let Tail::Records { records, next } = tail else {
+        return Err(Error::HistoryChanged);
+    };
+    if next <= from {
+        return Err(Error::RecordsUnknown);
+    }
+    apply_operators(shared, records)?;
+    relay::operators::keep(shared, read, next, BootTime::ZERO);
+    Ok(next)
 }
 
 async fn read_operators(shared: &Shared) -> Result<Position, Error> {
@@ -59,6 +99,7 @@
             .for_each(Release::expect_rewrite);
     }
     apply_operators(shared, records)?;
+    lock(&shared.relay.operators).reset(end, requested_at);
     confirm(shared, end, requested_at);
     apply_statuses(shared, statuses);
     Ok(end)
@@ -68,7 +109,8 @@
 async fn wait_for_operators(shared: &Shared, from: Position) -> Result<Option<Position>, Error> {
     let wait = shared.settings().store.config_wait;
     let requested_at = clock::now();
-    match store::tail(shared, Topic::Operators, from, wait).await? {
+    let (tail, reply) = store::tail(shared, Topic::Operators, from, wait).await?;
+    match tail {
         Tail::Expired => Ok(None),
         Tail::Records { records, next } => {
             // If there are no records, the store held the request for the whole wait, and nothing changed in
@@ -77,7 +119,12 @@
                 true => clock::now().min(requested_at + wait),
                 false => requested_at,
             };
+            let found = !records.is_empty();
             apply_operators(shared, records)?;
+            if found {
+                let read = OperatorsRead { from, reply };
+                relay::operators::keep(shared, read, next, confirmed);
+            }
             confirm(shared, next, confirmed);
             Ok(Some(next))
         }
@@ -87,7 +134,7 @@
 /// Records that the configuration was current, and that the topic ended at `next`, at the time `at`.
 fn confirm(shared: &Shared, next: Position, at: BootTime) {
     lock(&shared.configuration).confirm(at);
-    lock(&shared.relay.operators).reset(next, at);
+    lock(&shared.relay.operators).extend(next, vec![], at);
 }
 
 /// Applies the operators' records.
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -40,8 +40,10 @@
     pub permits: Family<Label, Counter>,
     /// Changes of what is held back because it ends engines, by change.
     pub hold_changes: Family<Label, Counter>,
-    /// Requests to the store.
-    pub store_calls: Counter,
+    /// Requests to the store by topic and kind of call.
+    pub store_calls: Family<[(&'static str, &'static str); 2], Counter>,
+    /// Reads of changes from the store, by the reason why no other node provided them.
+    pub store_reads: Family<Label, Counter>,
     /// Requests to the store without a usable response.
     pub store_failures: Counter,
     /// Reads of the store obtained from other nodes, by topic.
@@ -69,7 +71,8 @@
             engine_statements: Family::default(),
             permits: Family::default(),
             hold_changes: Family::default(),
-            store_calls: Counter::default(),
+            store_calls: Family::default(),
+            store_reads: Family::default(),
             store_failures: Counter::default(),
             relayed: Family::default(),
             connections: Gauge::default(),
@@ -151,7 +154,16 @@
             "Changes of what is held back because it ends engines, by change",
             self.hold_changes.clone(),
         );
-        registry.register("store_calls", "Calls to the store", self.store_calls.clone());
+        registry.register(
+            "store_calls",
+            "Calls to the store by topic and kind",
+            self.store_calls.clone(),
+        );
+        registry.register(
+            "store_reads",
+            "Readings of changes from the store by reason",
+            self.store_reads.clone(),
+        );
         registry.register(
             "store_failures",
             "Failed calls to the store",
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -100,6 +100,17 @@
     Status,
 }
 
+impl Topic {
+    /// Name in metrics and logs.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Operators => "operators",
+            Self::Engines => "engines",
+            Self::Status => "status",
+        }
+    }
+}
+
 /// A request to the platform's store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StoreRequest {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -10,7 +10,9 @@
 use forward::BootTime;
 use forward::directory::Engine;
 use forward::relay::{AcceptedReply, Journal, JournalReply, Position, Query, READERS_PER_TOPIC};
+use membership::Addresses;
 use model::{Host, Upstream, hash};
+use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
@@ -18,6 +20,10 @@
 use crate::shared::{Shared, lock};
 use crate::{clock, datagrams};
 
+pub(crate) mod operators;
+
+use operators::OperatorsRead;
+
 /// Timeout of a reply: some tens of times the round trip between two failure domains, so that only a lost
 /// datagram or a busy host exceeds it.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(120);
@@ -30,9 +36,15 @@
 /// reliably.
 const MAX_AGE_INTERVALS: f64 = 1.2;
 
-/// Nodes queried in addition to the readers after the store has failed this node: if it rejects the readers
-/// as well, these nodes read it themselves.
-const EXTRA_READERS: usize = 2;
+/// Maximum number of replies to one query.
+const MAX_PAGES: usize = 32;
+
+/// Nodes that are queried after the readers. They read the store themselves if no reader can.
+const DEPUTIES: usize = 2;
+
+/// Other nodes that a node queries which the store has failed: it may have failed the readers and their deputies
+/// too.
+const RANDOM_NODES: usize = 2;
 
 /// Queries per read interval.
 pub(crate) const QUERIES_PER_INTERVAL: f64 = 2.0;
@@ -40,7 +52,7 @@
 /// State of the queries between nodes.
 #[derive(Debug, Default)]
 pub(crate) struct Relay {
-    pub operators: Mutex<Journal<EngineChange>>,
+    pub operators: Mutex<Journal<OperatorsRead>>,
     pub engines: Mutex<Journal<EngineChange>>,
     pending: PendingReplies<ReplyMessage>,
 }
@@ -55,6 +67,10 @@
     /// Era of the offset `from`.
     #[serde(default)]
     era: u64,
+    /// Number of changes that earlier replies to this query had; `None` from nodes of earlier versions, which expect all
+    /// of them in one reply.
+    #[serde(default)]
+    skip: Option<usize>,
 }
 
 /// The reply to a [`QueryMessage`].
@@ -68,6 +84,9 @@
     /// Era of the next offset.
     #[serde(default)]
     era: u64,
+    /// Whether further changes have to be queried before the next offset is reached.
+    #[serde(default)]
+    more: bool,
 }
 
 /// Topics that nodes pass on. Release statuses are not among them, as the driver of a release sends these.
@@ -116,10 +135,11 @@
         }
     }
 
-    fn journal(self, relay: &Relay) -> &Mutex<Journal<EngineChange>> {
+    /// Position after the newest read of the topic, and its age.
+    fn newest(self, relay: &Relay, now: BootTime) -> Option<(Position, Duration)> {
         match self {
-            Self::Operators => &relay.operators,
-            Self::Engines => &relay.engines,
+            Self::Operators => lock(&relay.operators).newest(now),
+            Self::Engines => lock(&relay.engines).newest(now),
         }
     }
 }
@@ -140,6 +160,15 @@
         }
     }
 
+    /// Upper limit of the size of its JSON, whose names and numbers take less than 200 bytes.
+    fn max_encoded_len(&self) -> usize {
+        let texts = self
+            .engine
+            .as_ref()
+            .map_or(0, |it| it.service.len() + it.domain.len() + it.version.len());
+        200 + self.id.len() + texts
+    }
+
     /// The engine's id, and its entry; `None` if it was removed.
     pub(crate) fn into_entry(self) -> (Upstream, Option<Engine>) {
         let id: Upstream = self.id.into();
@@ -157,62 +186,108 @@
     }
 }
 
+/// Why a node reads changes from the store itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum DirectRead {
+    /// It reads them for the others.
+    Reader,
+    /// No other node has a recent read.
+    NoRecentReply,
+    /// It needs to know whether an engine that it evicted renews its entry, which others do not pass on.
+    Evicted,
+    /// The store failed it before.
+    Retry,
+}
+
+impl DirectRead {
+    /// Counts a read.
+    pub(crate) fn count(self, shared: &Shared) {
+        let reason = match self {
+            Self::Reader => "reader",
+            Self::NoRecentReply => "no_recent_reply",
+            Self::Evicted => "evicted",
+            Self::Retry => "retry",
+        };
+        shared
+            .metrics
+            .store_reads
+            .get_or_create(&[("reason", reason)])
+            .inc();
+    }
+}
+
+/// Changes that another node has provided.
+#[derive(Debug)]
+pub(crate) struct Relayed {
+    /// The changes.
+    pub reply: AcceptedReply<EngineChange>,
+    /// Address of the node for calls of other nodes.
+    pub peer: SocketAddr,
+}
+
 /// Queries the readers of a topic for changes from the position `from` on.
 ///
-/// `None` if this node must read the store itself, because it is a reader or because no reader has a recent
-/// read. A node that cannot reach the store (`is_lost`) queries other nodes even if it is a reader, and
+/// # Errors
+/// This node must read the store itself, because it is a reader or because no reader has a recent read. A node that cannot reach the store (`is_lost`) queries other nodes even if it is a reader, and
 /// queries more of them.
 pub(crate) async fn query(
     shared: &Shared,
     topic: RelayedTopic,
     from: Position,
     is_lost: bool,
-) -> Option<AcceptedReply<EngineChange>> {
+) -> Result<Relayed, DirectRead> {
     let interval = topic.read_interval(shared);
-    for reader in readers(shared, topic, is_lost)? {
+    for reader in readers(shared, topic, is_lost).ok_or(DirectRead::Reader)? {
         let sent_at = clock::now();
-        let own = lock(topic.journal(&shared.relay)).newest(sent_at);
+        let own = topic.newest(&shared.relay, sent_at);
         let age = own.map_or(Duration::MAX, |(_, age)| age);
-        let Some(reply) = query_reader(shared, reader, topic, from).await else {
+        let Some(reply) = query_reader(shared, reader.gossip, topic, from).await else {
             continue;
         };
         let query = Query { from, age, sent_at };
         let accepted = query.accept(reply, clock::now(), interval.mul_f64(MAX_AGE_INTERVALS));
-        if accepted.is_some() {
+        if let Some(reply) = accepted {
             let label = [("subject", topic.name())];
             shared.metrics.relayed.get_or_create(&label).inc();
-            return accepted;
+            return Ok(Relayed {
+                reply,
+                peer: reader.peer,
+            });
         }
     }
-    None
+    Err(DirectRead::NoRecentReply)
 }
 
-/// Nodes to query, those of this failure domain first; `None` if this node is a reader itself.
-fn readers(shared: &Shared, topic: RelayedTopic, is_lost: bool) -> Option<Vec<SocketAddr>> {
+/// Nodes to query; `None` if this node is a reader itself.
+///
+/// First the readers, that of this failure domain before the others, then their deputies, which read the store
+/// once the readers have no recent read. A node that the store has failed queries some others as well.
+fn readers(shared: &Shared, topic: RelayedTopic, is_lost: bool) -> Option<Vec<Addresses>> {
     let table = lock(&shared.members);
     let own = table.local();
     let live = table.live(clock::now());
-    let count = if is_lost {
-        READERS_PER_TOPIC + EXTRA_READERS
-    } else {
-        READERS_PER_TOPIC
-    };
-    let mut chosen = hash::highest(topic.name(), live.iter().map(|it| &*it.host), count);
-    if is_lost {
-        chosen.retain(|it| *it != &*own.host);
-    } else if chosen.contains(&&*own.host) {
+    let hosts = live.iter().map(|it| &*it.host);
+    let ranked = hash::highest(topic.name(), hosts, READERS_PER_TOPIC + DEPUTIES);
+    let position = |host: &Host| ranked.iter().position(|it| **it == **host);
+    if !is_lost && position(&own.host).is_some_and(|it| it < READERS_PER_TOPIC) {
         return None;
     }
-    let is_chosen = |host: &Host| chosen.contains(&&**host);
-    let mut readers: Vec<_> = live.iter().filter(|it| is_chosen(&it.host)).collect();
-    readers.sort_by_key(|it| it.domain != own.domain);
-    Some(readers.into_iter().map(|it| it.addresses.gossip).collect())
+    let others = live.iter().filter(|it| it.host != own.host);
+    let (mut chosen, rest): (Vec<_>, Vec<_>) = others.partition(|it| position(&it.host).is_some());
+    chosen.sort_by_key(|it| {
+        let rank = position(&it.host).unwrap_or_default();
+        (rank >= READERS_PER_TOPIC, it.domain != own.domain, rank)
+    });
+    if is_lost {
+        chosen.extend(rest.into_iter().choose_multiple(&mut rand::rng(), RANDOM_NODES));
+    }
+    Some(chosen.into_iter().map(|it| it.addresses).collect())
 }
 
 /// State of each topic for operators: its offset, the age of that, and whether this node reads the store.
 pub(crate) fn state(shared: &Shared, now: BootTime) -> Vec<serde_json::Value> {
     let topic = |topic: RelayedTopic| {
-        let newest = lock(topic.journal(&shared.relay)).newest(now);
+        let newest = topic.newest(&shared.relay, now);
         json!({
             "subject": topic.name(),
             "era": newest.map(|it| it.0.era),
@@ -224,53 +299,109 @@
     [RelayedTopic::Operators, RelayedTopic::Engines].map(topic).into()
 }
 
+/// Queries a node until it has replied with all of its changes.
 async fn query_reader(
     shared: &Shared,
     reader: SocketAddr,
     topic: RelayedTopic,
     from: Position,
 ) -> Option<JournalReply<EngineChange>> {
+    let mut changes = vec![];
+    for _ in 0..MAX_PAGES {
+        let reply = query_page(shared, reader, topic, from, changes.len()).await?;
+        let (offset, age_ms, page) = reply.read?;
+        let is_last = !reply.more || page.is_empty();
+        changes.extend(page);
+        if is_last {
+            // An empty page that is not the last one is a change that fits into no reply.
+            return (!reply.more).then_some(JournalReply {
+                next: Position {
+                    era: reply.era,
+                    offset,
+                },
+                age: Duration::from_millis(age_ms),
+                changes,
+            });
+        }
+    }
+    None
+}
+
+async fn query_page(
+    shared: &Shared,
+    reader: SocketAddr,
+    topic: RelayedTopic,
+    from: Position,
+    skip: usize,
+) -> Option<ReplyMessage> {
     let pending = shared.relay.pending.begin();
     let message = QueryMessage {
         number: pending.number(),
         topic,
         from: from.offset,
         era: from.era,
+        skip: Some(skip),
     };
     datagrams::send_query(&shared.socket, &message, reader);
-    let Some(reply) = pending.reply(REPLY_TIMEOUT).await else {
+    let reply = pending.reply(REPLY_TIMEOUT).await;
+    if reply.is_none() {
         log::debug!(subject = topic.name(), reader:%; "no reply to a query about a topic");
-        return None;
-    };
-    let (offset, age_ms, changes) = reply.read?;
-    Some(JournalReply {
-        next: Position {
-            era: reply.era,
-            offset,
-        },
-        age: Duration::from_millis(age_ms),
-        changes,
-    })
+    }
+    reply
 }
 
 /// The encoded reply to a query; `None` if it cannot be encoded.
 pub(crate) fn reply_to(shared: &Shared, query: &QueryMessage) -> Option<Vec<u8>> {
-    let journal = lock(query.topic.journal(&shared.relay));
     let from = Position {
         era: query.era,
         offset: query.from,
     };
-    let read = journal.since(from, clock::now());
-    drop(journal);
-    let era = read.as_ref().map_or(0, |it| it.next.era);
-    let read = read.map(|it| (it.next.offset, it.age.as_millis() as u64 + 1, it.changes));
+    let now = clock::now();
+    let read = match query.topic {
+        // The records themselves are too large for a datagram.
+        RelayedTopic::Operators => query
+            .topic
+            .newest(&shared.relay, now)
+            .map(|(next, age)| JournalReply {
+                next,
+                age,
+                changes: vec![],
+            }),
+        RelayedTopic::Engines => lock(&shared.relay.engines).since(from, now),
+    };
+    encode(&reply(query, read))
+}
+
+/// The reply with as many changes as fit into it.
+fn reply(query: &QueryMessage, read: Option<JournalReply<EngineChange>>) -> ReplyMessage {
     let number = query.number;
-    let encoded = encode(&ReplyMessage { number, read, era })?;
-    if encoded.len() <= MAX_REPLY_BYTES {
-        return Some(encoded);
+    let unknown = ReplyMessage {
+        number,
+        read: None,
+        era: 0,
+        more: false,
+    };
+    let Some(read) = read else {
+        return unknown;
+    };
+    let skip = query.skip.unwrap_or_default();
+    let left = read.changes.get(skip..).unwrap_or_default();
+    let mut size = 0;
+    let fits = |it: &&EngineChange| {
+        size += it.max_encoded_len();
+        size <= MAX_REPLY_BYTES
+    };
+    let page: Vec<_> = left.iter().take_while(fits).cloned().collect();
+    let more = page.len() < left.len();
+    if more && query.skip.is_none() {
+        return unknown;
+    }
+    ReplyMessage {
+        number,
+        era: read.next.era,
+        read: Some((read.next.offset, read.age.as_millis() as u64 + 1, page)),
+        more,
     }
-    let read = None;
-    encode(&ReplyMessage { number, read, era })
 }
 
 fn encode(reply: &ReplyMessage) -> Option<Vec<u8>> {
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -1,5 +1,6 @@
 //! Client of the platform's store.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use forward::relay::Position;
@@ -37,6 +38,9 @@
     /// The newest configuration cannot be decoded, so the one in force may be outdated.
     #[error("the configuration cannot be decoded: {0}")]
     Configuration(String),
+    /// Another node does not have the records that this one lacks.
+    #[error("the other node does not have the records")]
+    RecordsUnknown,
     /// The store came back from an older copy between two pages of a topic.
     #[error("the history of the store changed while it was read")]
     HistoryChanged,
@@ -47,25 +51,32 @@
 
 /// Reads a page of the newest records of a topic, from the first key after `after`.
 pub(crate) async fn newest(shared: &Shared, topic: Topic, after: Option<&str>) -> Result<Page, Error> {
-    let reply = send(
-        shared,
-        shared.protocol.newest_request(topic, after),
-        Duration::ZERO,
-    )
-    .await?;
+    let request = shared.protocol.newest_request(topic, after);
+    let reply = send(shared, topic, "newest", request, Duration::ZERO).await?;
     Ok(shared.protocol.parse_page(topic, &reply)?)
 }
 
-/// Reads records of a topic from a position on; waits up to `wait` if there are none.
+/// Reads records of a topic from a position on; waits up to `wait` if there are none. Returns them with the response
+/// that has them.
 pub(crate) async fn tail(
     shared: &Shared,
     topic: Topic,
     from: Position,
     wait: Duration,
+) -> Result<(Tail, StoreReply), Error> {
+    let request = shared.protocol.tail_request(topic, from, wait);
+    let reply = send(shared, topic, "changes", request, wait).await?;
+    Ok((parse_tail(shared, topic, from, &reply)?, reply))
+}
+
+/// Decodes the response to a read of a topic from a position on.
+pub(crate) fn parse_tail(
+    shared: &Shared,
+    topic: Topic,
+    from: Position,
+    reply: &StoreReply,
 ) -> Result<Tail, Error> {
-    let reply = send(shared, shared.protocol.tail_request(topic, from, wait), wait).await?;
-    let tail = shared.protocol.parse_tail(topic, from, &reply)?;
-    Ok(match tail {
+    Ok(match shared.protocol.parse_tail(topic, from, reply)? {
         // The offset belongs to another history, so the records may not follow on those that are known.
         Tail::Records { next, .. } if next.era != from.era => Tail::Expired,
         tail => tail,
@@ -80,13 +91,21 @@
     end: Position,
 ) -> Result<AppendOutcome, Error> {
     let request = shared.protocol.append_status_request(service, status, end)?;
-    let reply = send(shared, request, Duration::ZERO).await?;
+    let reply = send(shared, Topic::Status, "append", request, Duration::ZERO).await?;
     Ok(shared.protocol.parse_append(&reply)?)
 }
 
-async fn send(shared: &Shared, request: StoreRequest, wait: Duration) -> Result<StoreReply, Error> {
-    shared.metrics.store_calls.inc();
-    let result = match timeout(wait + RESPONSE_TIMEOUT, exchange(shared, request)).await {
+async fn send(
+    shared: &Shared,
+    topic: Topic,
+    call: &'static str,
+    request: StoreRequest,
+    wait: Duration,
+) -> Result<StoreReply, Error> {
+    let label = [("topic", topic.name()), ("call", call)];
+    shared.metrics.store_calls.get_or_create(&label).inc();
+    let address = shared.settings().store.address;
+    let result = match timeout(wait + RESPONSE_TIMEOUT, exchange(address, request)).await {
         Ok(result) => result,
         Err(_) => Err(Error::TimedOut),
     };
@@ -96,8 +115,8 @@
     result
 }
 
-async fn exchange(shared: &Shared, request: StoreRequest) -> Result<StoreReply, Error> {
-    let address = shared.settings().store.address;
+/// Makes one call to the store, or to a node that passes on what the store has responded.
+pub(crate) async fn exchange(address: SocketAddr, request: StoreRequest) -> Result<StoreReply, Error> {
     let http_request = Request::builder()
         .method(request.method)
         .uri(request.target)
--- a/crates/forward/src/directory.rs
+++ b/crates/forward/src/directory.rs
@@ -89,16 +89,27 @@
     }
 
     /// Replaces all entries by a complete list.
-    pub fn replace(&mut self, engines: Vec<Engine>, now: BootTime) {
+    ///
+    /// Returns the engines of which another node that knew the same may have something else now: those that changed, and
+    /// those that left and are not listed.
+    pub fn replace(&mut self, engines: Vec<Engine>, now: BootTime) -> Vec<Upstream> {
         let known: Vec<_> = self.entries.keys().cloned().collect();
         let listed: Vec<_> = engines.iter().map(|it| it.id.clone()).collect();
         for id in known.iter().filter(|it| !listed.contains(it)) {
             self.remove(id, now);
         }
+        let mut changed: Vec<_> = self.departed.keys().cloned().collect();
+        changed.extend(known);
+        changed.retain(|it| !listed.contains(it));
         for engine in engines {
             let id = engine.id.clone();
-            self.insert(&id, engine);
+            if self.insert(&id, engine) {
+                changed.push(id);
+            }
         }
+        changed.sort_unstable();
+        changed.dedup();
+        changed
     }
 
     /// Replaces all entries by a list from a registry that came back from an older copy.
@@ -143,6 +154,12 @@
         self.entries.get(id).map(|it| &it.engine)
     }
 
+    /// An engine by its name unless its entry is missing from the registry.
+    pub fn listed(&self, id: &str) -> Option<&Arc<Engine>> {
+        let entry = self.entries.get(id).filter(|it| !it.missing);
+        entry.map(|it| &it.engine)
+    }
+
     /// All engines, including those that drain or are missing.
     pub fn engines(&self) -> impl Iterator<Item = &Arc<Engine>> {
         self.entries.values().map(|it| &it.engine)
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -35,6 +35,8 @@
     /// Position after the last record of the read.
     next: Position,
     changes: Vec<C>,
+    /// Position from which on the changes lead to the state after the read, if they don't from positions in between.
+    only_from: Option<Position>,
 }
 
 /// Recent changes of one topic that a node can pass on.
@@ -129,24 +131,61 @@
 
     /// Records a read that began where the previous one ended.
     pub fn extend(&mut self, next: Position, changes: Vec<C>, at: BootTime) {
+        self.push(next, changes, None, at);
+    }
+
+    /// Records a read of the whole topic, by what differs from the state after the previous read.
+    ///
+    /// A change that was made and undone in between is not among the differences, so they are no reply for positions in
+    /// between.
+    pub fn extend_by_difference(&mut self, next: Position, changes: Vec<C>, at: BootTime) {
+        let only_from = self.newest.map(|it| it.0);
+        self.push(next, changes, only_from, at);
+    }
+
+    fn push(&mut self, next: Position, changes: Vec<C>, only_from: Option<Position>, at: BootTime) {
         // An earlier time than the recorded one would understate how current the journal is.
         let at = self.newest.map_or(at, |(_, known)| known.max(at));
         self.newest = Some((next, at));
-        if !changes.is_empty() {
-            self.batches.push_back(Batch { next, changes });
+        if !changes.is_empty() || only_from.is_some_and(|it| it < next) {
+            self.batches.push_back(Batch {
+                next,
+                changes,
+                only_from,
+            });
         }
-        while self.batches.iter().map(|it| it.changes.len()).sum::<usize>() > JOURNAL_CAPACITY {
+        let weigh = |it: &Batch<C>| it.changes.len().max(1);
+        while self.batches.iter().map(weigh).sum::<usize>() > JOURNAL_CAPACITY {
             if let Some(dropped) = self.batches.pop_front() {
                 self.first = dropped.next;
             }
         }
     }
 
+    /// Drops the oldest changes until the rest weighs at most `max`.
+    pub fn shrink(&mut self, max: usize, weight: impl Fn(&C) -> usize) {
+        let weigh = |it: &Batch<C>| it.changes.iter().map(&weight).sum::<usize>();
+        let mut total: usize = self.batches.iter().map(weigh).sum();
+        while total > max {
+            let Some(dropped) = self.batches.pop_front() else {
+                return;
+            };
+            total -= weigh(&dropped);
+            self.first = dropped.next;
+        }
+    }
+
     /// Position after the newest read, and its age.
     pub fn newest(&self, now: BootTime) -> Option<(Position, Duration)> {
         self.newest.map(|(next, at)| (next, now.saturating_sub(at)))
     }
 
+    /// The first change after `from`; `None` if it is missing or there is none.
+    pub fn first_after(&self, from: Position) -> Option<&C> {
+        let batch = self.batches.iter().find(|it| it.next > from);
+        batch.filter(|_| self.first <= from)?.changes.first()
+    }
+
     /// Changes from `from` on; `None` if some of them are missing. For a position after the newest
     /// read, the reply has no changes and the position of that read.
     ///
@@ -154,7 +193,8 @@
     /// the same state.
     pub fn since(&self, from: Position, now: BootTime) -> Option<JournalReply<C>> {
         let (next, age) = self.newest(now)?;
-        if from < self.first {
+        let is_between = |it: &Batch<C>| it.only_from.is_some_and(|first| first < from && from < it.next);
+        if from < self.first || self.batches.iter().any(is_between) {
             return None;
         }
         let batches = self.batches.iter().filter(|it| it.next > from);
--- a/crates/forward/tests/directory.rs
+++ b/crates/forward/tests/directory.rs
@@ -49,6 +49,17 @@
     assert_eq!(available(&directory, SECOND), ["y".into()]);
 }
 
+/// Guards against other nodes that keep an engine which the reader of the registry has evicted before it read the whole
+/// registry.
+#[test]
+fn replacement_reports_what_others_may_have() {
+    let mut directory = directory(&["a", "b", "c", "evicted"]);
+    directory.evict("evicted", 1, SECOND);
+    let engines = vec![engine("a", 1), engine("b", 2), engine("new", 1)];
+    let changed = directory.replace(engines, SECOND);
+    assert_eq!(changed, ["b", "c", "evicted", "new"].map(Upstream::from));
+}
+
 #[test]
 fn removed_engine_is_not_available() {
     let mut directory = directory(&["x", "y"]);
--- a/crates/forward/tests/relay.rs
+++ b/crates/forward/tests/relay.rs
@@ -58,6 +58,21 @@
     assert_eq!((reply.next, reply.changes.len()), (offset(9), 0));
 }
 
+/// Guards against changes that are kept without a bound, or dropped while they fit.
+#[test]
+fn journal_shrinks_to_the_newest_changes() {
+    let mut journal = Journal::new();
+    journal.reset(offset(7), at(0));
+    journal.extend(offset(8), vec![30], at(1));
+    journal.extend(offset(9), vec![50], at(2));
+    journal.shrink(80, |it| *it);
+    assert_eq!(journal.first_after(offset(7)), Some(&30));
+    journal.shrink(79, |it| *it);
+    assert_eq!(journal.first_after(offset(7)), None);
+    assert_eq!(journal.first_after(offset(8)), Some(&50));
+    assert_eq!(journal.first_after(offset(9)), None);
+}
+
 /// Guards against offsets of a lost history that are taken for those of the current one.
 #[test]
 fn eras_do_not_mix() {
--- a/crates/forward/tests/relay_schedules.rs
+++ b/crates/forward/tests/relay_schedules.rs
@@ -16,6 +16,16 @@
 
 type Change = (u8, Option<u8>);
 
+/// Changes that lead from one state to another, as a node finds them that has read all records.
+fn difference(before: &BTreeMap<u8, u8>, after: &BTreeMap<u8, u8>) -> Vec<Change> {
+    let removed = before.keys().filter(|it| !after.contains_key(it));
+    let changed = after.iter().filter(|(key, value)| before.get(key) != Some(value));
+    let removed = removed.map(|it| (*it, None));
+    removed
+        .chain(changed.map(|(key, value)| (*key, Some(*value))))
+        .collect()
+}
+
 const NODES: usize = 4;
 
 /// Minimum number of schedules for each test.
@@ -32,6 +42,8 @@
     OffsetMovesBack,
     /// A journal is not reset when the whole log is read again.
     NoJournalReset,
+    /// Differences are passed on like changes, also to nodes at positions in between.
+    DifferenceAsChanges,
     /// A read counts as current at its arrival.
     ReadFromArrival,
     /// The records from an offset on are applied although the offset belongs to another era.
@@ -242,15 +254,24 @@
         }
         // A read from the offset of another era is answered with the records of this one, or with a refusal.
         let from = from.filter(|it| it.era == end.era || fault == Some(Fault::TailOfOtherEra));
+        let before = node.state.clone();
         if from.is_none() {
             node.state.clear();
         }
         let known = from.map_or(0, |it| usize::try_from(it.offset).unwrap());
         let changes = &log[known.min(log.len())..];
+        let continues = node.journal.newest(at).is_some_and(|(it, _)| it.era == end.era);
         node.apply(changes, end, at);
         match from {
             Some(_) => node.journal.extend(end, changes.to_vec(), at),
+            None if fault == Some(Fault::DifferenceAsChanges) && continues => {
+                node.journal.extend(end, difference(&before, &node.state), at);
+            }
             None if fault == Some(Fault::NoJournalReset) => node.journal.extend(end, vec![], at),
+            None if continues => {
+                let changes = difference(&before, &node.state);
+                node.journal.extend_by_difference(end, changes, at);
+            }
             None => node.journal.reset(end, at),
         }
     }
@@ -346,6 +367,7 @@
     reply_age_from_arrival_is_detected: ReplyAgeFromArrival => Currency;
     offset_that_moves_back_is_detected: OffsetMovesBack => State;
     journal_without_reset_is_detected: NoJournalReset => State;
+    difference_for_a_position_in_between_is_detected: DifferenceAsChanges => State;
     read_from_arrival_is_detected: ReadFromArrival => Currency;
     tail_of_another_era_is_detected: TailOfOtherEra => State;
     reply_to_another_era_is_detected: ReplyToOtherEra => State;
