relay: few nodes try a store that is away, and a start doesn't read it twice

Now a node whose readers reply that they have nothing recent leaves the trials to them, their deputies and two nodes a second of the whole fleet; after a full read a node waits as after a reply.

few_nodes_retry_a_store_that_is_away: 116 calls in 3 s by 20 nodes before, 60 allowed.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -9,6 +9,7 @@
 
 use crate::clock;
 use crate::protocol::{Page, Record, Topic};
+use crate::relay::{DirectRead, RelayedTopic};
 use crate::shared::Shared;
 use crate::store::{self, Error};
 
@@ -25,6 +26,17 @@
 /// Time after which a node that gets changes from others retries a store that failed.
 const RETRY_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Calls a second of the whole fleet, besides the readers and their deputies, that try the store while no read is recent: it
+/// may serve only some of the nodes.
+const TRIALS_PER_SECOND: f64 = 2.0;
+
+/// Whether it is up to this node to try the store, although others do; to be asked once in each interval.
+fn is_trial(shared: &Shared, interval: Duration) -> bool {
+    let hosts = shared.host_counts().reachable.max(1) as f64;
+    let probability = TRIALS_PER_SECOND * interval.as_secs_f64() / hosts;
+    rand::rng().random_bool(probability.min(1.0))
+}
+
 /// Whether a topic can be read from the store, for the log and for the backoff.
 #[derive(Debug)]
 struct TopicAccess {
@@ -48,9 +60,20 @@
         self.failures > 0
     }
 
-    /// Whether to retry the store after a failure although other nodes provide the changes.
-    fn is_due(&self) -> bool {
-        self.is_lost() && clock::now().saturating_sub(self.last_request) >= RETRY_INTERVAL
+    /// Whether to read from the store, by what other nodes have replied.
+    fn is_due(&self, shared: &Shared, topic: RelayedTopic, relayed: Option<DirectRead>) -> bool {
+        let is_trial = || is_trial(shared, topic.query_interval(shared));
+        match relayed {
+            Some(
+                DirectRead::Reader | DirectRead::NoReply | DirectRead::RecordsUnknown | DirectRead::Evicted,
+            ) => true,
+            Some(DirectRead::Stale) => is_trial(),
+            // It may serve this node again.
+            Some(DirectRead::Retry) | None => {
+                let elapsed = clock::now().saturating_sub(self.last_request);
+                self.is_lost() && elapsed >= RETRY_INTERVAL && is_trial()
+            }
+        }
     }
 
     /// Records the result of a request and returns its value; waits for the backoff after a failure if
--- a/crates/entry/src/follow/engines.rs
+++ b/crates/entry/src/follow/engines.rs
@@ -30,7 +30,14 @@
     loop {
         next = match next {
             Some(from) => follow(&shared, from, &mut access).await,
-            None => access.complete(read_engines(&shared).await, true).await,
+            None => {
+                let read = access.complete(read_engines(&shared).await, true).await;
+                if read.is_some() {
+                    // As long as after a reply, which gives a node that has started the time to find others.
+                    sleep(RelayedTopic::Engines.query_interval(&shared)).await;
+                }
+                read
+            }
         };
     }
 }
@@ -39,27 +46,26 @@
 ///
 /// Returns the next position; `None` if records are missing and all entries must be read again.
 async fn follow(shared: &Shared, from: Position, access: &mut TopicAccess) -> Option<Position> {
-    let interval = shared.settings().store.engine_poll;
     let (from, reason) = match query(shared, from, access.is_lost()).await {
         Ok(Relayed { reply, .. }) => {
             let changes = reply.changes.into_iter().map(EngineChange::into_entry);
             apply(shared, changes, reply.next, reply.current_at);
-            (reply.next, DirectRead::Retry)
+            (reply.next, None)
         }
-        Err(reason) => (from, reason),
+        Err(reason) => (from, Some(reason)),
     };
-    let is_relayed = reason == DirectRead::Retry;
-    if is_relayed && !access.is_due() {
-        sleep(interval.div_f64(relay::QUERIES_PER_INTERVAL)).await;
+    if !access.is_due(shared, RelayedTopic::Engines, reason) {
+        sleep(RelayedTopic::Engines.query_interval(shared)).await;
         return Some(from);
     }
-    reason.count(shared);
+    let is_relayed = reason.is_none();
+    reason.unwrap_or(DirectRead::Retry).count(shared);
     let result = read_changes(shared, from).await;
     let Some(next) = access.complete(result, !is_relayed).await else {
         return Some(from);
     };
     if next.is_some() {
-        sleep(interval).await;
+        sleep(shared.settings().store.engine_poll).await;
     }
     next
 }
--- a/crates/entry/src/follow/operators.rs
+++ b/crates/entry/src/follow/operators.rs
@@ -25,7 +25,14 @@
     loop {
         next = match next {
             Some(from) => follow(&shared, from, &mut access).await,
-            None => access.complete(read_operators(&shared).await, true).await,
+            None => {
+                let read = access.complete(read_operators(&shared).await, true).await;
+                if read.is_some() {
+                    // As long as after a reply, which gives a node that has started the time to find others.
+                    sleep(RelayedTopic::Operators.query_interval(&shared)).await;
+                }
+                read
+            }
         };
     }
 }
@@ -35,27 +42,26 @@
 /// Returns the next position; `None` if records are missing and all must be read again.
 async fn follow(shared: &Shared, from: Position, access: &mut TopicAccess) -> Option<Position> {
     let relayed = relay::query(shared, RelayedTopic::Operators, from, access.is_lost()).await;
-    let (known, is_confirmed) = match &relayed {
+    let (known, reason) = match &relayed {
         Ok(relayed) => follow_peer(shared, from, relayed).await,
-        Err(_) => (from, false),
+        Err(reason) => (from, Some(*reason)),
     };
-    if is_confirmed && !access.is_due() {
-        let wait = shared.settings().store.config_wait;
-        sleep(wait.div_f64(relay::QUERIES_PER_INTERVAL)).await;
+    if !access.is_due(shared, RelayedTopic::Operators, reason) {
+        sleep(RelayedTopic::Operators.query_interval(shared)).await;
         return Some(known);
     }
-    relayed.err().unwrap_or(DirectRead::Retry).count(shared);
+    reason.unwrap_or(DirectRead::Retry).count(shared);
     let result = wait_for_operators(shared, known).await;
     access
-        .complete(result, !is_confirmed)
+        .complete(result, reason.is_some())
         .await
         .unwrap_or(Some(known))
 }
 
 /// Gets the records from another node that it knows of.
 ///
-/// Returns the position up to which the records are known, and whether that is the end that the node stated.
-async fn follow_peer(shared: &Shared, from: Position, relayed: &Relayed) -> (Position, bool) {
+/// Returns the position up to which the records are known, and why the store has to be read all the same.
+async fn follow_peer(shared: &Shared, from: Position, relayed: &Relayed) -> (Position, Option<DirectRead>) {
     let end = relayed.reply.next;
     let mut known = from;
     while known < end {
@@ -63,12 +69,12 @@
             Ok(next) => known = next,
             Err(err) => {
                 log::info!(peer:% = relayed.peer, error:% = err; "operators' records not received from another node");
-                return (known, false);
+                return (known, Some(DirectRead::RecordsUnknown));
             }
         }
     }
     confirm(shared, known, relayed.reply.current_at);
-    (known, true)
+    (known, None)
 }
 
 /// Gets and applies records from another node; returns the position after them.
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -47,7 +47,7 @@
 const RANDOM_NODES: usize = 2;
 
 /// Queries per read interval.
-pub(crate) const QUERIES_PER_INTERVAL: f64 = 2.0;
+const QUERIES_PER_INTERVAL: f64 = 2.0;
 
 /// State of the queries between nodes.
 #[derive(Debug, Default)]
@@ -135,6 +135,11 @@
         }
     }
 
+    /// Interval between two queries to other nodes.
+    pub(crate) fn query_interval(self, shared: &Shared) -> Duration {
+        self.read_interval(shared).div_f64(QUERIES_PER_INTERVAL)
+    }
+
     /// Position after the newest read of the topic, and its age.
     fn newest(self, relay: &Relay, now: BootTime) -> Option<(Position, Duration)> {
         match self {
@@ -191,8 +196,12 @@
 pub(crate) enum DirectRead {
     /// It reads them for the others.
     Reader,
-    /// No other node has a recent read.
-    NoRecentReply,
+    /// No other node has replied.
+    NoReply,
+    /// The nodes that should read them have replied that they have no recent read, nor has this one.
+    Stale,
+    /// The node that knows of new records does not have them.
+    RecordsUnknown,
     /// It needs to know whether an engine that it evicted renews its entry, which others do not pass on.
     Evicted,
     /// The store failed it before.
@@ -204,7 +213,9 @@
     pub(crate) fn count(self, shared: &Shared) {
         let reason = match self {
             Self::Reader => "reader",
-            Self::NoRecentReply => "no_recent_reply",
+            Self::NoReply => "no_reply",
+            Self::Stale => "stale",
+            Self::RecordsUnknown => "records_unknown",
             Self::Evicted => "evicted",
             Self::Retry => "retry",
         };
@@ -237,13 +248,16 @@
     is_lost: bool,
 ) -> Result<Relayed, DirectRead> {
     let interval = topic.read_interval(shared);
-    for reader in readers(shared, topic, is_lost).ok_or(DirectRead::Reader)? {
+    let Candidates { nodes, is_deputy } = candidates(shared, topic, is_lost).ok_or(DirectRead::Reader)?;
+    let mut replied = false;
+    for reader in nodes {
         let sent_at = clock::now();
         let own = topic.newest(&shared.relay, sent_at);
         let age = own.map_or(Duration::MAX, |(_, age)| age);
         let Some(reply) = query_reader(shared, reader.gossip, topic, from).await else {
             continue;
         };
+        replied = true;
         let query = Query { from, age, sent_at };
         let accepted = query.accept(reply, clock::now(), interval.mul_f64(MAX_AGE_INTERVALS));
         if let Some(reply) = accepted {
@@ -255,14 +269,25 @@
             });
         }
     }
-    Err(DirectRead::NoRecentReply)
+    Err(match replied && !is_deputy {
+        true => DirectRead::Stale,
+        false => DirectRead::NoReply,
+    })
+}
+
+/// Nodes to query about a topic.
+#[derive(Debug)]
+struct Candidates {
+    nodes: Vec<Addresses>,
+    /// Whether this node reads the store if they have no recent read.
+    is_deputy: bool,
 }
 
 /// Nodes to query; `None` if this node is a reader itself.
 ///
 /// First the readers, that of this failure domain before the others, then their deputies, which read the store
 /// once the readers have no recent read. A node that the store has failed queries some others as well.
-fn readers(shared: &Shared, topic: RelayedTopic, is_lost: bool) -> Option<Vec<Addresses>> {
+fn candidates(shared: &Shared, topic: RelayedTopic, is_lost: bool) -> Option<Candidates> {
     let table = lock(&shared.members);
     let own = table.local();
     let live = table.live(clock::now());
@@ -281,7 +306,10 @@
     if is_lost {
         chosen.extend(rest.into_iter().choose_multiple(&mut rand::rng(), RANDOM_NODES));
     }
-    Some(chosen.into_iter().map(|it| it.addresses).collect())
+    Some(Candidates {
+        nodes: chosen.into_iter().map(|it| it.addresses).collect(),
+        is_deputy: position(&own.host).is_some(),
+    })
 }
 
 /// State of each topic for operators: its offset, the age of that, and whether this node reads the store.
@@ -293,7 +321,7 @@
             "era": newest.map(|it| it.0.era),
             "offset": newest.map(|it| it.0.offset),
             "age_ms": newest.map(|it| it.1.as_millis() as u64),
-            "reads_store": readers(shared, topic, false).is_none(),
+            "reads_store": candidates(shared, topic, false).is_none(),
         })
     };
     [RelayedTopic::Operators, RelayedTopic::Engines].map(topic).into()
