relay: a reader that the store failed goes on to read it

Now readers and deputies go on, what is older than 1.5 intervals is read by each node itself, and such a read doesn't wait for a change, as it confirms only at its end.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -9,7 +9,7 @@
 
 use crate::clock;
 use crate::protocol::{Page, Record, Topic};
-use crate::relay::{DirectRead, RelayedTopic};
+use crate::relay::{self, DirectRead, RelayedTopic};
 use crate::shared::Shared;
 use crate::store::{self, Error};
 
@@ -67,11 +67,12 @@
             Some(
                 DirectRead::Reader | DirectRead::NoReply | DirectRead::RecordsUnknown | DirectRead::Evicted,
             ) => true,
-            Some(DirectRead::Stale) => is_trial(),
-            // It may serve this node again.
+            Some(DirectRead::Stale) => is_trial() || relay::is_outdated(shared, topic),
+            // It may serve this node again, for which others wait if it should read the topic for them.
             Some(DirectRead::Retry) | None => {
                 let elapsed = clock::now().saturating_sub(self.last_request);
-                self.is_lost() && elapsed >= RETRY_INTERVAL && is_trial()
+                let is_time = || elapsed >= RETRY_INTERVAL && is_trial();
+                self.is_lost() && (relay::is_ranked(shared, topic) || is_time())
             }
         }
     }
@@ -105,6 +106,15 @@
     }
 }
 
+/// Waits after a read of a whole topic, as long as after a reply, unless other nodes wait for the next read of this one.
+///
+/// That gives a node that has started the time to find the others.
+async fn pause_after_full_read(shared: &Shared, topic: RelayedTopic) {
+    if !relay::is_reader_for_others(shared, topic) {
+        sleep(topic.query_interval(shared)).await;
+    }
+}
+
 /// Reads all pages of a topic. Records that change meanwhile are read again from the end that the first page
 /// states.
 async fn read_all(shared: &Shared, topic: Topic) -> Result<(Vec<Record>, Position), Error> {
--- a/crates/entry/src/follow/engines.rs
+++ b/crates/entry/src/follow/engines.rs
@@ -10,7 +10,7 @@
 use model::{Name, Upstream};
 use tokio::time::sleep;
 
-use super::{TopicAccess, read_all};
+use super::{TopicAccess, pause_after_full_read, read_all};
 use crate::clock;
 use crate::protocol::{Record, Tail, Topic};
 use crate::relay::{self, DirectRead, EngineChange, Relayed, RelayedTopic};
@@ -33,8 +33,7 @@
             None => {
                 let read = access.complete(read_engines(&shared).await, true).await;
                 if read.is_some() {
-                    // As long as after a reply, which gives a node that has started the time to find others.
-                    sleep(RelayedTopic::Engines.query_interval(&shared)).await;
+                    pause_after_full_read(&shared, RelayedTopic::Engines).await;
                 }
                 read
             }
--- a/crates/entry/src/follow/operators.rs
+++ b/crates/entry/src/follow/operators.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use forward::BootTime;
 use forward::configuration::Configuration;
@@ -10,7 +11,7 @@
 use model::Name;
 use tokio::time::sleep;
 
-use super::{TopicAccess, read_all};
+use super::{TopicAccess, pause_after_full_read, read_all};
 use crate::clock;
 use crate::protocol::{Record, Tail, Topic};
 use crate::relay::operators::OperatorsRead;
@@ -28,8 +29,7 @@
             None => {
                 let read = access.complete(read_operators(&shared).await, true).await;
                 if read.is_some() {
-                    // As long as after a reply, which gives a node that has started the time to find others.
-                    sleep(RelayedTopic::Operators.query_interval(&shared)).await;
+                    pause_after_full_read(&shared, RelayedTopic::Operators).await;
                 }
                 read
             }
@@ -51,7 +51,12 @@
         return Some(known);
     }
     reason.unwrap_or(DirectRead::Retry).count(shared);
-    let result = wait_for_operators(shared, known).await;
+    // A call that waits confirms only at its end, which would be late for what is old already.
+    let wait = match access.is_lost() || relay::is_outdated(shared, RelayedTopic::Operators) {
+        true => Duration::ZERO,
+        false => shared.settings().store.config_wait,
+    };
+    let result = wait_for_operators(shared, known, wait).await;
     access
         .complete(result, reason.is_some())
         .await
@@ -112,8 +117,11 @@
 }
 
 /// Waits for a change; `None` if records are missing and all must be read again.
-async fn wait_for_operators(shared: &Shared, from: Position) -> Result<Option<Position>, Error> {
-    let wait = shared.settings().store.config_wait;
+async fn wait_for_operators(
+    shared: &Shared,
+    from: Position,
+    wait: Duration,
+) -> Result<Option<Position>, Error> {
     let requested_at = clock::now();
     let (tail, reply) = store::tail(shared, Topic::Operators, from, wait).await?;
     match tail {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -32,6 +32,10 @@
 /// it all.
 const MAX_REPLY_BYTES: usize = 8 << 10;
 
+/// Age of a node's own knowledge, in read intervals, from which on it reads the store itself although others try. With half
+/// an interval until it notices, that ends within the time for which a configuration may be used unconfirmed.
+const MAX_OWN_AGE_INTERVALS: f64 = 1.5;
+
 /// Maximum age of a usable reply, in read intervals. An older one shows that its node cannot read the store
 /// reliably.
 const MAX_AGE_INTERVALS: f64 = 1.2;
@@ -312,6 +316,24 @@
     })
 }
 
+/// Whether what this node knows of a topic is older than it may be.
+pub(crate) fn is_outdated(shared: &Shared, topic: RelayedTopic) -> bool {
+    let newest = topic.newest(&shared.relay, clock::now());
+    let max_age = topic.read_interval(shared).mul_f64(MAX_OWN_AGE_INTERVALS);
+    newest.is_none_or(|(_, age)| age >= max_age)
+}
+
+/// Whether this node reads a topic and others are known that may rely on it.
+pub(crate) fn is_reader_for_others(shared: &Shared, topic: RelayedTopic) -> bool {
+    let is_alone = lock(&shared.members).live(clock::now()).len() <= 1;
+    !is_alone && candidates(shared, topic, false).is_none()
+}
+
+/// Whether this node is a reader of a topic or a deputy of one.
+pub(crate) fn is_ranked(shared: &Shared, topic: RelayedTopic) -> bool {
+    candidates(shared, topic, false).is_none_or(|it| it.is_deputy)
+}
+
 /// State of each topic for operators: its offset, the age of that, and whether this node reads the store.
 pub(crate) fn state(shared: &Shared, now: BootTime) -> Vec<serde_json::Value> {
     let topic = |topic: RelayedTopic| {
