control: the operators' records are given to nodes only

The records that nodes pass on have the keys of all organisations. They were served wherever readiness and entry addresses are, also at the addresses that callers use; now at the control address alone. operators_records_are_given_to_nodes_only fails before.

--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -29,9 +29,6 @@
     if let Some(domain) = shared.protocol.entries_domain(head) {
         return entries(shared, &domain);
     }
-    if let Some(response) = relay::operators::respond(shared, head.uri.path()) {
-        return response;
-    }
     match head.uri.path() {
         "/metrics" => full_response(
             StatusCode::OK,
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -67,7 +67,8 @@
             Some(
                 DirectRead::Reader | DirectRead::NoReply | DirectRead::RecordsUnknown | DirectRead::Evicted,
             ) => true,
-            Some(DirectRead::Stale) => is_trial() || relay::is_outdated(shared, topic),
+            // The store may be away for some nodes only, but has failed this one if it has just tried.
+            Some(DirectRead::Stale) => is_trial() || !self.is_lost() && relay::is_outdated(shared, topic),
             // It may serve this node again, for which others wait if it should read the topic for them.
             Some(DirectRead::Retry) | None => {
                 let elapsed = clock::now().saturating_sub(self.last_request);
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -75,8 +75,8 @@
         tokio::spawn(statement::run(shared.clone()));
         let sockets = [
             (addresses.entry, Role::Entry),
-            (addresses.ready, Role::Control),
-            (addresses.directory, Role::Control),
+            (addresses.ready, Role::Directory),
+            (addresses.directory, Role::Directory),
             (addresses.control, Role::Control),
         ];
         for (address, role) in sockets {
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -23,7 +23,7 @@
 use crate::response::TrackedBody;
 use crate::shared::{Shared, lock};
 use crate::write_timeout::WriteTimeout;
-use crate::{control, request};
+use crate::{control, relay, request};
 
 /// Maximum number of connections waiting to be accepted.
 const BACKLOG: u32 = 1024;
@@ -53,7 +53,9 @@
 pub(crate) enum Role {
     /// Requests of callers.
     Entry,
-    /// Readiness probes, entry addresses, and requests of operators.
+    /// Readiness probes, entry addresses, and requests of operators. Callers may reach it.
+    Directory,
+    /// The same, and requests of other nodes, which get what callers must not have.
     Control,
 }
 
@@ -63,7 +65,7 @@
         let available = descriptors.saturating_sub(RESERVED_DESCRIPTORS);
         match self {
             Self::Entry => (available as f64 * CALLER_FRACTION) as usize,
-            Self::Control => Semaphore::MAX_PERMITS,
+            Self::Directory | Self::Control => Semaphore::MAX_PERMITS,
         }
     }
 }
@@ -86,7 +88,7 @@
     let mut closes = pin!(async {
         match role {
             Role::Entry => shared.closes().await,
-            Role::Control => pending().await,
+            Role::Directory | Role::Control => pending().await,
         }
     });
     let free = Arc::new(Semaphore::new(
@@ -186,8 +188,8 @@
             shared.closes().await;
             sleep(FIRST_BYTE_TIME).await;
         }
-        (Role::Control, false) => shared.stop_reaches(|_| Duration::ZERO).await,
-        (Role::Control, true) => pending().await,
+        (Role::Directory | Role::Control, false) => shared.stop_reaches(|_| Duration::ZERO).await,
+        (Role::Directory | Role::Control, true) => pending().await,
     }
 }
 
@@ -198,8 +200,13 @@
 ) -> Result<Response<TrackedBody>, Infallible> {
     let mut response = match role {
         Role::Entry => request::handle(shared.clone(), request).await,
-        Role::Control => {
-            let response = control::handle(&shared, &request.into_parts().0);
+        Role::Directory | Role::Control => {
+            let (head, _) = request.into_parts();
+            let response = match role {
+                Role::Control => relay::operators::respond(&shared, head.uri.path()),
+                Role::Entry | Role::Directory => None,
+            };
+            let response = response.unwrap_or_else(|| control::handle(&shared, &head));
             response.map(TrackedBody::untracked)
         }
     };
