--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -8,10 +8,9 @@
 use std::time::Duration;
 
 use forward::BootTime;
-use forward::directory::Engine;
 use forward::relay::{AcceptedReply, Journal, JournalReply, Position, Query, READERS_PER_TOPIC};
 use membership::Addresses;
-use model::{Host, Upstream, hash};
+use model::{Host, hash};
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -20,8 +19,12 @@
 use crate::shared::{Shared, lock};
 use crate::{clock, datagrams};
 
+mod direct_read;
+mod engine_change;
 pub(crate) mod operators;
 
+pub(crate) use direct_read::DirectRead;
+pub(crate) use engine_change::EngineChange;
 use operators::OperatorsRead;
 
 /// Timeout of a reply: some tens of times the round trip between two failure domains, so that only a lost
@@ -102,26 +105,6 @@
     Engines,
 }
 
-/// A change of an engine's registry entry.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct EngineChange {
-    id: String,
-    engine: Option<EngineEntry>,
-}
-
-/// Registry entry of an engine.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct EngineEntry {
-    #[serde(rename = "born")]
-    started_ms: u64,
-    service: String,
-    address: SocketAddr,
-    domain: String,
-    version: String,
-    slots: u32,
-    draining: bool,
-}
-
 impl RelayedTopic {
     fn name(self) -> &'static str {
         match self {
@@ -153,84 +136,6 @@
     }
 }
 
-impl EngineChange {
-    pub(crate) fn new(id: &Upstream, engine: Option<&Engine>) -> Self {
-        Self {
-            id: id.to_string(),
-            engine: engine.map(|it| EngineEntry {
-                started_ms: it.started_ms,
-                service: it.service.to_string(),
-                address: it.address,
-                domain: it.domain.to_string(),
-                version: it.version.to_string(),
-                slots: it.slots,
-                draining: it.draining,
-            }),
-        }
-    }
-
-    /// Upper limit of the size of its JSON, whose names and numbers take less than 200 bytes.
-    fn max_encoded_len(&self) -> usize {
-        let texts = self
-            .engine
-            .as_ref()
-            .map_or(0, |it| it.service.len() + it.domain.len() + it.version.len());
-        200 + self.id.len() + texts
-    }
-
-    /// The engine's id, and its entry; `None` if it was removed.
-    pub(crate) fn into_entry(self) -> (Upstream, Option<Engine>) {
-        let id: Upstream = self.id.into();
-        let engine = self.engine.map(|it| Engine {
-            id: id.clone(),
-            started_ms: it.started_ms,
-            service: it.service.into(),
-            address: it.address,
-            domain: it.domain.into(),
-            version: it.version.into(),
-            slots: it.slots,
-            draining: it.draining,
-        });
-        (id, engine)
-    }
-}
-
-/// Why a node reads changes from the store itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum DirectRead {
-    /// It reads them for the others.
-    Reader,
-    /// No other node has replied.
-    NoReply,
-    /// The nodes that should read them have replied that they have no recent read, nor has this one.
-    Stale,
-    /// The node that knows of new records does not have them.
-    RecordsUnknown,
-    /// It needs to know whether an engine that it evicted renews its entry, which others do not pass on.
-    Evicted,
-    /// The store failed it before.
-    Retry,
-}
-
-impl DirectRead {
-    /// Counts a read.
-    pub(crate) fn count(self, shared: &Shared) {
-        let reason = match self {
-            Self::Reader => "reader",
-            Self::NoReply => "no_reply",
-            Self::Stale => "stale",
-            Self::RecordsUnknown => "records_unknown",
-            Self::Evicted => "evicted",
-            Self::Retry => "retry",
-        };
-        shared
-            .metrics
-            .store_reads
-            .get_or_create(&[("reason", reason)])
-            .inc();
-    }
-}
-
 /// Changes that another node has provided.
 #[derive(Debug)]
 pub(crate) struct Relayed {
--- /dev/null
+++ b/crates/entry/src/relay/direct_read.rs
@@ -0,0 +1,39 @@
+//! Why nodes read the store although others pass on what they read.
+
+use crate::shared::Shared;
+
+/// Why a node reads changes from the store itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum DirectRead {
+    /// It reads them for the others.
+    Reader,
+    /// No other node has replied.
+    NoReply,
+    /// The nodes that should read them have replied that they have no recent read, nor has this one.
+    Stale,
+    /// The node that knows of new records does not have them.
+    RecordsUnknown,
+    /// It needs to know whether an engine that it evicted renews its entry, which others do not pass on.
+    Evicted,
+    /// The store failed it before.
+    Retry,
+}
+
+impl DirectRead {
+    /// Counts a read.
+    pub(crate) fn count(self, shared: &Shared) {
+        let reason = match self {
+            Self::Reader => "reader",
+            Self::NoReply => "no_reply",
+            Self::Stale => "stale",
+            Self::RecordsUnknown => "records_unknown",
+            Self::Evicted => "evicted",
+            Self::Retry => "retry",
+        };
+        shared
+            .metrics
+            .store_reads
+            .get_or_create(&[("reason", reason)])
+            .inc();
+    }
+}
--- a/crates/load/src/quarantine/world.rs
+++ b/crates/load/src/quarantine/world.rs
@@ -21,21 +21,17 @@
 use super::traffic::is_long;
 
 const TICK: Duration = Duration::from_millis(100);
-const MESSAGE_DELAY: Duration = Duration::from_millis(5);
-
-/// Number of datagrams that nodes send at once to others, and the pause after them.
-const BURST_SIZE: usize = 8;
-const BURST_PAUSE: Duration = Duration::from_millis(20);
 
 const NODE_DOWN: Duration = Duration::from_millis(500);
 const MAX_ATTEMPTS: u32 = 3;
 const REPEAT_DELAY: Duration = Duration::from_millis(300);
-const LOST_MESSAGES: f64 = 0.33;
 const BROKEN_CONNECTIONS: f64 = 0.2;
 
 /// When half of the nodes are cut off.
 const CUT: Range<BootTime> = Duration::from_secs(8)..Duration::from_secs(18);
 
+mod messages;
+
 #[derive(Debug, Default)]
 struct Node {
     quarantine: Quarantine,
@@ -368,53 +364,6 @@
         }
     }
 
-    /// Sends a message in bursts, with the ages that it has at the time of each.
-    fn post(&mut self, from: usize, to: &[usize], message: &Message) {
-        for (index, burst) in to.chunks(BURST_SIZE).enumerate() {
-            let delay = BURST_PAUSE * index as u32;
-            self.post_burst(from, burst, delay, message.aged(delay));
-        }
-    }
-
-    fn post_burst(&mut self, from: usize, to: &[usize], delay: Duration, message: Message) {
-        self.outcome.datagrams += to.len();
-        let id = self.sequence as usize;
-        let mut receivers = 0;
-        for &to in to {
-            let is_lost = self.trial.trouble == Trouble::LostMessages && self.rng.random_bool(LOST_MESSAGES);
-            if !is_lost && !self.is_cut(from, to) {
-                receivers += 1;
-                let started = self.nodes[to].started;
-                self.schedule(
-                    delay + MESSAGE_DELAY,
-                    Event::Deliver {
-                        to,
-                        started,
-                        message: id,
-                    },
-                );
-            }
-        }
-        if receivers > 0 {
-            self.messages.insert(id, (message, receivers));
-        }
-    }
-
-    fn deliver(&mut self, to: usize, started: u32, message: usize) {
-        let Some((content, receivers)) = self.messages.get_mut(&message) else {
-            return;
-        };
-        *receivers -= 1;
-        let is_last = *receivers == 0;
-        if self.nodes[to].started == started && self.nodes[to].up_since.is_some() {
-            self.nodes[to].quarantine.apply(content, self.now);
-        }
-        if is_last {
-            self.messages.remove(&message);
-        }
-        self.note_held(to);
-    }
-
     fn note_held(&mut self, node: usize) {
         let fatal = self.trial.scale.service.fatal_fingerprint();
         let is_held = |it: &Node| it.quarantine.is_held(&[fatal]);
