crash: comments say what a service shows since it counts from the sending

Comments only: three of them still spoke of when a response arrived, and the reason why all candidates of the highest rank are held had gone.

--- a/crates/forward/src/crash.rs
+++ b/crates/forward/src/crash.rs
@@ -266,7 +266,7 @@
             }
             let signature = self.signature(fingerprint, tally.first, ends);
             if !explanations.iter().any(|it| is_covered(&signature, it, ends)) {
-                // A single request is never served before, and may have been beside the fatal ones several times.
+                // A single request has hardly ever been served before, and may have been beside the fatal ones several times.
                 let is_unserved_part =
                     Kind::of(fingerprint) == Kind::PromptPart && self.served_at(fingerprint).is_none();
                 let rank = (is_unserved_part, tally.runs);
@@ -279,6 +279,7 @@
             }
         }
         let highest = candidates.iter().map(|it| it.0).max();
+        // Those that meet equally many ends are all held; the probes tell them apart.
         candidates.retain(|it| Some(it.0) == highest);
         candidates.into_iter().map(|it| it.1).collect()
     }
--- a/crates/forward/src/crash/service.rs
+++ b/crates/forward/src/crash/service.rs
@@ -7,7 +7,7 @@
 
 use super::{Fingerprint, Kind};
 
-/// The last service of a fingerprint.
+/// The last service of a fingerprint: when the request was sent, as that is what its response shows to be sound.
 #[derive(Debug, Clone, Copy)]
 struct Served {
     at: BootTime,
@@ -66,7 +66,7 @@
         }
     }
 
-    /// When a fingerprint was last served.
+    /// When a request with a fingerprint was sent that was served, at last.
     pub(super) fn at(&self, fingerprint: Fingerprint) -> Option<BootTime> {
         self.served.get(&fingerprint).map(|it| it.at)
     }
@@ -82,7 +82,7 @@
         served.is_some_and(|it| it.told.is_none_or(|told| told < end))
     }
 
-    /// When a fingerprint was last served, if other nodes don't know that. From now on they do.
+    /// Like [`Self::at`], if other nodes don't know that. From now on they do.
     pub(super) fn tell(&mut self, fingerprint: Fingerprint) -> Option<BootTime> {
         let served = self.served.get_mut(&fingerprint)?;
         let is_later = served.told.is_none_or(|it| it < served.at);
