--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -215,7 +215,7 @@
     context.engine = Some(engine.clone());
     let in_flight = InFlight::start(&context.shared, &engine, work.unwrap_or_default());
     let limit = CONNECT_TIMEOUT.min(context.remaining());
-    let result = client::connect(engine.address, limit).await;
+    let result = client::connect(&*context.shared.network, engine.address, limit).await;
     if !context.shared.access(&engine, clock::now()).may_send() {
         log::info!(id = context.id, engine = *engine.id; "engine takes no more requests, nothing was sent");
         return None;
--- a/crates/entry/src/client.rs
+++ b/crates/entry/src/client.rs
@@ -24,6 +24,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::network::Network;
+
 /// Maximum size of the head of a response.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
@@ -165,8 +167,12 @@
 }
 
 /// Connects within `limit`.
-pub(crate) async fn connect(address: SocketAddr, limit: Duration) -> Result<IdleConnection, Error> {
-    let stream = match timeout(limit, TcpStream::connect(address)).await {
+pub(crate) async fn connect(
+    network: &dyn Network,
+    address: SocketAddr,
+    limit: Duration,
+) -> Result<IdleConnection, Error> {
+    let stream = match timeout(limit, network.connect(address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(err)) => return Err(Error::Connect(err.to_string())),
         Err(_) => return Err(Error::Connect("time-out".to_owned())),
--- a/crates/entry/src/follow/operators.rs
+++ b/crates/entry/src/follow/operators.rs
@@ -84,7 +84,7 @@
 
 /// Gets and applies records from another node; returns the position after them.
 async fn get_operators(shared: &Shared, peer: SocketAddr, from: Position) -> Result<Position, Error> {
-    let read = relay::operators::get(peer, from).await?;
+    let read = relay::operators::get(shared, peer, from).await?;
     let tail = store::parse_tail(shared, Topic::Operators, read.from, &read.reply)?;
     let Tail::Records { records, next } = tail else {
         return Err(Error::HistoryChanged);
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -14,6 +14,7 @@
 use tokio::time::sleep;
 
 use crate::listener::{self, Role};
+use crate::network::{Network, Tcp};
 use crate::protocol::Protocol;
 use crate::shared::Shared;
 use crate::{clock, datagrams, follow, releases, statement};
@@ -59,6 +60,18 @@
 /// # Errors
 /// An address cannot be bound, or the runtime cannot be started.
 pub fn spawn(settings: Settings, protocol: Arc<dyn Protocol>) -> Result<Handle, Error> {
+    spawn_on(settings, protocol, Arc::new(Tcp))
+}
+
+/// Like [`spawn`], with the network on which the node makes its connections.
+///
+/// # Errors
+/// As for [`spawn`].
+pub fn spawn_on(
+    settings: Settings,
+    protocol: Arc<dyn Protocol>,
+    network: Arc<dyn Network>,
+) -> Result<Handle, Error> {
     let runtime = runtime(settings.node.cores).map_err(Error::Runtime)?;
     let incarnation = Incarnation::from_bits(rand::rng().random());
     let table = table(&settings, incarnation);
@@ -66,7 +79,14 @@
     let shared = runtime.block_on(async {
         let socket = UdpSocket::bind(addresses.gossip).await;
         let socket = socket.map_err(|cause| bind_error(addresses.gossip, cause))?;
-        let shared = Arc::new(Shared::new(settings, protocol, table, incarnation, socket));
+        let shared = Arc::new(Shared::new(
+            settings,
+            protocol,
+            network,
+            table,
+            incarnation,
+            socket,
+        ));
         tokio::spawn(datagrams::run(shared.clone()));
         tokio::spawn(follow::operators::run(shared.clone()));
         tokio::spawn(follow::engines::run(shared.clone()));
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod grading;
 mod handle;
 mod in_flight;
+pub mod network;
 pub mod protocol;
 
 mod attempt;
@@ -42,4 +43,4 @@
 mod stream;
 mod write_timeout;
 
-pub use handle::{Error, Handle, spawn};
+pub use handle::{Error, Handle, spawn, spawn_on};
--- a/crates/entry/src/relay/operators.rs
+++ b/crates/entry/src/relay/operators.rs
@@ -54,13 +54,13 @@
 ///
 /// # Errors
 /// The node cannot be reached, or does not have the records.
-pub(crate) async fn get(peer: SocketAddr, from: Position) -> Result<OperatorsRead, Error> {
+pub(crate) async fn get(shared: &Shared, peer: SocketAddr, from: Position) -> Result<OperatorsRead, Error> {
     let request = StoreRequest {
         method: Method::GET,
         target: format!("{PATH}{}/{}", from.era, from.offset),
         body: Bytes::new(),
     };
-    let reply = timeout(TIMEOUT, store::exchange(peer, request)).await;
+    let reply = timeout(TIMEOUT, store::exchange(&*shared.network, peer, request)).await;
     let reply = reply.map_err(|_| Error::TimedOut)??;
     let first = reply.headers().get(FIRST_OFFSET);
     let offset = first.and_then(|it| it.to_str().ok()?.parse().ok());
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -32,6 +32,7 @@
 use crate::memory::Budget;
 use crate::metrics::Metrics;
 use crate::model_choice::RouteModels;
+use crate::network::Network;
 use crate::open_requests::OpenRequests;
 use crate::permit::Permits;
 use crate::protocol::Protocol;
@@ -42,6 +43,7 @@
 pub(crate) struct Shared {
     settings: RwLock<Arc<Settings>>,
     pub protocol: Arc<dyn Protocol>,
+    pub network: Arc<dyn Network>,
     pub incarnation: Incarnation,
     /// Socket for datagrams to other nodes.
     pub socket: Arc<UdpSocket>,
@@ -117,6 +119,7 @@
     pub(crate) fn new(
         settings: Settings,
         protocol: Arc<dyn Protocol>,
+        network: Arc<dyn Network>,
         members: Table,
         incarnation: Incarnation,
         socket: UdpSocket,
@@ -126,6 +129,7 @@
         Self {
             settings: RwLock::new(Arc::new(settings)),
             protocol,
+            network,
             incarnation,
             socket: Arc::new(socket),
             configuration: Mutex::new(Cached::empty()),
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -11,6 +11,7 @@
 use tokio::time::timeout;
 
 use crate::client;
+use crate::network::Network;
 use crate::protocol::{AppendOutcome, Page, StoreError, StoreReply, StoreRequest, Tail, Topic};
 use crate::shared::Shared;
 
@@ -105,7 +106,12 @@
     let label = [("topic", topic.name()), ("call", call)];
     shared.metrics.store_calls.get_or_create(&label).inc();
     let address = shared.settings().store.address;
-    let result = match timeout(wait + RESPONSE_TIMEOUT, exchange(address, request)).await {
+    let result = match timeout(
+        wait + RESPONSE_TIMEOUT,
+        exchange(&*shared.network, address, request),
+    )
+    .await
+    {
         Ok(result) => result,
         Err(_) => Err(Error::TimedOut),
     };
@@ -116,14 +122,18 @@
 }
 
 /// Makes one call to the store, or to a node that passes on what the store has responded.
-pub(crate) async fn exchange(address: SocketAddr, request: StoreRequest) -> Result<StoreReply, Error> {
+pub(crate) async fn exchange(
+    network: &dyn Network,
+    address: SocketAddr,
+    request: StoreRequest,
+) -> Result<StoreReply, Error> {
     let http_request = Request::builder()
         .method(request.method)
         .uri(request.target)
         .header(HOST, address.to_string())
         .body(Full::new(request.body))
         .map_err(|err| Error::Body(err.to_string()))?;
-    let connection = client::connect(address, CONNECT_TIMEOUT).await?;
+    let connection = client::connect(network, address, CONNECT_TIMEOUT).await?;
     let (response, _connection) = connection.send(http_request).await?;
     let (head, body) = response.into_parts();
     let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
