path: requests of a node without a path to the engines go through peers

Cause: a node knew no other way than its own connections. Each request tried three engines that had failed the node for seconds, in 0.9 s where connections hang, and nothing that it learned changed what it did for the next one. Callers were still directed there.

Change: forward::path decides, for each service, whether this node reaches its engines. Two engines in a row that cannot be reached make it ask six peers by datagram. If one reaches the service, requests go through such peers: entry::detour opens a connection to the engine by way of the peer's control address, so that what is known about execution is as on a direct connection, and all decisions stay with the first node. If none does, requests are refused at once (engines_unreachable). Probes find the end of the cut, after which the share of direct requests grows over 2 s. Address answers leave out nodes with a lost path as long as others are in the majority.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -8,9 +8,7 @@
 use forward::BootTime;
 use forward::configuration::RouteKind;
 use forward::directory::Engine;
-use forward::hold::Admission;
 use forward::quarantine::Quarantine;
-use forward::release::Arm;
 use forward::retry::Failure;
 use forward::urgency::{self, Urgency};
 use forward::work::Work;
@@ -27,16 +25,12 @@
 use crate::grading::Grading;
 use crate::in_flight::InFlight;
 use crate::protocol::{ForwardMetadata, ResponseMetadata};
+use crate::reach::{Reached, reach_engine};
 use crate::request::RequestContext;
 use crate::response::{ResponseBody, strip_connection_headers};
-use crate::selection::{self, Selection};
 use crate::shared::lock;
 use crate::{body, clock, quarantine, statement};
 
-/// Timeout for connecting to an engine. The failure domains of a region are a few milliseconds apart; a lost
-/// packet costs about 200 ms.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Maximum body size of a response that is not a stream.
 pub(crate) const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
@@ -62,6 +56,8 @@
     /// When the engine is next known to have written for a while; `None` before the first event.
     progress_at: Option<BootTime>,
     _connection: Connection,
+    /// Whether the connection goes to the engine itself and not through a peer.
+    is_direct: bool,
     in_flight: InFlight,
 }
 
@@ -82,7 +78,7 @@
 }
 
 impl AttemptOutcome {
-    fn failed(failure: Failure) -> Self {
+    pub(crate) fn failed(failure: Failure) -> Self {
         Self::Failed {
             failure,
             response: None,
@@ -103,15 +99,17 @@
 pub(crate) async fn attempt(context: &mut RequestContext, resumption: &mut Resumption) -> AttemptOutcome {
     context.retry_state.begin_attempt();
     let work = context.work();
-    let (engine, arm, connection, mut in_flight) = match reach_engine(context, work).await {
-        Ok(Reached {
-            engine,
-            arm,
-            connection,
-            in_flight,
-        }) => (engine, arm, connection, in_flight),
+    let reached = match reach_engine(context, work).await {
+        Ok(reached) => reached,
         Err(outcome) => return outcome,
     };
+    let Reached {
+        engine,
+        arm,
+        connection,
+        is_direct,
+        mut in_flight,
+    } = reached;
     let request = match build_request(context, &engine, work, resumption.last_event_id) {
         Ok(request) => request,
         Err(err) => {
@@ -133,8 +131,11 @@
         Ok(Err(err)) => {
             grading.discard();
             log::info!(id = context.id, engine = *engine.id, error:% = err; "no answer");
-            quarantine::record_broken(context, &engine);
-            record_failure(context, &engine, Failure::Lost);
+            // Through a peer, the engine need not be what broke off.
+            if is_direct {
+                quarantine::record_broken(context, &engine);
+                record_failure(context, &engine, Failure::Lost);
+            }
             return AttemptOutcome::failed(Failure::Lost);
         }
         Err(_) => {
@@ -166,99 +167,12 @@
         sent_at,
         progress_at: None,
         _connection: connection,
+        is_direct,
         in_flight,
     };
     evaluate(context, &engine, grading, engine_response, elapsed).await
 }
 
-/// An engine to which the node is connected for a request.
-#[derive(Debug)]
-struct Reached {
-    engine: Arc<Engine>,
-    arm: Arm,
-    connection: client::IdleConnection,
-    in_flight: InFlight,
-}
-
-/// Selects an engine and connects to it.
-///
-/// Selects another one if the engine states in another response meanwhile that it takes no requests.
-async fn reach_engine(context: &mut RequestContext, work: Option<Work>) -> Result<Reached, AttemptOutcome> {
-    loop {
-        let admission = quarantine::admit(context);
-        if let Admission::Held(wait) = admission {
-            context.held_for = Some(wait);
-            return Err(AttemptOutcome::NoEngine);
-        }
-        let result = try_reach_engine(context, work, &admission).await;
-        if admission == Admission::Probe && !matches!(result, Some(Ok(_))) {
-            quarantine::return_probe(context);
-        }
-        if let Some(result) = result {
-            return result;
-        }
-    }
-}
-
-/// Like [`reach_engine`]; `None` if the request must be admitted again and another engine selected.
-async fn try_reach_engine(
-    context: &mut RequestContext,
-    work: Option<Work>,
-    admission: &Admission,
-) -> Option<Result<Reached, AttemptOutcome>> {
-    let (engine, arm) = match selection::select(context, work).await {
-        Selection::Engine(engine, arm) => (engine, arm),
-        Selection::None => return Some(Err(AttemptOutcome::NoEngine)),
-    };
-    log_attempt(context, &engine, arm);
-    context.arm = Some(arm);
-    context.engine = Some(engine.clone());
-    let in_flight = InFlight::start(&context.shared, &engine, work.unwrap_or_default());
-    let limit = CONNECT_TIMEOUT.min(context.remaining());
-    let result = client::connect(&*context.shared.network, engine.address, limit).await;
-    if !context.shared.access(&engine, clock::now()).may_send() {
-        log::info!(id = context.id, engine = *engine.id; "engine takes no more requests, nothing was sent");
-        return None;
-    }
-    if *admission == Admission::Open && quarantine::is_held(context) {
-        return None;
-    }
-    context.tried.push(engine.clone());
-    context.open.record_attempt(&engine);
-    Some(match result {
-        Ok(connection) => Ok(Reached {
-            engine,
-            arm,
-            connection,
-            in_flight,
-        }),
-        Err(err) => {
-            log::info!(id = context.id, engine = *engine.id, error:% = err; "engine unreachable");
-            record_failure(context, &engine, Failure::Unreachable);
-            Err(AttemptOutcome::failed(Failure::Unreachable))
-        }
-    })
-}
-
-/// Logs the chosen engine and the state that led to the choice.
-fn log_attempt(context: &RequestContext, engine: &Engine, arm: Arm) {
-    let now = clock::now();
-    let load = lock(&context.shared.loads)
-        .get(engine)
-        .map_or(0.0, |it| it.estimated_requests(now));
-    let (waited_ms, run) = (
-        now.saturating_sub(context.arrived).as_millis() as u64,
-        context.retry_state.runs() + 1,
-    );
-    let (model, version) = (context.model.as_deref().unwrap_or_default(), &*engine.version);
-    let session = context.metadata.session.as_deref().unwrap_or_default();
-    let request_limit = lock(&context.shared.statements).limits.rate(engine);
-    log::info!(
-        id = context.id, session, engine = *engine.id, version, arm:?, model, load, request_limit, run, waited_ms;
-        "attempt"
-    );
-}
-
 fn build_request(
     context: &RequestContext,
     engine: &Engine,
@@ -325,7 +239,7 @@
     (limit - waited).min(remaining)
 }
 
-fn record_failure(context: &RequestContext, engine: &Engine, failure: Failure) {
+pub(crate) fn record_failure(context: &RequestContext, engine: &Engine, failure: Failure) {
     lock(&context.shared.loads).record_failure(engine, failure, clock::now());
 }
 
@@ -401,6 +315,10 @@
 
     /// Records that the engine broke this response off.
     pub(crate) fn record_broken(&self, context: &RequestContext) {
+        // Through a peer, the engine need not be what broke off.
+        if !self.is_direct {
+            return;
+        }
         quarantine::record_broken(context, &self.in_flight.engine);
     }
 
--- a/crates/entry/src/client.rs
+++ b/crates/entry/src/client.rs
@@ -14,10 +14,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Frame, Incoming, SizeHint};
 use hyper::client::conn::http1;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -33,6 +33,9 @@
 /// and blanks of a chunk size, or responses with status 1xx. hyper has read up to [`MAX_HEAD_BYTES`] ahead.
 const MAX_IDLE_BYTES: usize = 4 * MAX_HEAD_BYTES;
 
+/// Maximum size of the response to a call after which the connection is used on.
+const MAX_CALL_RESPONSE_BYTES: usize = 1 << 10;
+
 /// Why there is no response.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum Error {
@@ -201,6 +204,19 @@
 }
 
 impl IdleConnection {
+    /// Makes a call after which the connection is idle again; returns the status of the response.
+    pub(crate) async fn call(&mut self, request: Request<Full<Bytes>>) -> Result<StatusCode, Error> {
+        let response = self.sender.send_request(request).await?;
+        let status = response.status();
+        let mut body = Limited::new(response.into_body(), MAX_CALL_RESPONSE_BYTES);
+        while let Some(frame) = body.frame().await {
+            frame.map_err(|err| Error::Connect(err.to_string()))?;
+        }
+        self.sender.ready().await?;
+        self.idle_bytes.store(0, Ordering::Relaxed);
+        Ok(status)
+    }
+
     /// Sends the request and waits for the head of the response.
     pub(crate) async fn send(
         mut self,
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -8,6 +8,7 @@
 use forward::statement::Access;
 use hyper::http::request::Parts;
 use hyper::{Response, StatusCode};
+use membership::Entry;
 use model::Domain;
 use serde_json::json;
 
@@ -19,6 +20,9 @@
 /// domains is billed; with a single member, a caller would have no alternative when that one fails.
 const MIN_LOCAL_MEMBERS: usize = 2;
 
+/// Share of the nodes with spare capacity from which on callers are only sent to these.
+const MIN_SPARE_SHARE: f64 = 0.5;
+
 const JSON: &str = "application/json";
 
 /// Serves a request that is not to be forwarded.
@@ -77,12 +81,21 @@
 fn entry_addresses(shared: &Shared, domain: &Domain) -> Vec<SocketAddr> {
     let table = lock(&shared.members);
     let reply = table.entries(Some(domain), &mut rand::rng());
-    let local = reply.entries.iter().filter(|it| it.domain == *domain);
+    let is_spare = |it: &&Entry| it.weight > Entry::MIN_WEIGHT;
+    let spare = reply.entries.iter().filter(is_spare).count();
+    // If most nodes have lost a path, the others could not serve all callers themselves as well.
+    let takes_all = spare as f64 <= reply.entries.len() as f64 * MIN_SPARE_SHARE;
+    let entries: Vec<_> = reply
+        .entries
+        .iter()
+        .filter(|it| takes_all || is_spare(it))
+        .collect();
+    let local = entries.iter().filter(|it| it.domain == *domain);
     let local: Vec<_> = local.map(|it| it.address).collect();
     if local.len() >= MIN_LOCAL_MEMBERS {
         return local;
     }
-    reply.entries.iter().map(|it| it.address).collect()
+    entries.iter().map(|it| it.address).collect()
 }
 
 /// State of an engine as known to this node; `requests` is the estimated number of requests that it processes
@@ -152,6 +165,12 @@
             })
         })
         .collect();
+    let paths: Vec<_> = shared
+        .paths
+        .lost()
+        .iter()
+        .map(|(service, through_peers)| json!({ "service": **service, "through_peers": through_peers }))
+        .collect();
     let HostCounts { reachable, known } = shared.host_counts();
     json!({
         "ready": shared.is_ready(),
@@ -166,5 +185,6 @@
         "members": members,
         "releases": releases,
         "held_back": held_back,
+        "lost_paths": paths,
     })
 }
--- a/crates/entry/src/datagrams.rs
+++ b/crates/entry/src/datagrams.rs
@@ -15,6 +15,7 @@
 
 use crate::clock;
 use crate::notice::{self, Notice};
+use crate::path::{self, PathQuery, PathReply};
 use crate::permit::{self, PermitQuery, PermitReply};
 use crate::quarantine::{self, QuarantineNotice};
 use crate::relay::{self, QueryMessage, ReplyMessage};
@@ -39,6 +40,11 @@
 const PERMIT_QUERY: u8 = b'p';
 const PERMIT_REPLY: u8 = b'g';
 const QUARANTINE: u8 = b'h';
+const PATH_QUERY: u8 = b'w';
+const PATH_REPLY: u8 = b'r';
+
+/// Load of a member without spare capacity.
+const FULL_LOAD: u16 = 1000;
 
 /// Datagrams that are sent at once to many nodes, and the pause after them. The slowest links have 10 Mbit/s and
 /// short queues; a burst to the whole fleet would always lose its end.
@@ -71,6 +77,7 @@
                 count = count.wrapping_add(1);
                 handle(&shared, Event::Tick);
                 quarantine::tick(&shared);
+                path::tick(&shared);
             }
             received = shared.socket.recv_from(&mut buffer) => match received {
                 Ok((len, from)) => receive(&shared, &buffer[..len], from),
@@ -92,7 +99,11 @@
     let status = Status {
         revision: cached.value().map_or(0, |it| it.version),
         revision_age: cached.age(now).unwrap_or(Duration::MAX),
-        load: 0,
+        // Callers of a node without a path cost other nodes a hop.
+        load: match shared.paths.needs_peers() {
+            true => FULL_LOAD,
+            false => 0,
+        },
         readiness: Readiness::NotReady,
     };
     drop(cached);
@@ -104,7 +115,7 @@
     Status { readiness, ..status }
 }
 
-fn receive(shared: &Shared, bytes: &[u8], from: SocketAddr) {
+fn receive(shared: &Arc<Shared>, bytes: &[u8], from: SocketAddr) {
     let Some((kind, content)) = bytes.split_first() else {
         return;
     };
@@ -153,6 +164,14 @@
             Ok(notice) => quarantine::apply_notice(shared, notice),
             Err(err) => log::debug!("cannot decode what is held back: {err}"),
         },
+        PATH_QUERY => match serde_json::from_slice::<PathQuery>(content) {
+            Ok(query) => path::reply_to(shared, query, from),
+            Err(err) => log::debug!("cannot decode a query about a path: {err}"),
+        },
+        PATH_REPLY => match serde_json::from_slice::<PathReply>(content) {
+            Ok(reply) => path::deliver_reply(shared, reply),
+            Err(err) => log::debug!("cannot decode a reply about a path: {err}"),
+        },
         _ => log::debug!("datagram of unknown kind"),
     }
 }
@@ -213,6 +232,16 @@
     send_json(socket, PERMIT_QUERY, query, [to]);
 }
 
+/// Asks a node whether it reaches a service.
+pub(crate) fn send_path_query(socket: &UdpSocket, query: &PathQuery, to: SocketAddr) {
+    send_json(socket, PATH_QUERY, query, [to]);
+}
+
+/// Replies to a query about a path.
+pub(crate) fn send_path_reply(socket: &UdpSocket, reply: &PathReply, to: SocketAddr) {
+    send_json(socket, PATH_REPLY, reply, [to]);
+}
+
 /// Calls `send` for nodes in random order, in bursts with pauses between them, with the time since the call of this
 /// function.
 ///
--- a/crates/entry/src/follow/engines.rs
+++ b/crates/entry/src/follow/engines.rs
@@ -11,11 +11,11 @@
 use tokio::time::sleep;
 
 use super::{TopicAccess, pause_after_full_read, read_all};
-use crate::clock;
 use crate::protocol::{Record, Tail, Topic};
 use crate::relay::{self, DirectRead, EngineChange, Relayed, RelayedTopic};
 use crate::shared::{Shared, lock};
 use crate::store::{self, Error};
+use crate::{clock, path};
 
 /// Heartbeats after an eviction within which an engine that still runs has renewed its entry.
 const EVICTION_HEARTBEATS: u32 = 3;
@@ -144,6 +144,9 @@
         let is_new = directory.apply(&id, engine, at);
         if is_new {
             changed = true;
+            if let Some(engine) = directory.engine(&id) {
+                path::record_start(shared, &engine.service);
+            }
             log_engine(&id, description);
         }
         // Other nodes may still list an engine that was removed and that this node no longer knows.
@@ -162,6 +165,9 @@
 fn forget_removed(shared: &Shared, directory: &Directory) {
     lock(&shared.loads).retain(directory.engines());
     lock(&shared.statements).retain(directory.engines(), clock::now());
+    shared
+        .paths
+        .retain(|service| directory.engines().any(|it| it.service == *service));
 }
 
 /// Logs a change of an engine, of which the version and whether it drains are known if it is listed.
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -1,10 +1,9 @@
 //! Listening sockets and connections of callers.
 
-use std::convert::Infallible;
 use std::error::Error as _;
 use std::future::pending;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,6 +18,7 @@
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
+use crate::detour::{NoResponse, Passage};
 use crate::open_requests::OpenSocket;
 use crate::response::TrackedBody;
 use crate::shared::{Shared, lock};
@@ -102,9 +102,9 @@
             () = closes.as_mut() => return,
         };
         match accepted {
-            Ok((stream, _)) => match free.clone().try_acquire_owned() {
+            Ok((stream, from)) => match free.clone().try_acquire_owned() {
                 Ok(permit) => {
-                    let connection = serve(shared.clone(), stream, role, open());
+                    let connection = serve(shared.clone(), stream, from.ip(), role, open());
                     tokio::spawn(async move {
                         connection.await;
                         drop(permit);
@@ -121,7 +121,7 @@
     }
 }
 
-async fn serve(shared: Arc<Shared>, stream: TcpStream, role: Role, _open: Option<OpenSocket>) {
+async fn serve(shared: Arc<Shared>, stream: TcpStream, from: IpAddr, role: Role, _open: Option<OpenSocket>) {
     // Otherwise an event is delayed until the one before it is acknowledged.
     if let Err(err) = stream.set_nodelay(true) {
         log::debug!("TCP_NODELAY: {err}");
@@ -135,7 +135,8 @@
     let is_leaving = shared.is_leaving();
     // A caller that reads nothing would otherwise hold its response and its connection for good.
     let stream = WriteTimeout::new(stream, idle_timeout);
-    let service = service_fn(|request| respond(shared.clone(), role, request));
+    let passage = Passage::new(from);
+    let service = service_fn(|request| respond(shared.clone(), role, &passage, request));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // This timeout of hyper also covers the wait for the first byte.
@@ -196,19 +197,24 @@
 async fn respond(
     shared: Arc<Shared>,
     role: Role,
+    passage: &Passage,
     request: Request<Incoming>,
-) -> Result<Response<TrackedBody>, Infallible> {
+) -> Result<Response<TrackedBody>, NoResponse> {
     let mut response = match role {
         Role::Entry => request::handle(shared.clone(), request).await,
-        Role::Directory | Role::Control => {
+        Role::Directory => {
             let (head, _) = request.into_parts();
-            let response = match role {
-                Role::Control => relay::operators::respond(&shared, head.uri.path()),
-                Role::Entry | Role::Directory => None,
-            };
-            let response = response.unwrap_or_else(|| control::handle(&shared, &head));
-            response.map(TrackedBody::untracked)
+            control::handle(&shared, &head).map(TrackedBody::untracked)
         }
+        Role::Control => match passage.serve(&shared, request).await {
+            Ok(response) => response?,
+            Err(request) => {
+                let (head, _) = request.into_parts();
+                let response = relay::operators::respond(&shared, head.uri.path());
+                let response = response.unwrap_or_else(|| control::handle(&shared, &head));
+                response.map(TrackedBody::untracked)
+            }
+        },
     };
     if shared.is_leaving() {
         let close = HeaderValue::from_static("close");
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -48,6 +48,12 @@
     pub store_failures: Counter,
     /// Reads of the store obtained from other nodes, by topic.
     pub relayed: Family<Label, Counter>,
+    /// Changes of paths to engines, by change.
+    pub path_changes: Family<Label, Counter>,
+    /// Requests that other nodes were asked to pass on to engines, by result.
+    pub requests_passed_on: Family<Label, Counter>,
+    /// Requests that this node was asked to pass on for other nodes, by result.
+    pub requests_taken: Family<Label, Counter>,
     /// Open connections of callers.
     pub connections: Gauge,
     /// Seconds to the first byte of a response.
@@ -75,6 +81,9 @@
             store_reads: Family::default(),
             store_failures: Counter::default(),
             relayed: Family::default(),
+            path_changes: Family::default(),
+            requests_passed_on: Family::default(),
+            requests_taken: Family::default(),
             connections: Gauge::default(),
             first_byte_seconds: Histogram::new(exponential_buckets(0.002, 2.0, 14)),
         };
@@ -174,6 +183,21 @@
             "Readings of the store from other nodes",
             self.relayed.clone(),
         );
+        registry.register(
+            "path_changes",
+            "Paths to engines that were lost or regained",
+            self.path_changes.clone(),
+        );
+        registry.register(
+            "requests_passed_on",
+            "Requests that other nodes were asked to pass on, by result",
+            self.requests_passed_on.clone(),
+        );
+        registry.register(
+            "requests_taken",
+            "Requests of other nodes, by result",
+            self.requests_taken.clone(),
+        );
         registry.register("connections", "Connections of callers", self.connections.clone());
         registry.register(
             "first_byte_seconds",
--- /dev/null
+++ b/crates/entry/src/reach.rs
@@ -0,0 +1,175 @@
+//! Connects a request to the engine that is selected for it, by this node's own path or through a peer.
+
+use std::sync::Arc;
+
+use forward::directory::Engine;
+use forward::hold::Admission;
+use forward::path::Way;
+use forward::release::Arm;
+use forward::retry::Failure;
+use forward::work::Work;
+
+use crate::attempt::{AttemptOutcome, record_failure};
+use crate::client::{self, IdleConnection};
+use crate::in_flight::InFlight;
+use crate::path::{self, CONNECT_TIMEOUT};
+use crate::request::RequestContext;
+use crate::selection::{self, Selection};
+use crate::shared::lock;
+use crate::{clock, detour, quarantine};
+
+/// Times that a request that no peer takes asks again who does.
+const MAX_INQUIRIES: u32 = 3;
+
+/// An engine to which the node is connected for a request.
+#[derive(Debug)]
+pub(crate) struct Reached {
+    pub engine: Arc<Engine>,
+    pub arm: Arm,
+    pub connection: IdleConnection,
+    /// Whether the connection goes to the engine itself and not through a peer.
+    pub is_direct: bool,
+    pub in_flight: InFlight,
+}
+
+/// Why a request is not connected to the engine that was selected.
+enum Unreached {
+    /// Another engine, or another way, has to be tried; nothing is known about the engine.
+    Again,
+    /// The engine was not reached.
+    Engine,
+    /// No peer takes the request.
+    NoPeer,
+}
+
+/// Selects an engine and connects to it.
+///
+/// Selects another one if the engine states in another response meanwhile that it takes no requests.
+pub(crate) async fn reach_engine(
+    context: &mut RequestContext,
+    work: Option<Work>,
+) -> Result<Reached, AttemptOutcome> {
+    let mut inquiries = 0;
+    loop {
+        let admission = quarantine::admit(context);
+        if let Admission::Held(wait) = admission {
+            context.held_for = Some(wait);
+            return Err(AttemptOutcome::NoEngine);
+        }
+        let result = try_reach_engine(context, work, &admission).await;
+        if admission == Admission::Probe && !matches!(result, Ok(Ok(_))) {
+            quarantine::return_probe(context);
+        }
+        match result {
+            Ok(result) => return result,
+            Err(Unreached::NoPeer) if inquiries == MAX_INQUIRIES => return Err(AttemptOutcome::NoEngine),
+            Err(Unreached::NoPeer) => inquiries += 1,
+            Err(Unreached::Again) => {}
+            Err(Unreached::Engine) => return Err(AttemptOutcome::failed(Failure::Unreachable)),
+        }
+    }
+}
+
+/// Like [`reach_engine`]; the outer error is what has to be done about the request.
+async fn try_reach_engine(
+    context: &mut RequestContext,
+    work: Option<Work>,
+    admission: &Admission,
+) -> Result<Result<Reached, AttemptOutcome>, Unreached> {
+    context.no_path_for = None;
+    let way = path::way(&context.shared, &context.service).await;
+    if way == Way::None {
+        context.no_path_for = Some(path::time_to_probe(&context.shared, &context.service));
+        return Ok(Err(AttemptOutcome::NoEngine));
+    }
+    let (engine, arm) = match selection::select(context, work).await {
+        Selection::Engine(engine, arm) => (engine, arm),
+        Selection::None => return Ok(Err(AttemptOutcome::NoEngine)),
+    };
+    log_attempt(context, &engine, arm);
+    context.arm = Some(arm);
+    context.engine = Some(engine.clone());
+    let in_flight = InFlight::start(&context.shared, &engine, work.unwrap_or_default());
+    let result = match way {
+        Way::Peer => connect_through_peer(context, &engine).await,
+        _ => connect(context, &engine).await,
+    };
+    if !context.shared.access(&engine, clock::now()).may_send() {
+        log::info!(id = context.id, engine = *engine.id; "engine takes no more requests, nothing was sent");
+        return Err(Unreached::Again);
+    }
+    if *admission == Admission::Open && quarantine::is_held(context) {
+        return Err(Unreached::Again);
+    }
+    if matches!(result, Ok(_) | Err(Unreached::Engine)) {
+        context.tried.push(engine.clone());
+    }
+    let connection = result?;
+    context.open.record_attempt(&engine);
+    Ok(Ok(Reached {
+        engine,
+        arm,
+        connection,
+        is_direct: way == Way::Direct,
+        in_flight,
+    }))
+}
+
+async fn connect(context: &RequestContext, engine: &Engine) -> Result<IdleConnection, Unreached> {
+    let shared = &context.shared;
+    let limit = CONNECT_TIMEOUT.min(context.remaining());
+    let err = match client::connect(&*shared.network, engine.address, limit).await {
+        Ok(connection) => {
+            path::record_reached(shared, engine);
+            return Ok(connection);
+        }
+        Err(err) => err,
+    };
+    log::info!(id = context.id, engine = *engine.id, error:% = err; "engine unreachable");
+    path::record_unreached(shared, engine);
+    match path::way(shared, &context.service).await {
+        Way::Direct => {
+            record_failure(context, engine, Failure::Unreachable);
+            Err(Unreached::Engine)
+        }
+        // The engine is not to blame.
+        _ => Err(Unreached::Again),
+    }
+}
+
+async fn connect_through_peer(
+    context: &RequestContext,
+    engine: &Engine,
+) -> Result<IdleConnection, Unreached> {
+    detour::connect(&context.shared, engine, &context.id)
+        .await
+        .map_err(|err| {
+            log::info!(id = context.id, engine = *engine.id, error:% = err; "engine unreachable");
+            match err {
+                detour::Error::NoPeer => Unreached::NoPeer,
+                detour::Error::Engine(_) => {
+                    record_failure(context, engine, Failure::Unreachable);
+                    Unreached::Engine
+                }
+            }
+        })
+}
+
+/// Logs the chosen engine and the state that led to the choice.
+fn log_attempt(context: &RequestContext, engine: &Engine, arm: Arm) {
+    let now = clock::now();
+    let load = lock(&context.shared.loads)
+        .get(engine)
+        .map_or(0.0, |it| it.estimated_requests(now));
+    let (waited_ms, run) = (
+        now.saturating_sub(context.arrived).as_millis() as u64,
+        context.retry_state.runs() + 1,
+    );
+    let (model, version) = (context.model.as_deref().unwrap_or_default(), &*engine.version);
+    let session = context.metadata.session.as_deref().unwrap_or_default();
+    let request_limit = lock(&context.shared.statements).limits.rate(engine);
+    log::info!(
+        id = context.id, session, engine = *engine.id, version, arm:?, model, load, request_limit, run, waited_ms;
+        "attempt"
+    );
+}
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -50,6 +50,8 @@
     pub retry_state: RetryState,
     /// Time until a request like this one is let through, if it is held back.
     pub held_for: Option<Duration>,
+    /// Time until this node or a peer may reach an engine again, if none does.
+    pub no_path_for: Option<Duration>,
     /// Engines that were tried with the current model. One that turned the request away and closed for a time is not
     /// among them: it may serve the request once it opens.
     pub tried: Vec<Arc<Engine>>,
@@ -169,6 +171,7 @@
         arrived,
         retry_state,
         held_for: None,
+        no_path_for: None,
         tried: Vec::new(),
         engine: None,
         model,
@@ -385,6 +388,9 @@
         if let Some(wait) = self.held_for {
             return Refusal::HeldBack(wait);
         }
+        if let Some(wait) = self.no_path_for {
+            return Refusal::EnginesUnreachable(wait);
+        }
         match selection::shortage(self) {
             Some(Shortage::Limited(wait)) => Refusal::Limited(wait),
             Some(Shortage::Closed(wait)) => Refusal::EnginesClosed(wait),
--- a/crates/entry/src/response.rs
+++ b/crates/entry/src/response.rs
@@ -14,6 +14,7 @@
 use rand::Rng;
 use tokio::sync::mpsc;
 
+use crate::detour::PassedBody;
 use crate::open_requests::OpenRequest;
 
 /// A stream ended early; the caller must not take it as complete.
@@ -33,6 +34,8 @@
         /// Whether the stream is complete if no further batch follows.
         is_complete: Arc<AtomicBool>,
     },
+    /// What an engine sends to another node.
+    Passed(Box<PassedBody>),
 }
 
 impl Body for ResponseBody {
@@ -61,20 +64,21 @@
                 Poll::Ready(None) => Poll::Ready(Some(Err(StreamBroken))),
                 Poll::Pending => Poll::Pending,
             },
+            Self::Passed(it) => it.poll_frame(context),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Complete(it) => it.is_end_stream(),
-            Self::Events { .. } => false,
+            Self::Events { .. } | Self::Passed(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Complete(it) => it.size_hint(),
-            Self::Events { .. } => SizeHint::default(),
+            Self::Events { .. } | Self::Passed(_) => SizeHint::default(),
         }
     }
 }
@@ -122,6 +126,9 @@
 /// Time in which an engine that replaces one that leaves may be listed: some reads of the list of engines.
 const REPLACEMENT_DELAY: Duration = Duration::from_secs(1);
 
+/// Minimum time after which a caller may return: about the time in which an engine's queue advances.
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(150);
+
 /// Minimum time after which a caller may return whose request is held back.
 const MIN_HOLD_DELAY: Duration = Duration::from_secs(1);
 
@@ -152,6 +159,8 @@
     Limited(Duration),
     /// All engines want no requests of this node for a time; the first opens after this time.
     EnginesClosed(Duration),
+    /// Neither this node nor another one reaches an engine; the next try is due after this time.
+    EnginesUnreachable(Duration),
     /// All engines leave.
     EnginesLeaving,
     /// Requests like this one end engines; the next one is let through after this time.
@@ -180,6 +189,7 @@
             | Self::NoEngine
             | Self::Limited(_)
             | Self::EnginesClosed(_)
+            | Self::EnginesUnreachable(_)
             | Self::EnginesLeaving
             | Self::HeldBack(_)
             | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
@@ -203,6 +213,7 @@
             Self::NoEngine => "no_engine",
             Self::Limited(_) => "engine_limit",
             Self::EnginesClosed(_) => "engines_closed",
+            Self::EnginesUnreachable(_) => "engines_unreachable",
             Self::EnginesLeaving => "engines_leaving",
             Self::HeldBack(_) => "held_back",
             Self::NotRun => "not_run",
@@ -218,9 +229,9 @@
             Self::NotConfigured | Self::StaleConfiguration | Self::Leaving => Some(Duration::from_millis(50)),
             Self::Limited(wait) | Self::EnginesClosed(wait) => Some(wait),
             Self::HeldBack(wait) => Some(wait.max(MIN_HOLD_DELAY)),
+            Self::EnginesUnreachable(wait) => Some(wait.max(MIN_RETRY_DELAY)),
             Self::EnginesLeaving => Some(REPLACEMENT_DELAY),
-            // About the time in which an engine's queue advances.
-            Self::NoEngine | Self::NotRun | Self::NoMemory => Some(Duration::from_millis(150)),
+            Self::NoEngine | Self::NotRun | Self::NoMemory => Some(MIN_RETRY_DELAY),
             _ => None,
         }
     }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -29,11 +29,13 @@
 use tokio::time::sleep;
 
 use crate::clock;
+use crate::detour::Room;
 use crate::memory::Budget;
 use crate::metrics::Metrics;
 use crate::model_choice::RouteModels;
 use crate::network::Network;
 use crate::open_requests::OpenRequests;
+use crate::path::Paths;
 use crate::permit::Permits;
 use crate::protocol::Protocol;
 use crate::relay::Relay;
@@ -67,6 +69,9 @@
     congestions: Mutex<HashMap<Name, Congestion>>,
     work_distributions: Mutex<HashMap<Name, WorkDistribution>>,
     pub relay: Relay,
+    pub paths: Paths,
+    /// Room for requests of other nodes.
+    pub room: Room,
     pub metrics: Metrics,
     /// Memory for the bodies of requests.
     pub request_memory: Arc<Budget>,
@@ -125,7 +130,7 @@
         socket: UdpSocket,
     ) -> Self {
         let outage = settings.store.heartbeat * Self::OUTAGE_HEARTBEATS;
-        let memory = settings.node.memory;
+        let (memory, descriptors) = (settings.node.memory, settings.node.descriptors);
         Self {
             settings: RwLock::new(Arc::new(settings)),
             protocol,
@@ -149,6 +154,8 @@
             congestions: Mutex::default(),
             work_distributions: Mutex::default(),
             relay: Relay::default(),
+            paths: Paths::default(),
+            room: Room::of_process(descriptors),
             metrics: Metrics::new(),
             request_memory: Budget::of_process(memory),
             response_memory: Budget::of_process(memory),
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`statement`]: what engines state about the requests that they take; whether an engine may be used
 //! - [`request_limit`], [`permit`]: rates to which engines limit the requests of all nodes together
 //! - [`crash`], [`hold`], [`quarantine`]: requests that end the engines which begin to answer them
+//! - [`path`]: whether this node reaches the engines of a service, or its requests go through peers
 //! - [`retry_budget`]: the share of the fleet's retry budget that a node may use
 //! - [`relay`]: changes read from the store that nodes pass on to each other
 //! - [`evidence`], [`release`]: how much traffic a new version of a service gets
@@ -36,6 +37,7 @@
 pub mod load;
 mod mean;
 pub mod pace;
+pub mod path;
 pub mod permit;
 pub mod placement;
 pub mod quarantine;
--- a/crates/membership/src/entries.rs
+++ b/crates/membership/src/entries.rs
@@ -29,10 +29,15 @@
     pub address: SocketAddr,
     /// Failure domain.
     pub domain: Domain,
-    /// Relative share of the caller's requests; at least 1.
+    /// Relative share of the caller's requests; [`Self::MIN_WEIGHT`] for a member without spare capacity.
     pub weight: u16,
 }
 
+impl Entry {
+    /// Smallest weight.
+    pub const MIN_WEIGHT: u16 = 1;
+}
+
 impl Table {
     /// Returns the addresses of members that are alive and ready, those in the caller's failure domain first
     /// and members without spare capacity last. Each group is in random order, weighted by spare capacity.
@@ -78,7 +83,7 @@
 }
 
 fn weight(member: &Member) -> u16 {
-    member.spare_capacity().max(1)
+    member.spare_capacity().max(Entry::MIN_WEIGHT)
 }
 
 fn entry(member: &Member) -> Entry {
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -26,7 +26,7 @@
 mod update_queue;
 
 pub use datagram::{Body, Datagram};
-pub use entries::EntryList;
+pub use entries::{Entry, EntryList};
 pub use member::{Addresses, Member, Readiness, State, Version};
 pub use seeds::{ListedState, Seed};
 pub use settings::Settings;
