quarantine: an engine that accepts connections has not ended

Answers are lost there by resets, on engines that live on, and a part of prompts is hot: each node reports few such breaks, but 195 nodes together report enough to blame the part.

Cause: a broken connection was taken for the end of the engine's process. A node that loses its own paths sees many at once.

Change: entry::engine_end connects to an engine that broke off a request. It has ended if it accepts no connection while this node reaches another engine, or while no node reaches any. Requests that broke off on their way through a peer are no evidence. The simulated fleet does the same.

Ruled out: higher thresholds, which grow with the number of nodes and delay true holds.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -29,7 +29,7 @@
 use crate::request::RequestContext;
 use crate::response::{ResponseBody, strip_connection_headers};
 use crate::shared::lock;
-use crate::{body, clock, quarantine, statement};
+use crate::{body, clock, engine_end, quarantine, statement};
 
 /// Maximum body size of a response that is not a stream.
 pub(crate) const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -133,7 +133,7 @@
             log::info!(id = context.id, engine = *engine.id, error:% = err; "no answer");
             // Through a peer, the engine need not be what broke off.
             if is_direct {
-                quarantine::record_broken(context, &engine);
+                engine_end::record_broken(&context.shared, &engine, &context.traits);
                 record_failure(context, &engine, Failure::Lost);
             }
             return AttemptOutcome::failed(Failure::Lost);
@@ -319,7 +319,7 @@
         if !self.is_direct {
             return;
         }
-        quarantine::record_broken(context, &self.in_flight.engine);
+        engine_end::record_broken(&context.shared, &self.in_flight.engine, &context.traits);
     }
 
     /// Records that events have arrived.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,6 +20,7 @@
 mod cut_off;
 mod datagrams;
 mod detour;
+mod engine_end;
 mod follow;
 mod listener;
 mod memory;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -50,6 +50,8 @@
     pub relayed: Family<Label, Counter>,
     /// Changes of paths to engines, by change.
     pub path_changes: Family<Label, Counter>,
+    /// Checks of engines that broke off requests, by result.
+    pub engine_end_checks: Family<Label, Counter>,
     /// Requests that other nodes were asked to pass on to engines, by result.
     pub requests_passed_on: Family<Label, Counter>,
     /// Requests that this node was asked to pass on for other nodes, by result.
@@ -82,6 +84,7 @@
             store_failures: Counter::default(),
             relayed: Family::default(),
             path_changes: Family::default(),
+            engine_end_checks: Family::default(),
             requests_passed_on: Family::default(),
             requests_taken: Family::default(),
             connections: Gauge::default(),
@@ -188,6 +191,11 @@
             "Paths to engines that were lost or regained",
             self.path_changes.clone(),
         );
+        registry.register(
+            "engine_end_checks",
+            "Checks of engines that broke off requests, by result",
+            self.engine_end_checks.clone(),
+        );
         registry.register(
             "requests_passed_on",
             "Requests that other nodes were asked to pass on, by result",
--- a/crates/entry/src/path.rs
+++ b/crates/entry/src/path.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use forward::BootTime;
 use forward::directory::Engine;
 use forward::path::{Answer, Change, Path, Task, Way};
 use membership::{Member, State};
@@ -132,6 +133,11 @@
     shared.paths.with(service, |it| it.answer(clock::now()))
 }
 
+/// Whether this node has reached an engine of a service since a time.
+pub(crate) fn has_reached_since(shared: &Shared, service: &Name, time: BootTime) -> bool {
+    shared.paths.with(service, |it| it.has_reached_since(time))
+}
+
 /// Records that a direct connection to an engine was not established.
 pub(crate) fn record_unreached(shared: &Arc<Shared>, engine: &Engine) {
     let now = clock::now();
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -139,11 +139,14 @@
     sorted(parts.chain([Kind::Request.fingerprint(content)]).collect())
 }
 
-/// Records that an engine broke off a request that was sent to it, as one does whose process ends.
-pub(crate) fn record_broken(context: &RequestContext, engine: &Engine) {
-    let shared = &context.shared;
-    let run = Run::of(engine);
-    if lock(&shared.quarantine).record_broken(&run, &context.traits, clock::now()) {
+/// Records requests that a run of an engine has broken off at its end, with the times.
+pub(crate) fn record_broken(shared: &Arc<Shared>, run: &Run, requests: &[(Traits, BootTime)]) {
+    let mut quarantine = lock(&shared.quarantine);
+    let is_first = requests.iter().fold(false, |is_first, (traits, at)| {
+        quarantine.record_broken(run, traits, *at) || is_first
+    });
+    drop(quarantine);
+    if is_first {
         let shared = shared.clone();
         tokio::spawn(async move {
             sleep(Quarantine::TELL_DELAY).await;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -30,6 +30,7 @@
 
 use crate::clock;
 use crate::detour::Room;
+use crate::engine_end::EndChecks;
 use crate::memory::Budget;
 use crate::metrics::Metrics;
 use crate::model_choice::RouteModels;
@@ -70,6 +71,7 @@
     work_distributions: Mutex<HashMap<Name, WorkDistribution>>,
     pub relay: Relay,
     pub paths: Paths,
+    pub end_checks: EndChecks,
     /// Room for requests of other nodes.
     pub room: Room,
     pub metrics: Metrics,
@@ -155,6 +157,7 @@
             work_distributions: Mutex::default(),
             relay: Relay::default(),
             paths: Paths::default(),
+            end_checks: EndChecks::default(),
             room: Room::of_process(descriptors),
             metrics: Metrics::new(),
             request_memory: Budget::of_process(memory),
--- a/crates/forward/src/path.rs
+++ b/crates/forward/src/path.rs
@@ -302,6 +302,11 @@
         self.next_probe = now;
     }
 
+    /// Whether an engine was reached after a time.
+    pub fn has_reached_since(&self, time: BootTime) -> bool {
+        self.reached_at.is_some_and(|it| it > time)
+    }
+
     /// Whether an engine could not be reached since one was reached last.
     pub fn has_failed(&self, engine: &Upstream) -> bool {
         self.failed.contains_key(engine)
--- a/crates/load/src/quarantine.rs
+++ b/crates/load/src/quarantine.rs
@@ -180,6 +180,13 @@
                 worst(&|it| it.worst_held_share),
             ),
         ]);
+        if trial.trouble == Trouble::BrokenConnections && trial.fatal_rate == 0.0 {
+            report.targets.push(Target::at_most(
+                format!("{name}: false holds"),
+                0.0,
+                worst(&|it| it.false_holds as f64),
+            ));
+        }
         if trial.trouble.breaks_no_requests() {
             report.targets.push(Target::at_least(
                 format!("{name}: sound served once engines are back"),
--- a/crates/load/src/quarantine/world.rs
+++ b/crates/load/src/quarantine/world.rs
@@ -328,7 +328,9 @@
     fn break_off(&mut self, flight: Flight) {
         let run = run_of(&flight);
         let quarantine = &mut self.nodes[flight.node].quarantine;
-        if quarantine.record_broken(&run, &flight.traits, self.now) {
+        // A node finds out that an engine which goes on still accepts connections.
+        let has_ended = self.engines[flight.engine].run != flight.run;
+        if has_ended && quarantine.record_broken(&run, &flight.traits, self.now) {
             self.schedule(Quarantine::TELL_DELAY, Event::Tell(flight.node));
         }
         match flight.attempts {
