--- a/crates/entry/src/client.rs
+++ b/crates/entry/src/client.rs
@@ -24,6 +24,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::keep_alive::{self, PEER_TIMEOUT};
 use crate::network::Network;
 
 /// Maximum size of the head of a response.
@@ -181,6 +182,7 @@
         Err(_) => return Err(Error::Connect("time-out".to_owned())),
     };
     stream.set_nodelay(true).ok();
+    keep_alive::try_set(&stream, PEER_TIMEOUT);
     let idle_bytes = IdleBytes::default();
     let stream = BoundedStream {
         stream,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod grading;
 mod handle;
 mod in_flight;
+mod keep_alive;
 pub mod network;
 pub mod protocol;
 
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -23,7 +23,7 @@
 use crate::response::TrackedBody;
 use crate::shared::{Shared, lock};
 use crate::write_timeout::WriteTimeout;
-use crate::{control, relay, request};
+use crate::{control, keep_alive, relay, request};
 
 /// Maximum number of connections waiting to be accepted.
 const BACKLOG: u32 = 1024;
@@ -134,6 +134,7 @@
         .max(MIN_MAX_HEAD_BYTES);
     let is_leaving = shared.is_leaving();
     // A caller that reads nothing would otherwise hold its response and its connection for good.
+    keep_alive::try_set(&stream, idle_timeout);
     let stream = WriteTimeout::new(stream, idle_timeout);
     let passage = Passage::new(from);
     let service = service_fn(|request| respond(shared.clone(), role, &passage, request));
