occupancy: brittle engines get no more requests than they have places

Change: while the engines of a service are brittle, a request needs a place at its engine. One node for each engine gives the places out, as many as it has slots; waiting requests are queued there. Nodes repeat each second what they hold, which makes up for lost datagrams and a new owner. An engine that turns a request away all the same gets none for a second and then fewer; the next run of one that fell begins with a quarter.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -162,6 +162,9 @@
     if metadata.not_run && !context.shared.access(&engine, clock::now()).may_send() {
         context.tried.retain(|it| it.id != engine.id);
     }
+    if metadata.not_run && status == StatusCode::SERVICE_UNAVAILABLE {
+        in_flight.record_refusal();
+    }
     let engine_response = EngineResponse {
         head,
         metadata,
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -14,7 +14,7 @@
 
 use crate::response::{ResponseBody, full_response};
 use crate::shared::{HostCounts, Shared, lock};
-use crate::{clock, follow, quarantine, relay};
+use crate::{clock, follow, occupancy, quarantine, relay};
 
 /// Number of members in the caller's failure domain from which on only these are returned. Traffic between
 /// domains is billed; with a single member, a caller would have no alternative when that one fails.
@@ -116,6 +116,8 @@
         "draining": engine.draining,
         "requests": load.map_or(0.0, |it| it.estimated_requests(now)),
         "request_limit": statements.limits.rate(engine),
+        "brittle": statements.brittle.tolerance(&engine.service, now),
+        "places_taken": occupancy::taken(shared, &engine.id),
         "leaving": access == Access::Leaving,
         "closed_ms": closed_for.map(|it| it.as_millis() as u64),
         "avoided": load.is_some_and(|it| it.is_avoided(now)),
--- a/crates/entry/src/datagrams.rs
+++ b/crates/entry/src/datagrams.rs
@@ -15,6 +15,7 @@
 
 use crate::clock;
 use crate::notice::{self, Notice};
+use crate::occupancy;
 use crate::path::{self, PathQuery, PathReply};
 use crate::permit::{self, PermitQuery, PermitReply};
 use crate::quarantine::{self, QuarantineNotice};
@@ -42,6 +43,7 @@
 const QUARANTINE: u8 = b'h';
 const PATH_QUERY: u8 = b'w';
 const PATH_REPLY: u8 = b'r';
+const PLACE: u8 = b'o';
 
 /// Load of a member without spare capacity.
 const FULL_LOAD: u16 = 1000;
@@ -78,6 +80,7 @@
                 handle(&shared, Event::Tick);
                 quarantine::tick(&shared);
                 path::tick(&shared);
+                occupancy::tick(&shared);
             }
             received = shared.socket.recv_from(&mut buffer) => match received {
                 Ok((len, from)) => receive(&shared, &buffer[..len], from),
@@ -172,6 +175,10 @@
             Ok(reply) => path::deliver_reply(shared, reply),
             Err(err) => log::debug!("cannot decode a reply about a path: {err}"),
         },
+        PLACE => match serde_json::from_slice::<occupancy::Message>(content) {
+            Ok(message) => occupancy::receive(shared, message, from),
+            Err(err) => log::debug!("cannot decode a message about places: {err}"),
+        },
         _ => log::debug!("datagram of unknown kind"),
     }
 }
@@ -232,6 +239,11 @@
     send_json(socket, PERMIT_QUERY, query, [to]);
 }
 
+/// Sends a message about places at an engine.
+pub(crate) fn send_place(socket: &UdpSocket, message: &occupancy::Message, to: SocketAddr) {
+    send_json(socket, PLACE, message, [to]);
+}
+
 /// Asks a node whether it reaches a service.
 pub(crate) fn send_path_query(socket: &UdpSocket, query: &PathQuery, to: SocketAddr) {
     send_json(socket, PATH_QUERY, query, [to]);
--- a/crates/entry/src/in_flight.rs
+++ b/crates/entry/src/in_flight.rs
@@ -5,6 +5,7 @@
 use forward::directory::Engine;
 use forward::work::Work;
 
+use crate::occupancy::Place;
 use crate::shared::{Shared, lock};
 
 /// Counts a request in the load of an engine until it is dropped.
@@ -14,16 +15,31 @@
     pub engine: Arc<Engine>,
     /// Work that is pending until the response starts.
     pending: Option<Work>,
+    /// Its place, if the engine is brittle.
+    place: Option<Place>,
 }
 
 impl InFlight {
     /// Counts a request that is about to be sent.
-    pub(crate) fn start(shared: &Arc<Shared>, engine: &Arc<Engine>, work: Work) -> Self {
+    pub(crate) fn start(
+        shared: &Arc<Shared>,
+        engine: &Arc<Engine>,
+        work: Work,
+        place: Option<Place>,
+    ) -> Self {
         lock(&shared.loads).record_sent(engine, work);
         Self {
             shared: shared.clone(),
             engine: engine.clone(),
             pending: Some(work),
+            place,
+        }
+    }
+
+    /// Records that the engine turned the request away.
+    pub(crate) fn record_refusal(&mut self) {
+        if let Some(place) = &mut self.place {
+            place.record_refusal();
         }
     }
 
--- a/crates/entry/src/keep_alive/tests.rs
+++ b/crates/entry/src/keep_alive/tests.rs
@@ -45,5 +45,9 @@
     };
     assert_eq!(err.kind(), ErrorKind::TimedOut);
     // The kernel looks at the end of a probe interval, which doubles.
-    assert!(begin.elapsed() <= 3 * TIMEOUT, "found after {:?}", begin.elapsed());
+    assert!(
+        begin.elapsed() <= 3 * TIMEOUT,
+        "found after {:?}",
+        begin.elapsed()
+    );
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -28,6 +28,7 @@
 mod metrics;
 mod model_choice;
 mod notice;
+mod occupancy;
 mod open_requests;
 mod owner;
 mod path;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -50,6 +50,8 @@
     pub relayed: Family<Label, Counter>,
     /// Changes of paths to engines, by change.
     pub path_changes: Family<Label, Counter>,
+    /// Questions for places at brittle engines, by result.
+    pub places: Family<Label, Counter>,
     /// Checks of engines that broke off requests, by result.
     pub engine_end_checks: Family<Label, Counter>,
     /// Requests that other nodes were asked to pass on to engines, by result.
@@ -84,6 +86,7 @@
             store_failures: Counter::default(),
             relayed: Family::default(),
             path_changes: Family::default(),
+            places: Family::default(),
             engine_end_checks: Family::default(),
             requests_passed_on: Family::default(),
             requests_taken: Family::default(),
@@ -191,6 +194,11 @@
             "Paths to engines that were lost or regained",
             self.path_changes.clone(),
         );
+        registry.register(
+            "places",
+            "Questions for places at brittle engines, by result",
+            self.places.clone(),
+        );
         registry.register(
             "engine_end_checks",
             "Checks of engines that broke off requests, by result",
--- a/crates/entry/src/pending.rs
+++ b/crates/entry/src/pending.rs
@@ -31,7 +31,11 @@
 impl<T> PendingReplies<T> {
     /// Begins a query, with a number that its reply repeats.
     pub(crate) fn begin(&self) -> Pending<'_, T> {
-        let number = rand::rng().random();
+        self.begin_with(rand::rng().random())
+    }
+
+    /// Begins a query with a number that no other one has.
+    pub(crate) fn begin_with(&self, number: u64) -> Pending<'_, T> {
         let (sender, receiver) = oneshot::channel();
         lock(&self.0).insert(number, sender);
         Pending {
--- a/crates/entry/src/permit.rs
+++ b/crates/entry/src/permit.rs
@@ -170,8 +170,7 @@
 
 fn issue(shared: &Shared, report: &Report, rate: Rate, max_wait: Duration) -> Decision {
     let now = clock::now();
-    let HostCounts { reachable, known } = shared.host_counts();
-    let rate = rate * lock(&shared.permits.fleet).share(reachable, known, now);
+    let rate = rate * fleet_share(shared);
     let refutations = lock(&shared.members).local().version.refutations();
     let was_alive = shared.permits.refutations.swap(refutations, Ordering::SeqCst) == refutations;
     let mut issuer = lock(&shared.permits.issuer);
@@ -180,6 +179,12 @@
     issuer.request(&report.engine, rate, report.since, max_wait, now)
 }
 
+/// Share of the fleet that this node reaches.
+pub(crate) fn fleet_share(shared: &Shared) -> f64 {
+    let HostCounts { reachable, known } = shared.host_counts();
+    lock(&shared.permits.fleet).share(reachable, known, clock::now())
+}
+
 /// Records the number of hosts that another node knows.
 pub(crate) fn record_hosts(shared: &Shared, hosts: usize) {
     lock(&shared.permits.fleet).record(hosts, clock::now());
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use forward::brittle::Tolerance;
 use forward::configuration::Configuration;
 use forward::directory::Engine;
 use forward::escalation::Confidence;
@@ -81,6 +82,8 @@
     pub load_report: Option<LoadReport>,
     /// Rate to which the engine limits the requests of all nodes together, finite and not negative.
     pub request_limit: Stated<Rate>,
+    /// Requests that the engine can turn away in a second without falling over, if it is brittle.
+    pub brittle: Stated<Tolerance>,
     /// Whether the engine states that it leaves and takes no further requests.
     pub leaving: bool,
     /// Time for which the engine wants no requests of this node, if it turned the request away.
--- a/crates/entry/src/reach.rs
+++ b/crates/entry/src/reach.rs
@@ -14,7 +14,7 @@
 use crate::in_flight::InFlight;
 use crate::path::{self, CONNECT_TIMEOUT};
 use crate::request::RequestContext;
-use crate::selection::{self, Selection};
+use crate::selection::{self, Selected, Selection};
 use crate::shared::lock;
 use crate::{clock, detour, quarantine};
 
@@ -82,14 +82,15 @@
         context.no_path_for = Some(path::time_to_probe(&context.shared, &context.service));
         return Ok(Err(AttemptOutcome::NoEngine));
     }
-    let (engine, arm) = match selection::select(context, work).await {
-        Selection::Engine(engine, arm) => (engine, arm),
+    let selected = match selection::select(context, work).await {
+        Selection::Engine(selected) => selected,
         Selection::None => return Ok(Err(AttemptOutcome::NoEngine)),
     };
+    let Selected { engine, arm, place } = selected;
     log_attempt(context, &engine, arm);
     context.arm = Some(arm);
     context.engine = Some(engine.clone());
-    let in_flight = InFlight::start(&context.shared, &engine, work.unwrap_or_default());
+    let in_flight = InFlight::start(&context.shared, &engine, work.unwrap_or_default(), place);
     let result = match way {
         Way::Peer => connect_through_peer(context, &engine).await,
         _ => connect(context, &engine).await,
--- a/crates/entry/src/selection.rs
+++ b/crates/entry/src/selection.rs
@@ -11,6 +11,7 @@
 use forward::work::Work;
 use tokio::time::sleep;
 
+use crate::occupancy::{self, Place};
 use crate::request::RequestContext;
 use crate::shared::lock;
 use crate::{clock, permit};
@@ -26,11 +27,20 @@
 /// one may leave.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// An engine that a request may be sent to.
+#[derive(Debug)]
+pub(crate) struct Selected {
+    pub engine: Arc<Engine>,
+    pub arm: Arm,
+    /// The request's place, if the engine is brittle.
+    pub place: Option<Place>,
+}
+
 /// Result of a selection.
 #[derive(Debug)]
 pub(crate) enum Selection {
     /// The request may be sent to this engine.
-    Engine(Arc<Engine>, Arm),
+    Engine(Selected),
     /// No engine takes the request in time.
     None,
 }
@@ -73,22 +83,28 @@
             Some(Candidate {
                 engine,
                 access: Access::Open,
-            }) => return Selection::Engine(engine.clone(), arm),
+            }) => {
+                return Selection::Engine(Selected {
+                    engine: engine.clone(),
+                    arm,
+                    place: None,
+                });
+            }
             Some(Candidate { engine, .. }) => {
                 questions += 1;
                 match ask(context, engine, SHORT_WAIT).await {
-                    Decision::Granted(wait) => usable_after(context, engine, wait).await,
-                    Decision::Denied(_) => None,
+                    Some(granted) => usable_after(context, engine, granted).await,
+                    None => None,
                 }
             }
             None => match wait_for_engine(context, &candidates).await {
-                Wait::Usable(engine, arm) => Some((engine, arm)),
+                Wait::Usable(selected) => Some(selected),
                 Wait::Again => None,
                 Wait::TooLong => return Selection::None,
             },
         };
-        if let Some((engine, arm)) = engine {
-            return Selection::Engine(engine, arm);
+        if let Some(selected) = engine {
+            return Selection::Engine(selected);
         }
     }
 }
@@ -137,7 +153,7 @@
 #[derive(Debug)]
 enum Wait {
     /// The engine takes the request.
-    Usable(Arc<Engine>, Arm),
+    Usable(Selected),
     /// The engines have to be looked at again.
     Again,
     /// No engine takes the request in time.
@@ -153,10 +169,10 @@
         .min_by_key(|it| it.access.wait())
         .filter(|it| opening.is_none() || it.access.wait() <= opening);
     if let Some(Candidate { engine, .. }) = limited
-        && let Decision::Granted(wait) = ask(context, engine, permit_patience(context, engine)).await
+        && let Some(granted) = ask(context, engine, permit_patience(context, engine)).await
     {
-        return match usable_after(context, engine, wait).await {
-            Some((engine, arm)) => Wait::Usable(engine, arm),
+        return match usable_after(context, engine, granted).await {
+            Some(selected) => Wait::Usable(selected),
             None => Wait::Again,
         };
     }
@@ -205,11 +221,8 @@
 }
 
 /// Waits until a permit is valid; `None` as soon as the engine takes no more requests.
-async fn usable_after(
-    context: &RequestContext,
-    engine: &Engine,
-    wait: Duration,
-) -> Option<(Arc<Engine>, Arm)> {
+async fn usable_after(context: &RequestContext, engine: &Engine, granted: Granted) -> Option<Selected> {
+    let Granted { wait, place } = granted;
     let valid_at = clock::now() + wait;
     let is_same_run = |it: &Candidate| it.engine.id == engine.id && it.engine.started_ms == engine.started_ms;
     loop {
@@ -220,19 +233,52 @@
         }
         let remaining = valid_at.saturating_sub(clock::now());
         if remaining.is_zero() {
-            return Some((candidate.engine, arm));
+            return Some(Selected {
+                engine: candidate.engine,
+                arm,
+                place,
+            });
         }
         sleep(remaining.min(RECHECK_INTERVAL)).await;
     }
 }
 
-async fn ask(context: &RequestContext, engine: &Engine, max_wait: Duration) -> Decision {
-    let decision = permit::acquire(&context.shared, engine, max_wait).await;
-    if let Decision::Denied(wait) = decision {
-        let wait_ms = wait.as_millis() as u64;
-        log::info!(id = context.id, engine = *engine.id, wait_ms; "permit denied");
+/// A permit for a request to an engine.
+#[derive(Debug)]
+struct Granted {
+    /// Time until it is valid.
+    wait: Duration,
+    place: Option<Place>,
+}
+
+/// Asks for what the engine demands: a place, a permit, or both; `None` if it was denied.
+async fn ask(context: &RequestContext, engine: &Engine, max_wait: Duration) -> Option<Granted> {
+    let shared = &context.shared;
+    let needs_place = lock(&shared.statements)
+        .brittle
+        .needs_place(&engine.service, clock::now());
+    let mut place = None;
+    if needs_place {
+        match occupancy::acquire(shared, engine, context.remaining(), max_wait).await {
+            Ok(it) => place = Some(it),
+            Err(wait) => {
+                log_denied(context, engine, wait, "place denied");
+                return None;
+            }
+        }
     }
-    decision
+    match permit::acquire(shared, engine, max_wait).await {
+        Decision::Granted(wait) => Some(Granted { wait, place }),
+        Decision::Denied(wait) => {
+            log_denied(context, engine, wait, "permit denied");
+            None
+        }
+    }
+}
+
+fn log_denied(context: &RequestContext, engine: &Engine, wait: Duration, what: &str) {
+    let wait_ms = wait.as_millis() as u64;
+    log::info!(id = context.id, engine = *engine.id, wait_ms; "{what}");
 }
 
 fn choose<'a>(context: &RequestContext, usable: &[&'a Candidate]) -> Option<&'a Candidate> {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -35,6 +35,7 @@
 use crate::metrics::Metrics;
 use crate::model_choice::RouteModels;
 use crate::network::Network;
+use crate::occupancy::Occupancy;
 use crate::open_requests::OpenRequests;
 use crate::path::Paths;
 use crate::permit::Permits;
@@ -70,6 +71,7 @@
     congestions: Mutex<HashMap<Name, Congestion>>,
     work_distributions: Mutex<HashMap<Name, WorkDistribution>>,
     pub relay: Relay,
+    pub occupancy: Occupancy,
     pub paths: Paths,
     pub end_checks: EndChecks,
     /// Room for requests of other nodes.
@@ -156,6 +158,7 @@
             congestions: Mutex::default(),
             work_distributions: Mutex::default(),
             relay: Relay::default(),
+            occupancy: Occupancy::new(clock::now()),
             paths: Paths::default(),
             end_checks: EndChecks::default(),
             room: Room::of_process(descriptors),
--- a/crates/entry/src/statement.rs
+++ b/crates/entry/src/statement.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use forward::BootTime;
+use forward::brittle::{self, Tolerance};
 use forward::directory::Engine;
 use forward::request_limit::Report;
 use forward::statement::{ClosingChange, Run, Stated};
@@ -42,6 +43,47 @@
     /// Runs of engines that leave; nodes of earlier versions do not send it.
     #[serde(default)]
     leaving: Vec<RunReport>,
+    /// Brittle services; nodes of earlier versions do not send it.
+    #[serde(default)]
+    brittle: Vec<BrittleReport>,
+}
+
+/// Encoded [`brittle::Report`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct BrittleReport {
+    service: String,
+    tolerance: Tolerance,
+    since_ms: u64,
+    age_ms: u64,
+}
+
+impl BrittleReport {
+    fn new(report: &brittle::Report) -> Self {
+        Self {
+            service: report.service.to_string(),
+            tolerance: report.tolerance,
+            since_ms: report.since.as_millis() as u64,
+            age_ms: report.age.as_millis() as u64,
+        }
+    }
+
+    fn aged(&self, time: Duration) -> Self {
+        let millis = time.as_millis() as u64;
+        Self {
+            since_ms: self.since_ms.saturating_add(millis),
+            age_ms: self.age_ms.saturating_add(millis),
+            ..self.clone()
+        }
+    }
+
+    fn into_report(self) -> brittle::Report {
+        brittle::Report {
+            service: self.service.into(),
+            tolerance: self.tolerance,
+            since: Duration::from_millis(self.since_ms),
+            age: Duration::from_millis(self.age_ms),
+        }
+    }
 }
 
 impl StatementNotice {
@@ -49,6 +91,7 @@
     fn aged(&self, time: Duration) -> Self {
         Self {
             limits: self.limits.iter().map(|it| it.aged(time)).collect(),
+            brittle: self.brittle.iter().map(|it| it.aged(time)).collect(),
             ..self.clone()
         }
     }
@@ -92,7 +135,8 @@
             count(&shared, "opened");
             log::info!(engine = *run.engine, started_ms = run.started_ms; "engine open again");
         }
-        if limits.is_empty() && leaving.is_empty() {
+        let is_brittle = !lock(&shared.statements).brittle.reports(now).is_empty();
+        if limits.is_empty() && leaving.is_empty() && !is_brittle {
             continue;
         }
         limits.shuffle(&mut rand::rng());
@@ -126,9 +170,49 @@
         };
         announce(shared, notice(shared, &[], vec![report]));
     }
+    record_brittle(shared, engine, metadata, sent_at, id);
     record_closing(shared, engine, metadata.retry_after, id);
 }
 
+/// Records whether a response states that the engines of its service are brittle.
+fn record_brittle(
+    shared: &Arc<Shared>,
+    engine: &Engine,
+    metadata: &ResponseMetadata,
+    sent_at: BootTime,
+    id: &str,
+) {
+    let tolerance = match metadata.brittle {
+        Stated::Value(tolerance) => Some(tolerance),
+        // Only a response of the engine itself shows that it is not brittle.
+        Stated::Nothing if metadata.is_signed => None,
+        Stated::Nothing => return,
+        Stated::Unreadable => {
+            count(shared, "unreadable");
+            log::warn!(id, engine = *engine.id; "tolerance of a brittle engine cannot be parsed");
+            // The careful reading: it tolerates nothing.
+            Some(0)
+        }
+    };
+    let mut statements = lock(&shared.statements);
+    let brittle = &mut statements.brittle;
+    let change = brittle.record_response(&engine.service, tolerance, sent_at, clock::now());
+    drop(statements);
+    if let Some(change) = change {
+        log_brittle(shared, &engine.service, change, id);
+        if change.after.is_some() {
+            announce(shared, notice(shared, &[], vec![]));
+        }
+    }
+}
+
+/// Logs a change of a brittle service; `source` is the request or the node that showed it.
+fn log_brittle(shared: &Shared, service: &str, change: brittle::Change, source: &str) {
+    let brittle::Change { before, after } = change;
+    count(shared, if after.is_some() { "brittle" } else { "not_brittle" });
+    log::info!(service, before, after, source; "tolerance of brittle engines changed");
+}
+
 /// Records the request limit that a response states, or that it ended.
 fn record_limit(
     shared: &Arc<Shared>,
@@ -182,6 +266,13 @@
     for report in &notice.limits {
         request_limit::apply(shared, report, &notice.sender);
     }
+    for report in notice.brittle {
+        let report = report.into_report();
+        let change = lock(&shared.statements).brittle.apply(&report, clock::now());
+        if let Some(change) = change {
+            log_brittle(shared, &report.service, change, &notice.sender);
+        }
+    }
     for run in notice.leaving.into_iter().map(RunReport::into_run) {
         if lock(&shared.statements).apply_leaving(run.clone()) {
             log_leaving(shared, &run.engine, run.started_ms, &notice.sender);
@@ -201,11 +292,13 @@
 }
 
 fn notice(shared: &Shared, limits: &[Report], leaving: Vec<RunReport>) -> StatementNotice {
+    let brittle = lock(&shared.statements).brittle.reports(clock::now());
     StatementNotice {
         sender: shared.settings().node.host.to_string(),
         hosts: shared.host_counts().known,
         limits: limits.iter().map(LimitReport::new).collect(),
         leaving,
+        brittle: brittle.iter().map(BrittleReport::new).collect(),
     }
 }
 
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`event_stream`]: event streams split at event boundaries and resumed without gaps or duplicates
 //! - [`statement`]: what engines state about the requests that they take; whether an engine may be used
 //! - [`request_limit`], [`permit`]: rates to which engines limit the requests of all nodes together
+//! - [`brittle`], [`occupancy`]: engines that must not be sent more than they have room for
 //! - [`crash`], [`hold`], [`quarantine`]: requests that end the engines which begin to answer them
 //! - [`path`]: whether this node reaches the engines of a service, or its requests go through peers
 //! - [`retry_budget`]: the share of the fleet's retry budget that a node may use
@@ -23,6 +24,7 @@
 
 pub mod adequacy;
 pub mod answer_value;
+pub mod brittle;
 pub mod cached;
 pub mod configuration;
 pub mod congestion;
@@ -36,6 +38,7 @@
 pub mod hold;
 pub mod load;
 mod mean;
+pub mod occupancy;
 pub mod pace;
 pub mod path;
 pub mod permit;
--- a/crates/forward/src/statement.rs
+++ b/crates/forward/src/statement.rs
@@ -10,6 +10,7 @@
 use model::Upstream;
 
 use crate::BootTime;
+use crate::brittle::Brittle;
 use crate::directory::Engine;
 use crate::request_limit::Limits;
 
@@ -114,6 +115,8 @@
 pub struct Statements {
     /// Limits of requests.
     pub limits: Limits,
+    /// Services whose engines are brittle.
+    pub brittle: Brittle,
     /// Runs that leave, and since when their entry is missing.
     leaving: HashMap<Run, Option<BootTime>>,
     closings: HashMap<Run, Closing>,
@@ -130,10 +133,15 @@
             Some(it) if now < it.opens_at => return Access::Closed(it.opens_at - now),
             _ => {}
         }
-        match self.limits.rate(engine) {
-            Some(_) => Access::Limited(self.limits.denied_for(engine, now)),
-            None => Access::Open,
+        let needs_place = self.brittle.needs_place(&engine.service, now);
+        if !needs_place && self.limits.rate(engine).is_none() {
+            return Access::Open;
         }
+        let denied_for = match needs_place {
+            true => self.brittle.denied_for(&engine.id, now),
+            false => Duration::ZERO,
+        };
+        Access::Limited(denied_for.max(self.limits.denied_for(engine, now)))
     }
 
     /// Records that an engine states that it leaves; returns whether that is new.
@@ -196,6 +204,7 @@
     /// Drops what is over; returns the runs that have opened again.
     pub fn expire(&mut self, now: BootTime) -> Vec<Run> {
         self.limits.expire(now);
+        self.brittle.expire(now);
         self.leaving.retain(|_, missing_since| {
             missing_since.is_none_or(|it| now.saturating_sub(it) < LEAVING_RETENTION)
         });
