path: nodes that reach nothing say so, and ask more peers; experiment of cut fleets

Change: a node that reaches no engine of a service is announced without spare capacity also if no peer reaches it. Inquiries without an offer double the number of peers up to 24; after six of them twelve are asked each 2 s.

--- a/crates/entry/src/datagrams.rs
+++ b/crates/entry/src/datagrams.rs
@@ -103,7 +103,7 @@
         revision: cached.value().map_or(0, |it| it.version),
         revision_age: cached.age(now).unwrap_or(Duration::MAX),
         // Callers of a node without a path cost other nodes a hop.
-        load: match shared.paths.needs_peers() {
+        load: match shared.paths.is_lost() {
             true => FULL_LOAD,
             false => 0,
         },
--- a/crates/entry/src/path.rs
+++ b/crates/entry/src/path.rs
@@ -24,10 +24,9 @@
 /// packet costs about 200 ms.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Peers of the own failure domain, and of all domains together, that are asked who reaches a service. A cut may take
-/// most of a domain.
-const MAX_LOCAL_PEERS: usize = 3;
-const MAX_PEERS: usize = 6;
+/// Part of the peers that are asked who reaches a service which may be of the own failure domain. A cut may take most
+/// of a domain.
+const LOCAL_FRACTION: f64 = 0.5;
 
 /// Probes for other nodes that may be under way at the same time.
 const MAX_PROBES_FOR_PEERS: usize = 4;
@@ -63,9 +62,9 @@
         f(services.entry(service.clone()).or_default())
     }
 
-    /// Whether requests to some service go through peers.
-    pub(crate) fn needs_peers(&self) -> bool {
-        lock(&self.services).values().any(Path::needs_peers)
+    /// Whether this node reaches no engine of some service.
+    pub(crate) fn is_lost(&self) -> bool {
+        lock(&self.services).values().any(Path::is_lost)
     }
 
     /// Services with a lost path; the value says whether peers reach it.
@@ -229,8 +228,9 @@
     shared.paths.with(service, |it| it.begin_inquiry(clock::now()));
     let (shared, service) = (shared.clone(), service.clone());
     tokio::spawn(async move {
-        let peers = peers_to_ask(&shared);
-        let (sender, mut replies) = mpsc::channel(MAX_PEERS);
+        let count = shared.paths.with(&service, |it| it.peers_to_ask());
+        let peers = choose_peers(&shared, count);
+        let (sender, mut replies) = mpsc::channel(count);
         for (host, address) in peers {
             let (shared, service, sender) = (shared.clone(), service.clone(), sender.clone());
             tokio::spawn(async move {
@@ -264,16 +264,17 @@
 }
 
 /// Some nodes, those with a path of their own and of the own failure domain first: data that leaves it is billed.
-fn peers_to_ask(shared: &Shared) -> Vec<(Host, SocketAddr)> {
+fn choose_peers(shared: &Shared, count: usize) -> Vec<(Host, SocketAddr)> {
     let table = lock(&shared.members);
     let mut peers: Vec<&Member> = table.members().filter(|it| it.state == State::Alive).collect();
     peers.shuffle(&mut rand::rng());
     let own_domain = &table.local().domain;
     let (spare, full): (Vec<_>, Vec<_>) = peers.into_iter().partition(|it| it.spare_capacity() > 0);
     let (local, other): (Vec<_>, Vec<_>) = spare.into_iter().partition(|it| it.domain == *own_domain);
-    let (first, rest) = local.split_at(local.len().min(MAX_LOCAL_PEERS));
+    let max_local = (count as f64 * LOCAL_FRACTION) as usize;
+    let (first, rest) = local.split_at(local.len().min(max_local));
     let ranked = first.iter().chain(&other).chain(rest).chain(&full);
-    let chosen = ranked.take(MAX_PEERS);
+    let chosen = ranked.take(count);
     chosen.map(|it| (it.host.clone(), it.addresses.gossip)).collect()
 }
 
--- a/crates/forward/src/path.rs
+++ b/crates/forward/src/path.rs
@@ -82,6 +82,8 @@
     reached_at: Option<BootTime>,
     /// Peers that reach the service, with the time at which this was last known.
     offers: BTreeMap<Host, BootTime>,
+    /// Inquiries without an offer since the last one that had some.
+    fruitless: u32,
     /// Begin of the last inquiry, and whether it has ended.
     inquiry: Option<(BootTime, bool)>,
     next_probe: BootTime,
@@ -98,6 +100,7 @@
             failed: BTreeMap::new(),
             reached_at: None,
             offers: BTreeMap::new(),
+            fruitless: 0,
             inquiry: None,
             next_probe: Duration::ZERO,
             next_inquiry: Duration::ZERO,
@@ -123,6 +126,14 @@
     /// Time for which an offer is used that no request has confirmed.
     const OFFER_LIFETIME: Duration = Duration::from_secs(3);
 
+    /// Peers that the first inquiry asks, and how often the number doubles while nobody reaches the service: if most nodes
+    /// are cut off, few others do.
+    const MIN_ASKED: usize = 6;
+    const MAX_DOUBLINGS: u32 = 2;
+
+    /// Inquiries without an offer after which the node asks fewer peers, and less often.
+    const EAGER_INQUIRIES: u32 = 6;
+
     /// Maximum time of an inquiry, which includes a peer's connection to an engine.
     pub const INQUIRY_TIME: Duration = Duration::from_millis(100);
 
@@ -208,6 +219,14 @@
         }
     }
 
+    /// Number of peers for the next inquiry.
+    pub fn peers_to_ask(&self) -> usize {
+        match self.fruitless < Self::EAGER_INQUIRIES {
+            true => Self::MIN_ASKED << self.fruitless.min(Self::MAX_DOUBLINGS),
+            false => Self::MIN_ASKED * 2,
+        }
+    }
+
     /// Records the begin of an inquiry.
     pub fn begin_inquiry(&mut self, now: BootTime) {
         self.inquiry = Some((now, false));
@@ -239,8 +258,10 @@
             *ended = true;
         }
         if self.has_offer(now) {
+            self.fruitless = 0;
             return None;
         }
+        self.fruitless = self.fruitless.saturating_add(1);
         let is_down = match self.state {
             State::Sound => self.failed.len() >= Self::MIN_FAILED_DOWN.min(engines.max(1)),
             State::Lost(_) => true,
@@ -291,7 +312,11 @@
             return Some(Task::Probe);
         }
         if self.state == State::Down && now >= self.next_inquiry {
-            self.next_inquiry = now + self.interval;
+            let interval = match self.fruitless < Self::EAGER_INQUIRIES {
+                true => Self::MAX_DOWN_INTERVAL,
+                false => Self::MAX_INTERVAL,
+            };
+            self.next_inquiry = now + interval;
             return Some(Task::Inquire);
         }
         None
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod affinity;
 pub mod capacity;
 pub mod cascade;
+pub mod cut;
 pub mod decide;
 pub mod faults;
 pub mod path;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -36,6 +36,7 @@
     ("rush", load::rush::run),
     ("faults", load::faults::run),
     ("quarantine", load::quarantine::run),
+    ("cut", load::cut::run),
     ("affinity", load::affinity::run),
     ("decide", load::decide::run),
     // The whole way.
