reach: a request without time left is neither sent nor evidence about a path

What callers saw: a request whose deadline passed while its engine could not be reached was sent through a peer with no time left and answered 504, although nothing had to run.

Change: no engine is looked for once the deadline has passed, a peer is waited for no longer than that, and a connection counts as failed only if it had its whole timeout.

Evidence: requests_with_little_time_say_nothing_about_the_path fails before (504) and passes (503, not run).

--- a/crates/entry/src/reach.rs
+++ b/crates/entry/src/reach.rs
@@ -9,6 +9,8 @@
 use forward::retry::Failure;
 use forward::work::Work;
 
+use tokio::time::timeout;
+
 use crate::attempt::{AttemptOutcome, record_failure};
 use crate::client::{self, IdleConnection};
 use crate::in_flight::InFlight;
@@ -51,6 +53,9 @@
 ) -> Result<Reached, AttemptOutcome> {
     let mut inquiries = 0;
     loop {
+        if context.remaining().is_zero() {
+            return Err(AttemptOutcome::NoEngine);
+        }
         let admission = quarantine::admit(context);
         if let Admission::Held(wait) = admission {
             context.held_for = Some(wait);
@@ -118,7 +123,8 @@
 
 async fn connect(context: &RequestContext, engine: &Engine) -> Result<IdleConnection, Unreached> {
     let shared = &context.shared;
-    let limit = CONNECT_TIMEOUT.min(context.remaining());
+    let remaining = context.remaining();
+    let limit = CONNECT_TIMEOUT.min(remaining);
     let err = match client::connect(&*shared.network, engine.address, limit).await {
         Ok(connection) => {
             path::record_reached(shared, engine);
@@ -127,6 +133,10 @@
         Err(err) => err,
     };
     log::info!(id = context.id, engine = *engine.id, error:% = err; "engine unreachable");
+    if remaining < CONNECT_TIMEOUT {
+        // The engine might have been reached with more time.
+        return Err(Unreached::Engine);
+    }
     path::record_unreached(shared, engine);
     match path::way(shared, &context.service).await {
         Way::Direct => {
@@ -142,18 +152,18 @@
     context: &RequestContext,
     engine: &Engine,
 ) -> Result<IdleConnection, Unreached> {
-    detour::connect(&context.shared, engine, &context.id)
-        .await
-        .map_err(|err| {
-            log::info!(id = context.id, engine = *engine.id, error:% = err; "engine unreachable");
-            match err {
-                detour::Error::NoPeer => Unreached::NoPeer,
-                detour::Error::Engine(_) => {
-                    record_failure(context, engine, Failure::Unreachable);
-                    Unreached::Engine
-                }
+    let connecting = detour::connect(&context.shared, engine, &context.id);
+    let connected = timeout(context.remaining(), connecting).await;
+    connected.unwrap_or(Err(detour::Error::NoPeer)).map_err(|err| {
+        log::info!(id = context.id, engine = *engine.id, error:% = err; "engine unreachable");
+        match err {
+            detour::Error::NoPeer => Unreached::NoPeer,
+            detour::Error::Engine(_) => {
+                record_failure(context, engine, Failure::Unreachable);
+                Unreached::Engine
             }
-        })
+        }
+    })
 }
 
 /// Logs the chosen engine and the state that led to the choice.
