entry, load: comments where they belong

Comments and a blank line only: the reason for the write timeout had slipped behind the keep-alive, and a field of the cut experiment had the wrong description.

--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -133,8 +133,8 @@
         .map_or(DEFAULT_MAX_HEAD_BYTES, |it| it.max_header_bytes)
         .max(MIN_MAX_HEAD_BYTES);
     let is_leaving = shared.is_leaving();
-    // A caller that reads nothing would otherwise hold its response and its connection for good.
     keep_alive::try_set(&stream, idle_timeout);
+    // A caller that reads nothing would otherwise hold its response and its connection for good.
     let stream = WriteTimeout::new(stream, idle_timeout);
     let passage = Passage::new(from);
     let service = service_fn(|request| respond(shared.clone(), role, &passage, request));
--- a/crates/entry/src/reach.rs
+++ b/crates/entry/src/reach.rs
@@ -8,7 +8,6 @@
 use forward::release::Arm;
 use forward::retry::Failure;
 use forward::work::Work;
-
 use tokio::time::timeout;
 
 use crate::attempt::{AttemptOutcome, record_failure};
--- a/crates/load/src/cut/fleet.rs
+++ b/crates/load/src/cut/fleet.rs
@@ -63,7 +63,7 @@
         node: usize,
         arrived: BootTime,
         attempts: u32,
-        /// When it began to wait for an inquiry, or to connect directly.
+        /// Whether its direct connection ends now, rather than that its way is looked for again.
         connecting: bool,
     },
     Reply {
