--- a/crates/forward/tests/retry_budget_schedules.rs
+++ b/crates/forward/tests/retry_budget_schedules/main.rs
@@ -5,6 +5,9 @@
 //! each window, the retries of all nodes are at most the ratio of the requests of that window, of the one before it or
 //! of the one half a window before it, whichever has most, plus the slack. Deliberate faults have to be caught.
 
+mod arrivals;
+mod mixed_builds;
+
 use std::collections::BTreeSet;
 use std::ops::Range;
 use std::time::Duration;
@@ -15,6 +18,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use arrivals::Arrivals;
+
 const WINDOW: Duration = Duration::from_secs(10);
 
 const LIMIT: RetryLimit = RetryLimit {
@@ -55,46 +60,6 @@
     FreeGrants,
 }
 
-/// Times of the requests and retries of a whole fleet.
-#[derive(Debug, Default)]
-struct Arrivals {
-    requests: Vec<BootTime>,
-    retries: Vec<BootTime>,
-}
-
-impl Arrivals {
-    fn count(times: &[BootTime], from: BootTime, to: BootTime) -> usize {
-        times.partition_point(|it| *it <= to) - times.partition_point(|it| *it < from)
-    }
-
-    /// The window with the largest excess: its begin, its retries and what is allowed.
-    fn worst(&mut self) -> (BootTime, usize, f64) {
-        self.requests.sort_unstable();
-        self.retries.sort_unstable();
-        let windows = self.retries.iter().map(|begin| {
-            let spans = [Duration::ZERO, WINDOW / 2, WINDOW].map(|shift| {
-                let end = (*begin + WINDOW).saturating_sub(shift);
-                Self::count(&self.requests, begin.saturating_sub(shift), end)
-            });
-            let most = spans.into_iter().max().unwrap_or_default();
-            let retries = Self::count(&self.retries, *begin, *begin + WINDOW);
-            (*begin, retries, LIMIT.ratio * most as f64 + LIMIT.slack)
-        });
-        let excess = |it: &(BootTime, usize, f64)| it.1 as f64 - it.2;
-        windows
-            .max_by(|a, b| excess(a).total_cmp(&excess(b)))
-            .unwrap_or_default()
-    }
-
-    fn check(&mut self) -> Result<(), String> {
-        let (begin, retries, allowed) = self.worst();
-        match retries as f64 <= allowed {
-            true => Ok(()),
-            false => Err(format!("{retries} retries from {begin:?} on, {allowed} allowed")),
-        }
-    }
-}
-
 /// A process of a host.
 #[derive(Debug)]
 struct Node {
@@ -332,6 +297,14 @@
     }
 }
 
+/// Part of the limit of a node beside `older` nodes of older builds.
+fn part_of(fleet: &FleetPart, older: usize, now: BootTime) -> Part {
+    Part {
+        slack: fleet.part(WINDOW, now),
+        ratio: Part::ratio_beside(older, fleet.hosts(now)),
+    }
+}
+
 /// What the schedule with a seed violates.
 fn violation(seed: u64, fault: Fault) -> Option<String> {
     let mut schedule = Schedule::new(seed, fault);
