client: a head that runs into another response is no response

Cause: the value or reason phrase that was cut goes on with the next status line, which is a valid head. The ids of both responses are in it, and the first one counted. A head with nothing behind it was never taken for a response.

Change: entry::head rejects a head with a status line in a value or in the reason phrase, and a switch of protocols, for engines, peers and the store alike. The request may have run, so it is answered 502 or runs again if it may.

Ruled out: comparing repeated ids only (the first response may be cut before its id, and refusals have none).

What is left: a cut within a body whose rest is taken from the next response can't be told from the body.

--- a/crates/entry/src/client.rs
+++ b/crates/entry/src/client.rs
@@ -24,6 +24,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::head;
 use crate::keep_alive::{self, PEER_TIMEOUT};
 use crate::network::Network;
 
@@ -46,13 +47,16 @@
     /// The peer may have received the request.
     #[error("no response: {0}")]
     Exchange(#[from] hyper::Error),
+    /// The peer has received the request, and its head is not that of one final response.
+    #[error("no response: {0}")]
+    Head(#[from] head::Error),
 }
 
 impl Error {
     /// Whether the peer exceeded a limit on the size of a head or of the framing of a body.
     pub(crate) fn is_overlong(&self) -> bool {
         match self {
-            Self::Connect(_) => false,
+            Self::Connect(_) | Self::Head(_) => false,
             Self::Exchange(err) => is_overlong(err),
         }
     }
@@ -225,6 +229,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<(Response<Body>, Connection), Error> {
         let response = self.sender.send_request(request).await?;
+        head::check(&response)?;
         let idle_bytes = self.idle_bytes;
         idle_bytes.store(0, Ordering::Relaxed);
         let response = response.map(|body| Body { body, idle_bytes });
--- /dev/null
+++ b/crates/entry/src/head.rs
@@ -0,0 +1,48 @@
+//! Checks that the head of a response is one head.
+//!
+//! A peer that stops in the middle of a head and sends another response on the same connection joins the two: the value or
+//! the reason phrase that was cut goes on with the status line of the next response, whose headers and body follow. Any
+//! header of the first one may be among them, so such a response says nothing about the request.
+
+use hyper::Response;
+use hyper::ext::ReasonPhrase;
+
+/// Begin of a status line up to the minor version.
+const VERSION: &[u8] = b"HTTP/1.";
+
+/// Why a response is none.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum Error {
+    /// The head runs into the status line of another response.
+    #[error("the head contains another status line")]
+    Joined,
+    /// No response follows a switch to another protocol.
+    #[error("status {0} is not final")]
+    Informational(u16),
+}
+
+/// Checks the head of a response.
+pub(crate) fn check<B>(response: &Response<B>) -> Result<(), Error> {
+    let status = response.status();
+    if status.is_informational() {
+        return Err(Error::Informational(status.as_u16()));
+    }
+    let reason = response.extensions().get::<ReasonPhrase>();
+    let values = response.headers().values().map(|it| it.as_bytes());
+    let mut texts = values.chain(reason.map(ReasonPhrase::as_bytes));
+    match texts.any(contains_status_line) {
+        true => Err(Error::Joined),
+        false => Ok(()),
+    }
+}
+
+/// Whether the begin of a status line, such as `HTTP/1.1 200`, stands anywhere in a text.
+fn contains_status_line(text: &[u8]) -> bool {
+    text.windows(VERSION.len() + 5).any(|it| {
+        let (version, rest) = it.split_at(VERSION.len());
+        let [minor, space, code @ ..] = rest else {
+            return false;
+        };
+        version == VERSION && minor.is_ascii_digit() && *space == b' ' && code.iter().all(u8::is_ascii_digit)
+    })
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod grading;
 mod handle;
+mod head;
 mod in_flight;
 mod keep_alive;
 pub mod network;
