drain: only what can be answered is taken during a planned stop

What callers saw: a stream that may not be repeated, and that arrived during the stop of a node, reached an engine and was cut off by the exit (LOST).

Cause: until the entry addresses had expired, every request was taken, whatever time it needed. With valid settings that is up to 0.2 s before the final responses.

Change: a request that may run only once is taken if it must end before the final responses. Others are taken with a cached address if they are expected to: nine in ten of the latest responses of their route would, by the expected number of tokens (forward::response_time); without an expectation in the first half of the stop. The line "request cut off by the exit" names the kind.

Ruled out: a shorter time with cached addresses only (short requests of callers with old addresses would be refused).

--- a/crates/entry/src/head.rs
+++ b/crates/entry/src/head.rs
@@ -6,6 +6,7 @@
 
 use hyper::Response;
 use hyper::ext::ReasonPhrase;
+use hyper::header::HeaderValue;
 
 /// Begin of a status line up to the minor version.
 const VERSION: &[u8] = b"HTTP/1.";
@@ -28,7 +29,7 @@
         return Err(Error::Informational(status.as_u16()));
     }
     let reason = response.extensions().get::<ReasonPhrase>();
-    let values = response.headers().values().map(|it| it.as_bytes());
+    let values = response.headers().values().map(HeaderValue::as_bytes);
     let mut texts = values.chain(reason.map(ReasonPhrase::as_bytes));
     match texts.any(contains_status_line) {
         true => Err(Error::Joined),
--- a/crates/entry/src/open_requests.rs
+++ b/crates/entry/src/open_requests.rs
@@ -5,8 +5,8 @@
 use std::sync::{Arc, Mutex};
 
 use forward::BootTime;
+use forward::configuration::Route;
 use forward::directory::Engine;
-use model::Name;
 
 use crate::clock;
 use crate::shared::{Shared, lock};
@@ -20,7 +20,7 @@
     id: String,
     arrived: BootTime,
     /// Route, and when the caller must have a response; `None` until the request is accepted.
-    accepted: Option<(Name, BootTime)>,
+    accepted: Option<(Arc<Route>, BootTime)>,
     /// Engine of the last attempt.
     engine: Option<Arc<Engine>>,
 }
@@ -50,11 +50,14 @@
         let cut: Vec<_> = lock(&self.progress).values().cloned().collect();
         for it in cut.iter().take(MAX_LOGGED) {
             let id = &*it.id;
-            let (route, deadline) = it.accepted.as_ref().map_or(("", now), |it| (&*it.0, it.1));
+            let accepted = it.accepted.as_ref();
+            let route = accepted.map_or("", |it| &*it.0.name);
+            let kind = accepted.map(|it| it.0.kind);
+            let deadline = accepted.map_or(now, |it| it.1);
             let engine = it.engine.as_ref().map_or("", |it| &*it.id);
             let age_ms = now.saturating_sub(it.arrived).as_millis() as u64;
             let left_ms = deadline.saturating_sub(now).as_millis() as u64;
-            log::warn!(id, route, engine, age_ms, left_ms; "request cut off by the exit");
+            log::warn!(id, route, kind:?, engine, age_ms, left_ms; "request cut off by the exit");
         }
         if cut.len() > MAX_LOGGED {
             log::warn!(count = cut.len() - MAX_LOGGED; "further requests cut off by the exit");
@@ -88,7 +91,7 @@
     }
 
     /// Records that the request is served, and when the caller must have a response.
-    pub(crate) fn accept(&self, route: &Name, deadline: BootTime) {
+    pub(crate) fn accept(&self, route: &Arc<Route>, deadline: BootTime) {
         self.update(|it| it.accepted = Some((route.clone(), deadline)));
     }
 
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -45,6 +45,11 @@
 }
 
 impl RequestMetadata {
+    /// Expected number of output tokens; 0 for plain services.
+    pub(crate) fn output_tokens(&self) -> u64 {
+        self.tokens.map_or(0, |(_, output)| output)
+    }
+
     /// The hashes of the prompt's parts for a log line.
     pub(crate) fn prompt_parts_text(&self) -> String {
         let parts: Vec<_> = self.prompt_parts.iter().map(|it| format!("{it:x}")).collect();
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -140,14 +140,14 @@
         .deadline
         .map_or(route.timeout, |it| it.min(route.timeout));
     let deadline = arrived + timeout;
-    if !shared.accepts(deadline, now) {
+    if !shared.accepts(&route, &metadata, deadline, now) {
         return Err(Refusal::Leaving);
     }
     let service = route
         .choose_service(&mut rand::rng())
         .cloned()
         .ok_or(Refusal::NoEngine)?;
-    open.accept(&route.name, deadline);
+    open.accept(&route, deadline);
     let retry_state = RetryState::new(route.kind.repeat(), route.max_attempts, deadline);
     let model = route.models.first().filter(|_| metadata.any_model).cloned();
     let target = head.uri.path_and_query().map_or("/", |it| it.as_str()).to_owned();
@@ -239,7 +239,11 @@
             return Served::Stream(engine_response);
         }
         match engine_response.collect(context).await {
-            Ok(response) => return Served::Response(context.forward_response(response)),
+            Ok(response) => {
+                let elapsed = clock::now().saturating_sub(context.arrived);
+                context.record_response_time(elapsed);
+                return Served::Response(context.forward_response(response));
+            }
             Err(failure) => {
                 if let Some(response) = context.handle_failure(failure, None).await {
                     return Served::Response(response);
@@ -335,6 +339,13 @@
         Some(response)
     }
 
+    /// Records a complete response that began some time after the request arrived.
+    pub(crate) fn record_response_time(&self, begin: Duration) {
+        let now = clock::now();
+        let (total, tokens) = (now.saturating_sub(self.arrived), self.metadata.output_tokens());
+        lock(&self.shared.response_times).record(&self.route.name, begin, total, tokens, now);
+    }
+
     /// Whether a response may be dropped in favour of another run on another engine.
     pub(crate) fn may_run_again(&self, now: BootTime) -> bool {
         self.retry_state.may_run_again(now) && !quarantine::is_held(self)
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -12,7 +12,7 @@
 use forward::configuration::{Configuration, Route};
 use forward::congestion::Congestion;
 use forward::directory::{Directory, Engine};
-use forward::drain::Drain;
+use forward::drain::{Arrival, Drain};
 use forward::first_byte::FirstByteTimes;
 use forward::fleet_part::Start;
 use forward::load::Loads;
@@ -20,6 +20,7 @@
 use forward::permit::Fleet;
 use forward::quarantine::Quarantine;
 use forward::release::{Arm, Release, ResponseGrade, Stage, Subject};
+use forward::response_time::ResponseTimes;
 use forward::statement::{Access, Statements};
 use forward::work::{Work, WorkDistribution};
 use membership::Table;
@@ -39,7 +40,7 @@
 use crate::open_requests::OpenRequests;
 use crate::path::Paths;
 use crate::permit::Permits;
-use crate::protocol::Protocol;
+use crate::protocol::{Protocol, RequestMetadata};
 use crate::relay::Relay;
 use crate::retry::Retries;
 
@@ -67,6 +68,7 @@
     host_counts: Mutex<HostCounts>,
     pub retries: Retries,
     pub first_byte_times: Mutex<FirstByteTimes>,
+    pub response_times: Mutex<ResponseTimes>,
     pub usual_gaps: Mutex<UsualGaps>,
     route_models: Mutex<HashMap<Name, RouteModels>>,
     congestions: Mutex<HashMap<Name, Congestion>>,
@@ -158,6 +160,7 @@
             members: Mutex::new(members),
             retries: Retries::new(start, clock::now()),
             first_byte_times: Mutex::default(),
+            response_times: Mutex::default(),
             usual_gaps: Mutex::default(),
             route_models: Mutex::default(),
             congestions: Mutex::default(),
@@ -204,10 +207,22 @@
     }
 
     /// Whether a new request is served, or refused because the node is about to stop.
-    pub(crate) fn accepts(&self, deadline: BootTime, now: BootTime) -> bool {
-        let began = *self.leaving.borrow();
-        let time_left = deadline.saturating_sub(now);
-        began.is_none_or(|it| self.drain().accepts(time_left, now.saturating_sub(it)))
+    pub(crate) fn accepts(
+        &self,
+        route: &Route,
+        metadata: &RequestMetadata,
+        deadline: BootTime,
+        now: BootTime,
+    ) -> bool {
+        let Some(began) = *self.leaving.borrow() else {
+            return true;
+        };
+        let arrival = Arrival {
+            repeat: route.kind.repeat(),
+            time_left: deadline.saturating_sub(now),
+            expected: lock(&self.response_times).expected(&route.name, metadata.output_tokens(), now),
+        };
+        self.drain().accepts(&arrival, now.saturating_sub(began))
     }
 
     /// Completes at a time of the planned stop.
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -120,6 +120,7 @@
     caller: Caller,
 ) {
     let form = Form::of(&engine_response.head);
+    let begin = clock::now().saturating_sub(context.arrived);
     let mut cursor = Cursor::after(context.metadata.last_event_id);
     let mut splitter = Splitter::default();
     loop {
@@ -133,6 +134,7 @@
         let failure = match end.await {
             ReadEnd::Complete => {
                 caller.complete();
+                context.record_response_time(begin);
                 return context.log_end(200, "streamed");
             }
             ReadEnd::Disconnected => return context.log_end(499, "caller left"),
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -9,7 +9,7 @@
 //! - [`retry`]: one request with its attempts; whether it may be sent again, and which final response is true
 //! - [`work`], [`load`], [`placement`], [`urgency`]: which engine serves a request, and in which order
 //! - [`escalation`] with [`adequacy`], [`answer_value`], [`congestion`], [`first_byte`]: which model answers a request
-//! - [`drain`]: which requests a node accepts during its planned stop
+//! - [`drain`] with [`response_time`]: which requests a node accepts during its planned stop
 //! - [`event_stream`]: event streams split at event boundaries and resumed without gaps or duplicates
 //! - [`statement`]: what engines state about the requests that they take; whether an engine may be used
 //! - [`request_limit`], [`permit`]: rates to which engines limit the requests of all nodes together
@@ -48,6 +48,7 @@
 pub mod relay;
 pub mod release;
 pub mod request_limit;
+pub mod response_time;
 pub mod retry;
 pub mod retry_budget;
 pub mod statement;
