--- a/crates/forward/tests/response_time.rs
+++ b/crates/forward/tests/response_time.rs
@@ -1,5 +1,7 @@
 //! Guards against expected times by which few responses have ended, or that outlive the responses they come from.
 
+#![expect(clippy::unwrap_used, reason = "helpers of tests may panic")]
+
 use std::time::Duration;
 
 use forward::response_time::ResponseTimes;
