entry, xtask: kinds of datagrams and fields of messages keep their meaning

What passes between nodes is recorded in crates/wire/proto/recorded.txt, as in and since. Tests compare the kinds of datagrams and peer.proto with it: a number or first byte that is used again, another type, and a field that is removed without being reserved are found, each shown by a case.

Kinds are an enum with one decoder. A datagram that isn't understood is counted by kind (datagrams_rejected) and logged once a second at most; before, it left a line at debug level only.

xtask mixed COMMIT builds the daemon of a commit into target/builds and runs the tests of two builds beside it.

--- a/crates/entry/src/datagrams.rs
+++ b/crates/entry/src/datagrams.rs
@@ -9,18 +9,27 @@
 use prost::Message as _;
 use rand::seq::SliceRandom;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 use wire::peer;
 
+mod kind;
+mod rejections;
+#[cfg(test)]
+mod tests;
+
+pub(crate) use kind::Kind;
+pub(crate) use rejections::Rejections;
+
 use crate::clock;
 use crate::notice::{self, Notice};
 use crate::occupancy;
 use crate::path::{self, PathQuery, PathReply};
-use crate::permit::{self, PermitQuery, PermitReply};
+use crate::permit::{self, PermitQuery};
 use crate::quarantine::{self, QuarantineNotice};
-use crate::relay::{self, QueryMessage, ReplyMessage};
-use crate::retry_query::{self, RetryQuery, RetryReply};
+use crate::relay::{self, QueryMessage};
+use crate::retry_query::{self, RetryQuery};
 use crate::shared::{Shared, lock};
 use crate::statement::{self, StatementNotice};
 
@@ -33,21 +42,6 @@
 /// Maximum size of a datagram.
 const MAX_DATAGRAM_BYTES: usize = 65_507;
 
-/// First byte of a datagram, which identifies its kind.
-const MEMBERSHIP: u8 = b'm';
-const NOTICE: u8 = b'n';
-const QUERY: u8 = b'q';
-const REPLY: u8 = b'a';
-const STATEMENTS: u8 = b'l';
-const PERMIT_QUERY: u8 = b'p';
-const PERMIT_REPLY: u8 = b'g';
-const QUARANTINE: u8 = b'h';
-const PATH_QUERY: u8 = b'w';
-const PATH_REPLY: u8 = b'r';
-const PLACE: u8 = b'o';
-const RETRY_QUERY: u8 = b'b';
-const RETRY_REPLY: u8 = b'c';
-
 /// Load of a member without spare capacity.
 const FULL_LOAD: u16 = 1000;
 
@@ -123,79 +117,65 @@
 }
 
 fn receive(shared: &Arc<Shared>, bytes: &[u8], from: SocketAddr) {
-    let Some((kind, content)) = bytes.split_first() else {
-        return;
+    let Some((byte, content)) = bytes.split_first() else {
+        return rejections::record(shared, None, from, &"empty");
     };
-    match *kind {
-        MEMBERSHIP => {
-            let message = peer::Datagram::decode(content).ok();
-            match message.and_then(gossip::parse_datagram) {
-                Some(it) => handle(shared, Event::Received(Box::new(it))),
-                None => log::debug!("cannot decode a membership datagram"),
-            }
+    let Some(kind) = Kind::of_byte(*byte) else {
+        return rejections::record(shared, None, from, &format_args!("first byte {byte}"));
+    };
+    if let Err(err) = deliver(shared, kind, content, from) {
+        rejections::record(shared, Some(kind), from, &err);
+    }
+}
+
+/// Why the content of a datagram cannot be decoded.
+#[derive(Debug, thiserror::Error)]
+enum Malformed {
+    #[error(transparent)]
+    Json(#[from] serde_json::Error),
+    #[error(transparent)]
+    Protobuf(#[from] prost::DecodeError),
+    #[error("the sender or its state is missing or unknown")]
+    Member,
+}
+
+/// Decodes the content of a datagram and passes it to the part of the node that it is for.
+fn deliver(shared: &Arc<Shared>, kind: Kind, content: &[u8], from: SocketAddr) -> Result<(), Malformed> {
+    match kind {
+        Kind::Membership => {
+            let message = peer::Datagram::decode(content)?;
+            let datagram = gossip::parse_datagram(message).ok_or(Malformed::Member)?;
+            handle(shared, Event::Received(Box::new(datagram)));
         }
-        NOTICE => match serde_json::from_slice::<Notice>(content) {
-            Ok(notice) => notice::apply(shared, notice, from),
-            Err(err) => log::debug!("cannot decode a notice: {err}"),
-        },
-        QUERY => match serde_json::from_slice::<QueryMessage>(content) {
-            Ok(query) => {
-                if let Some(reply) = relay::reply_to(shared, &query) {
-                    send_content(&shared.socket, REPLY, &reply, from);
-                }
+        Kind::Notice => notice::apply(shared, parse(content)?, from),
+        Kind::Query => {
+            let query: QueryMessage = parse(content)?;
+            if let Some(reply) = relay::reply_to(shared, &query) {
+                send_content(&shared.socket, Kind::Reply, &reply, from);
             }
-            Err(err) => log::debug!("cannot decode a query: {err}"),
-        },
-        REPLY => match serde_json::from_slice::<ReplyMessage>(content) {
-            Ok(reply) => relay::deliver_reply(shared, reply),
-            Err(err) => log::debug!("cannot decode a reply: {err}"),
-        },
-        STATEMENTS => match serde_json::from_slice::<StatementNotice>(content) {
-            Ok(notice) => statement::apply_notice(shared, notice),
-            Err(err) => log::debug!("cannot decode statements of engines: {err}"),
-        },
-        PERMIT_QUERY => match serde_json::from_slice::<PermitQuery>(content) {
-            Ok(query) => send_json(
-                &shared.socket,
-                PERMIT_REPLY,
-                &permit::reply_to(shared, &query),
-                [from],
-            ),
-            Err(err) => log::debug!("cannot decode a permit query: {err}"),
-        },
-        PERMIT_REPLY => match serde_json::from_slice::<PermitReply>(content) {
-            Ok(reply) => permit::deliver_reply(shared, reply),
-            Err(err) => log::debug!("cannot decode a permit reply: {err}"),
-        },
-        QUARANTINE => match serde_json::from_slice::<QuarantineNotice>(content) {
-            Ok(notice) => quarantine::apply_notice(shared, notice),
-            Err(err) => log::debug!("cannot decode what is held back: {err}"),
-        },
-        PATH_QUERY => match serde_json::from_slice::<PathQuery>(content) {
-            Ok(query) => path::reply_to(shared, query, from),
-            Err(err) => log::debug!("cannot decode a query about a path: {err}"),
-        },
-        PATH_REPLY => match serde_json::from_slice::<PathReply>(content) {
-            Ok(reply) => path::deliver_reply(shared, reply),
-            Err(err) => log::debug!("cannot decode a reply about a path: {err}"),
-        },
-        PLACE => match serde_json::from_slice::<occupancy::Message>(content) {
-            Ok(message) => occupancy::receive(shared, message, from),
-            Err(err) => log::debug!("cannot decode a message about places: {err}"),
-        },
-        RETRY_QUERY => match serde_json::from_slice::<RetryQuery>(content) {
-            Ok(query) => {
-                let reply = retry_query::reply_to(shared, &query);
-                send_json(&shared.socket, RETRY_REPLY, &reply, [from]);
-            }
-            Err(err) => log::debug!("cannot decode a query for a retry: {err}"),
-        },
-        RETRY_REPLY => match serde_json::from_slice::<RetryReply>(content) {
-            Ok(reply) => retry_query::deliver_reply(shared, reply),
-            Err(err) => log::debug!("cannot decode a reply about a retry: {err}"),
-        },
-        _ => log::debug!("datagram of unknown kind"),
+        }
+        Kind::Reply => relay::deliver_reply(shared, parse(content)?),
+        Kind::Statements => statement::apply_notice(shared, parse(content)?),
+        Kind::PermitQuery => {
+            let reply = permit::reply_to(shared, &parse(content)?);
+            send_json(&shared.socket, Kind::PermitReply, &reply, [from]);
+        }
+        Kind::PermitReply => permit::deliver_reply(shared, parse(content)?),
+        Kind::Quarantine => quarantine::apply_notice(shared, parse(content)?),
+        Kind::PathQuery => path::reply_to(shared, parse(content)?, from),
+        Kind::PathReply => path::deliver_reply(shared, parse(content)?),
+        Kind::Place => occupancy::receive(shared, parse(content)?, from),
+        Kind::RetryQuery => {
+            let reply = retry_query::reply_to(shared, &parse(content)?);
+            send_json(&shared.socket, Kind::RetryReply, &reply, [from]);
+        }
+        Kind::RetryReply => retry_query::deliver_reply(shared, parse(content)?),
     }
+    Ok(())
+}
+
+fn parse<T: DeserializeOwned>(content: &[u8]) -> Result<T, serde_json::Error> {
+    serde_json::from_slice(content)
 }
 
 fn handle(shared: &Shared, event: Event) {
@@ -208,7 +188,7 @@
         match action {
             Action::Send { to, datagram } => {
                 let message = gossip::datagram_message(&datagram, 0);
-                send_content(&shared.socket, MEMBERSHIP, &message.encode_to_vec(), to);
+                send_content(&shared.socket, Kind::Membership, &message.encode_to_vec(), to);
             }
             Action::Changed(member) if member.state == State::Dead => {
                 log::warn!(host = *member.host; "host declared dead");
@@ -223,12 +203,12 @@
 
 /// Sends a notice about a release to nodes.
 pub(crate) fn send_notice(socket: &UdpSocket, notice: &Notice, to: impl Iterator<Item = SocketAddr>) {
-    send_json(socket, NOTICE, notice, to);
+    send_json(socket, Kind::Notice, notice, to);
 }
 
 /// Sends a query about a topic to a node.
 pub(crate) fn send_query(socket: &UdpSocket, query: &QueryMessage, to: SocketAddr) {
-    send_json(socket, QUERY, query, [to]);
+    send_json(socket, Kind::Query, query, [to]);
 }
 
 /// Sends statements of engines to nodes.
@@ -237,7 +217,7 @@
     notice: &StatementNotice,
     to: impl IntoIterator<Item = SocketAddr>,
 ) {
-    send_json(socket, STATEMENTS, notice, to);
+    send_json(socket, Kind::Statements, notice, to);
 }
 
 /// Sends what is known about requests that end engines to nodes.
@@ -246,32 +226,32 @@
     notice: &QuarantineNotice,
     to: impl IntoIterator<Item = SocketAddr>,
 ) {
-    send_json(socket, QUARANTINE, notice, to);
+    send_json(socket, Kind::Quarantine, notice, to);
 }
 
 /// Asks a node for a permit.
 pub(crate) fn send_permit_query(socket: &UdpSocket, query: &PermitQuery, to: SocketAddr) {
-    send_json(socket, PERMIT_QUERY, query, [to]);
+    send_json(socket, Kind::PermitQuery, query, [to]);
 }
 
 /// Sends a message about places at an engine.
 pub(crate) fn send_place(socket: &UdpSocket, message: &occupancy::Message, to: SocketAddr) {
-    send_json(socket, PLACE, message, [to]);
+    send_json(socket, Kind::Place, message, [to]);
 }
 
 /// Asks a node for a retry.
 pub(crate) fn send_retry_query(socket: &UdpSocket, query: &RetryQuery, to: SocketAddr) {
-    send_json(socket, RETRY_QUERY, query, [to]);
+    send_json(socket, Kind::RetryQuery, query, [to]);
 }
 
 /// Asks a node whether it reaches a service.
 pub(crate) fn send_path_query(socket: &UdpSocket, query: &PathQuery, to: SocketAddr) {
-    send_json(socket, PATH_QUERY, query, [to]);
+    send_json(socket, Kind::PathQuery, query, [to]);
 }
 
 /// Replies to a query about a path.
 pub(crate) fn send_path_reply(socket: &UdpSocket, reply: &PathReply, to: SocketAddr) {
-    send_json(socket, PATH_REPLY, reply, [to]);
+    send_json(socket, Kind::PathReply, reply, [to]);
 }
 
 /// Calls `send` for nodes in random order, in bursts with pauses between them, with the time since the call of this
@@ -292,7 +272,7 @@
 
 fn send_json(
     socket: &UdpSocket,
-    kind: u8,
+    kind: Kind,
     content: &impl Serialize,
     to: impl IntoIterator<Item = SocketAddr>,
 ) {
@@ -304,8 +284,8 @@
     }
 }
 
-fn send_content(socket: &UdpSocket, kind: u8, content: &[u8], to: SocketAddr) {
-    let mut bytes = vec![kind];
+fn send_content(socket: &UdpSocket, kind: Kind, content: &[u8], to: SocketAddr) {
+    let mut bytes = vec![kind.byte()];
     bytes.extend_from_slice(content);
     send(socket, &bytes, to);
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -31,6 +31,8 @@
     pub retries_allowed: Family<ServiceLabel, Counter>,
     /// Second and later arrivals of a request at engines, by service.
     pub retries_spent: Family<ServiceLabel, Counter>,
+    /// Datagrams of other nodes that were not understood, by kind.
+    pub datagrams_rejected: Family<Label, Counter>,
     /// Questions to other nodes for retries, by result.
     pub retry_queries: Family<Label, Counter>,
     /// Retries that the retry budget did not allow, by service.
@@ -92,6 +94,7 @@
             retries_allowed: Family::default(),
             retries_spent: Family::default(),
             retries_denied: Family::default(),
+            datagrams_rejected: Family::default(),
             retry_queries: Family::default(),
             streams_resumed: Counter::default(),
             streams_broken: Counter::default(),
@@ -159,6 +162,11 @@
             "Attempts beyond the first of a request that were sent, by service",
             self.retries_spent.clone(),
         );
+        registry.register(
+            "datagrams_rejected",
+            "Datagrams of other nodes that were not understood, by kind",
+            self.datagrams_rejected.clone(),
+        );
         registry.register(
             "retry_queries",
             "Questions to other nodes for retries, by result",
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -30,6 +30,7 @@
 use tokio::time::sleep;
 
 use crate::clock;
+use crate::datagrams::Rejections;
 use crate::detour::Room;
 use crate::engine_end::EndChecks;
 use crate::memory::Budget;
@@ -67,6 +68,7 @@
     pub members: Mutex<Table>,
     host_counts: Mutex<HostCounts>,
     pub retries: Retries,
+    pub rejections: Rejections,
     pub first_byte_times: Mutex<FirstByteTimes>,
     pub response_times: Mutex<ResponseTimes>,
     pub usual_gaps: Mutex<UsualGaps>,
@@ -159,6 +161,7 @@
             host_counts: Mutex::new(HostCounts::of(&members, clock::now())),
             members: Mutex::new(members),
             retries: Retries::new(start, clock::now()),
+            rejections: Rejections::default(),
             first_byte_times: Mutex::default(),
             response_times: Mutex::default(),
             usual_gaps: Mutex::default(),
--- a/xtask/src/lib.rs
+++ b/xtask/src/lib.rs
@@ -1,3 +1,5 @@
-//! Repository automation: code generation, and tests of the repository structure.
+//! Repository automation: code generation, earlier builds, and tests of the repository structure.
 
+pub mod builds;
 pub mod codegen;
+pub mod recorded;
