--- a/crates/daemon/tests/previous_build.rs
+++ b/crates/daemon/tests/previous_build.rs
@@ -30,6 +30,7 @@
     billed_requests, chat, entries, expected_answer, metric, start_rollout, start_with_all_entries,
     wait_until,
 };
+use common::brittle::{BrittleEngine, Model};
 use common::engine::{Action, Engine};
 use common::fleet::config;
 use common::free_address;
@@ -375,6 +376,42 @@
     });
 }
 
+/// Guards against brittle engines that get no requests as the node that gives out their places doesn't know the questions.
+#[test]
+fn brittle_engines_of_both_builds_are_used() {
+    let store = Store::spawn();
+    store.put("keyed.op", "config", &config(1, "\"secret\""));
+    let model = Model {
+        slots: 8,
+        work: Duration::from_millis(50),
+        tolerance: 3,
+    };
+    let engines =
+        ["b0", "b1", "b2", "b3", "b4", "b5"].map(|it| BrittleEngine::spawn(&store, it, "desk", model));
+    let daemon = platform_node(&previous(), "brittle", &store);
+    let nodes = ["n0", "n1", "n2"].map(|it| Node::spawn(&store, it, &[daemon.gossip]));
+    wait_until("the other members", TIMEOUT, || {
+        let members = |it: &Node| it.state()["members"].as_array().map(Vec::len);
+        nodes.iter().all(|it| members(it) == Some(4))
+    });
+    let send = |prefix: &str, count: usize| {
+        let statuses = (0..count).map(|it| {
+            let node = &nodes[it % nodes.len()];
+            node.call(&request("/look/1", &format!("{prefix}{it}"), ""))
+                .status()
+        });
+        statuses.filter(|it| *it == 200).count()
+    };
+    // Until all nodes know that the engines are brittle.
+    send("early", 60);
+    let before = engines.each_ref().map(BrittleEngine::served);
+    let served = send("late", 150);
+    let after = engines.each_ref().map(BrittleEngine::served);
+    let by_engine: Vec<_> = after.iter().zip(before).map(|it| it.0 - it.1).collect();
+    assert_eq!(served, 150, "{by_engine:?}");
+    assert!(by_engine.iter().all(|it| *it > 0), "{by_engine:?}");
+}
+
 /// A number that no earlier call returned, for sessions that no node has seen.
 fn unique() -> u64 {
     static NEXT: AtomicU64 = AtomicU64::new(0);
