response_time: any number of tokens has an expected time

Callers state the number of tokens; a large one would have overflowed a Duration, and the task of the request would have ended without an answer.

--- a/crates/entry/src/datagrams.rs
+++ b/crates/entry/src/datagrams.rs
@@ -14,14 +14,6 @@
 use tokio::time::{MissedTickBehavior, interval, sleep};
 use wire::peer;
 
-mod kind;
-mod rejections;
-#[cfg(test)]
-mod tests;
-
-pub(crate) use kind::Kind;
-pub(crate) use rejections::Rejections;
-
 use crate::clock;
 use crate::notice::{self, Notice};
 use crate::occupancy;
@@ -33,6 +25,14 @@
 use crate::shared::{Shared, lock};
 use crate::statement::{self, StatementNotice};
 
+mod kind;
+mod rejections;
+#[cfg(test)]
+mod tests;
+
+pub(crate) use kind::Kind;
+pub(crate) use rejections::Rejections;
+
 /// Tick interval of the failure detector; a fraction of its acknowledgement timeout.
 const TICK: Duration = Duration::from_millis(100);
 
--- a/crates/entry/src/datagrams/rejections.rs
+++ b/crates/entry/src/datagrams/rejections.rs
@@ -1,3 +1,5 @@
+//! Datagrams that are dropped, with a bounded number of log lines.
+
 use std::fmt::Display;
 use std::net::SocketAddr;
 use std::sync::Mutex;
@@ -5,8 +7,9 @@
 
 use forward::BootTime;
 
+use super::Kind;
+use crate::clock;
 use crate::shared::{Shared, lock};
-use crate::{clock, datagrams::Kind};
 
 /// Minimum time between two log lines.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/forward/src/drain.rs
+++ b/crates/forward/src/drain.rs
@@ -49,13 +49,13 @@
 
     /// Whether a request that arrives at a time of the stop is served.
     pub fn accepts(&self, arrival: &Arrival, elapsed: Duration) -> bool {
-        let ends_after = |time: Duration| elapsed + time <= self.final_responses;
-        if ends_after(arrival.time_left) {
+        let ends_in_time = |time: Duration| elapsed.saturating_add(time) <= self.final_responses;
+        if ends_in_time(arrival.time_left) {
             return true;
         }
         // Few requests take all of their time, so callers with a cached address are not turned away.
         let may_be_cached = elapsed + SIGNAL_DELAY < self.addresses_expired;
         let expected = arrival.expected.unwrap_or(self.final_responses / 2);
-        arrival.repeat == Repeat::Idempotent && may_be_cached && ends_after(expected)
+        arrival.repeat == Repeat::Idempotent && may_be_cached && ends_in_time(expected)
     }
 }
--- a/crates/forward/src/response_time.rs
+++ b/crates/forward/src/response_time.rs
@@ -67,7 +67,9 @@
         }
         let begin = quantile(recent.iter().map(|it| it.begin));
         let per_token = quantile(recent.iter().map(|it| it.per_token));
-        Some(begin + per_token.mul_f64(tokens.max(1) as f64))
+        // Callers state the number of tokens, which may be any.
+        let rest = Duration::try_from_secs_f64(per_token.as_secs_f64() * tokens.max(1) as f64);
+        Some(begin.saturating_add(rest.unwrap_or(Duration::MAX)))
     }
 }
 
--- a/crates/forward/tests/drain.rs
+++ b/crates/forward/tests/drain.rs
@@ -74,6 +74,17 @@
     assert!(!accepts(6));
 }
 
+/// Guards against a panic for a time that a caller makes up.
+#[test]
+fn any_time_is_compared() {
+    let drain = Drain::new(ADDRESSES_EXPIRED, EXIT);
+    let arrival = Arrival {
+        expected: Some(Duration::MAX),
+        ..repeatable(Duration::MAX)
+    };
+    assert!(!drain.accepts(&arrival, Duration::from_secs(1)));
+}
+
 proptest! {
     /// Guards against LOST, for all settings: a request that may not be repeated, that is passed on and can't be answered
     /// before the exit.
--- a/crates/forward/tests/response_time.rs
+++ b/crates/forward/tests/response_time.rs
@@ -74,3 +74,17 @@
     let text = format!("{times:?}");
     assert!(text.len() < 100_000, "{} bytes", text.len());
 }
+
+/// Guards against a panic for a number of tokens that a caller makes up.
+#[test]
+fn any_number_of_tokens_has_a_time() {
+    let mut times = times(20, 1.0);
+    times.record(&route("draft"), BEGIN, Duration::MAX, u64::MAX, NOW);
+    for it in 0..20 {
+        times.record(&route("slow"), BEGIN, Duration::from_secs(1 << 40), it, NOW);
+    }
+    for name in ["draft", "slow"] {
+        let most = times.expected(&route(name), u64::MAX, NOW).unwrap();
+        assert!(most > Duration::from_secs(1 << 40), "{most:?}");
+    }
+}
