--- a/crates/daemon/tests/replaced_nodes.rs
+++ b/crates/daemon/tests/replaced_nodes.rs
@@ -17,7 +17,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::engine::{Action, EVENTS, Engine, events, stream};
+use common::engine::{Action, EVENTS, Engine, events, runs, stream};
 use common::http::{Message, call, read};
 use common::node::request;
 use common::store::Store;
@@ -202,16 +202,6 @@
         self.nodes[host] = self.places.start(host, build, &self.store);
         self.wait_for_members();
     }
-
-    fn runs(&self) -> HashMap<String, usize> {
-        let mut runs = HashMap::new();
-        for request in self.desk.iter().chain(&self.pool).flat_map(Engine::executed) {
-            *runs
-                .entry(request.header("bronzevale-attempt-id").to_owned())
-                .or_default() += 1;
-        }
-        runs
-    }
 }
 
 fn state(control: SocketAddr) -> serde_json::Value {
@@ -298,7 +288,7 @@
         replaced.unwrap();
         outcomes
     });
-    check_outcomes(&outcomes, &fleet.runs());
+    check_outcomes(&outcomes, &runs(fleet.desk.iter().chain(&fleet.pool)));
     let mut arrivals = fleet.desk[0].arrivals();
     arrivals.sort_unstable();
     for (index, begin) in arrivals.iter().enumerate() {
