review: case 3, CONFIG with a key that is taken away during a cut

A script: a node that is cut off from the store for 12 s, in which 14 versions of 150 KB and one without the key of the callers are acknowledged. Afterwards the node reads 1,024 KB at a time and takes each part for the whole, so it accepts the key again, 6 s after the ack (bound 5 s).

--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -206,6 +206,63 @@
 
 type Record = (String, Vec<u8>);
 
+/// Time of an answer of the store, as on the sheets.
+const STORE_TIME: Duration = Duration::from_millis(4);
+
+/// A way to the store that can be cut: connections hang, and what is under way is lost.
+#[derive(Clone)]
+pub struct Link {
+    cut: Arc<AtomicBool>,
+    pub address: SocketAddr,
+}
+
+impl Link {
+    pub fn to(target: SocketAddr) -> Self {
+        let listener = loopback();
+        let address = listener.local_addr().unwrap();
+        let cut = Arc::new(AtomicBool::new(false));
+        let shared = cut.clone();
+        accept(listener, move |near| {
+            if shared.load(Ordering::SeqCst) {
+                return hang(&shared, &near);
+            }
+            let Ok(far) = TcpStream::connect(target) else { return };
+            let _ = far.set_nodelay(true);
+            let (from_far, to_near) = (far.try_clone().unwrap(), near.try_clone().unwrap());
+            let back = shared.clone();
+            thread::spawn(move || pump(&back, from_far, to_near));
+            pump(&shared, near, far);
+        });
+        Self { cut, address }
+    }
+
+    pub fn set_cut(&self, cut: bool) {
+        self.cut.store(cut, Ordering::SeqCst);
+    }
+}
+
+fn hang(cut: &AtomicBool, stream: &TcpStream) {
+    while cut.load(Ordering::SeqCst) {
+        thread::sleep(Duration::from_millis(10));
+    }
+    close(stream);
+}
+
+fn pump(cut: &AtomicBool, mut from: TcpStream, mut to: TcpStream) {
+    let mut part = vec![0; 64 << 10];
+    loop {
+        let read = from.read(&mut part).unwrap_or(0);
+        if cut.load(Ordering::SeqCst) {
+            hang(cut, &to);
+            return close(&from);
+        }
+        if read == 0 || to.write_all(&part[..read]).is_err() {
+            close(&to);
+            return close(&from);
+        }
+    }
+}
+
 #[derive(Default)]
 struct StoreState {
     topics: Mutex<BTreeMap<String, Vec<Record>>>,
@@ -229,6 +286,7 @@
             let mut reader = Reader::new(stream);
             while let Ok(Some(request)) = reader.request() {
                 let (status, body) = answer(&shared, &request);
+                thread::sleep(STORE_TIME);
                 if respond(&mut reader.stream, status, "Store-Era: 0\r\n", &body).is_err() {
                     return;
                 }
@@ -255,7 +313,10 @@
     let topic = parameter("topic").unwrap_or_default();
     match path {
         "/log-newest" => (200, newest(state, &topic)),
-        "/log-read" => read(state, &topic, number("from").unwrap_or(0), number("waitMs").unwrap_or(0)),
+        "/log-read" => {
+            let (from, wait_ms) = (number("from").unwrap_or(0), number("waitMs").unwrap_or(0));
+            read(state, &topic, from, wait_ms, number("maxKb").unwrap_or(1024) << 10)
+        }
         "/log-append" => append(state, &topic, number("asOf"), &request.body),
         _ => (404, vec![]),
     }
@@ -279,7 +340,8 @@
     format!("{{\"entries\":[{entries}],\"hasMore\":false,\"end\":{}}}", records.len()).into_bytes()
 }
 
-fn read(state: &StoreState, topic: &str, from: usize, wait_ms: usize) -> (u16, Vec<u8>) {
+/// Records from an offset on, of at most `max_bytes` together, but at least one.
+fn read(state: &StoreState, topic: &str, from: usize, wait_ms: usize, max_bytes: usize) -> (u16, Vec<u8>) {
     let end = Instant::now() + Duration::from_millis(wait_ms as u64);
     let mut topics = state.topics.lock().unwrap();
     loop {
@@ -291,7 +353,10 @@
         if records.len() > from || left.is_zero() {
             let mut body = (records.len() as u64).to_be_bytes().to_vec();
             body.extend(0_u64.to_be_bytes());
-            for (key, value) in &records[from..] {
+            for (index, (key, value)) in records[from..].iter().enumerate() {
+                if index > 0 && body.len() + 5 + key.len() + value.len() > max_bytes {
+                    break;
+                }
                 body.extend((1 + key.len() as u32 + value.len() as u32).to_be_bytes());
                 body.push(key.len() as u8);
                 body.extend(key.as_bytes());
