--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -3,7 +3,7 @@
 #[path = "../standin/common.rs"]
 mod common;
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::io::Write;
 use std::net::TcpStream;
 use std::path::Path;
@@ -44,7 +44,12 @@
     // Each version changes the timeout of a route that nobody calls.
     routes.extend((0..OTHER_ROUTES).map(|it| {
         let timeout = if it == version as usize { 1300 } else { 1200 };
-        route(&format!("r-{it:07}"), "shop.example", &format!("/idle{it:04}/season/"), timeout)
+        route(
+            &format!("r-{it:07}"),
+            "shop.example",
+            &format!("/idle{it:04}/season/"),
+            timeout,
+        )
     }));
     format!(
         "{{\"version\":{version},\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1000000,\
@@ -59,7 +64,14 @@
 struct Seen {
     sent: Mutex<HashMap<String, Instant>>,
     ran: Mutex<Vec<String>>,
-    answers: Mutex<Vec<(Instant, u16)>>,
+    answers: Mutex<Vec<Answer>>,
+}
+
+/// An answer to a request.
+struct Answer {
+    id: String,
+    at: Instant,
+    status: u16,
 }
 
 /// Sends requests with the key one after the other; waits as a refusal says.
@@ -81,13 +93,17 @@
             "POST /hold/1 HTTP/1.1\r\nHost: shop.example\r\nBronzevale-Attempt-Id: {id}\r\n\
              Bronzevale-Deadline-Ms: 1500\r\nAuthorization: Bearer taken-away\r\nContent-Length: 4\r\n\r\nbody"
         );
-        seen.sent.lock().unwrap().insert(id, Instant::now());
-        let response = reader.stream.write_all(request.as_bytes()).and_then(|()| reader.response());
+        seen.sent.lock().unwrap().insert(id.clone(), Instant::now());
+        let response = reader
+            .stream
+            .write_all(request.as_bytes())
+            .and_then(|()| reader.response());
         let Ok(response) = response else {
             connection = None;
             continue;
         };
-        seen.answers.lock().unwrap().push((Instant::now(), response.status()));
+        let (at, status) = (Instant::now(), response.status());
+        seen.answers.lock().unwrap().push(Answer { id, at, status });
         let retry_after = response.header("retry-after").and_then(|it| it.parse().ok());
         sleep(Duration::from_secs_f64(retry_after.unwrap_or(0.1)).min(Duration::from_millis(400)));
     }
@@ -102,7 +118,10 @@
     let seen = Arc::new(Seen::default());
     let at_engine = seen.clone();
     Engine::start(&store, "i-1", SERVICE, "v1", move |id, request, stream| {
-        let request_id = request.header("bronzevale-attempt-id").unwrap_or_default().to_owned();
+        let request_id = request
+            .header("bronzevale-attempt-id")
+            .unwrap_or_default()
+            .to_owned();
         at_engine.ran.lock().unwrap().push(request_id);
         sleep(Duration::from_millis(5));
         let _ = respond(stream, 200, &receipt(id, &request), b"held");
@@ -117,7 +136,8 @@
     let (number, stopped) = (Arc::new(AtomicUsize::new(1)), Arc::new(AtomicBool::new(false)));
     let callers: Vec<_> = (0..CALLERS)
         .map(|_| {
-            let (node, seen, number, stopped) = (nodes[0].front, seen.clone(), number.clone(), stopped.clone());
+            let (node, seen, number, stopped) =
+                (nodes[0].front, seen.clone(), number.clone(), stopped.clone());
             thread::spawn(move || call_repeatedly(node, &seen, &number, &stopped))
         })
         .collect();
@@ -136,12 +156,18 @@
     sleep(REVOKED_AFTER.saturating_sub(cut_at.elapsed()));
     store.put("keyed.op", "config", &config(versions.end, "\"kept\""));
     let revoked_at = Instant::now();
-    log.add(format!("version {} without the key is acknowledged", versions.end));
+    log.add(format!(
+        "version {} without the key is acknowledged",
+        versions.end
+    ));
     sleep(CUT_TIME.saturating_sub(cut_at.elapsed()));
     link.set_cut(false);
     let healed_at = Instant::now();
     if !is_calm() {
-        log.add(format!("the cut is over, {} ms after that", revoked_at.elapsed().as_millis()));
+        log.add(format!(
+            "the cut is over, {} ms after that",
+            revoked_at.elapsed().as_millis()
+        ));
     }
     sleep(Duration::from_secs(4));
     stopped.store(true, Ordering::SeqCst);
@@ -149,15 +175,71 @@
     judge(log, &seen, revoked_at, healed_at)
 }
 
+/// Records what was sent, answered and run: sums of each second, and each request around the end of the cut.
+fn record(
+    log: &Log,
+    sent: &HashMap<String, Instant>,
+    ran: &[String],
+    answers: &[Answer],
+    healed_at: Instant,
+) {
+    let mut seconds: BTreeMap<i64, [usize; 4]> = BTreeMap::new();
+    let mut around = vec![];
+    for answer in answers {
+        let Some(sent_at) = sent.get(&answer.id) else {
+            continue;
+        };
+        let before = healed_at.saturating_duration_since(*sent_at).as_millis() as i64;
+        let after = sent_at.saturating_duration_since(healed_at).as_millis() as i64 - before;
+        let has_run = ran.contains(&answer.id);
+        let sums = seconds.entry(after.div_euclid(1000)).or_default();
+        let column = match answer.status {
+            200 => 0,
+            401 => 1,
+            _ => 2,
+        };
+        sums[column] += 1;
+        sums[3] += usize::from(has_run);
+        if (0..=2000).contains(&after) {
+            around.push((after, &answer.id, answer.status, has_run));
+        }
+    }
+    for (second, [ok, unknown_key, refused, run]) in seconds {
+        log.add(format!("sent in second {second} of the end of the cut: 200: {ok}, 401: {unknown_key}, other: {refused}, run: {run}"));
+    }
+    around.sort_unstable();
+    for (after, id, status, has_run) in around {
+        let run = if has_run { "ran" } else { "did not run" };
+        log.add(format!(
+            "{id} sent {after} ms after the end of the cut: {status}, {run}"
+        ));
+    }
+}
+
 fn judge(log: &Log, seen: &Seen, revoked_at: Instant, healed_at: Instant) -> i32 {
-    let (sent, ran, answers) = (seen.sent.lock().unwrap(), seen.ran.lock().unwrap(), seen.answers.lock().unwrap());
-    let count = |from: Instant, status: u16| answers.iter().filter(|it| it.0 >= from && it.1 == status).count();
+    let (sent, ran, answers) = (
+        seen.sent.lock().unwrap(),
+        seen.ran.lock().unwrap(),
+        seen.answers.lock().unwrap(),
+    );
+    let count = |from: Instant, status: u16| {
+        answers
+            .iter()
+            .filter(|it| it.at >= from && it.status == status)
+            .count()
+    };
     log.add(format!("{} requests sent, {} run", sent.len(), ran.len()));
     log.add(format!(
         "answers since the cut was over: 200: {}, 401: {}, 503: {}",
-        count(healed_at, 200), count(healed_at, 401), count(healed_at, 503)
+        count(healed_at, 200),
+        count(healed_at, 401),
+        count(healed_at, 503)
     ));
-    let before = answers.iter().filter(|it| it.0 < revoked_at && it.1 == 200).count();
+    record(log, &sent, &ran, &answers, healed_at);
+    let before = answers
+        .iter()
+        .filter(|it| it.at < revoked_at && it.status == 200)
+        .count();
     if before == 0 || count(healed_at, 401) == 0 {
         log.add("the key was never accepted, or never refused");
         return NOT_RUN;
@@ -169,7 +251,10 @@
         .collect();
     late.sort_by_key(|it| it.1);
     for (id, after) in &late {
-        log.add(format!("CONFIG: {id} ran, sent {} ms after its key was taken away", after.as_millis()));
+        log.add(format!(
+            "CONFIG: {id} ran, sent {} ms after its key was taken away",
+            after.as_millis()
+        ));
     }
     match late.is_empty() {
         true => HELD,
--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -77,7 +77,11 @@
 
 impl Reader {
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, buffer: vec![], start: 0 }
+        Self {
+            stream,
+            buffer: vec![],
+            start: 0,
+        }
     }
 
     fn fill(&mut self) -> io::Result<bool> {
@@ -129,21 +133,30 @@
 
     /// Reads a head; `None` if the connection ends before it.
     pub fn head(&mut self) -> io::Result<Option<Message>> {
-        let Some(first) = self.line()? else { return Ok(None) };
-        let mut message = Message { first, ..Message::default() };
+        let Some(first) = self.line()? else {
+            return Ok(None);
+        };
+        let mut message = Message {
+            first,
+            ..Message::default()
+        };
         loop {
             let line = self.line()?.ok_or(io::ErrorKind::UnexpectedEof)?;
             if line.is_empty() {
                 return Ok(Some(message));
             }
             let (name, value) = line.split_once(':').unwrap_or((&line, ""));
-            message.headers.push((name.trim().to_owned(), value.trim().to_owned()));
+            message
+                .headers
+                .push((name.trim().to_owned(), value.trim().to_owned()));
         }
     }
 
     /// Reads a request with its body.
     pub fn request(&mut self) -> io::Result<Option<Message>> {
-        let Some(mut message) = self.head()? else { return Ok(None) };
+        let Some(mut message) = self.head()? else {
+            return Ok(None);
+        };
         if message.is_chunked() {
             while let Some(part) = self.chunk()? {
                 message.body.extend(part);
@@ -184,7 +197,10 @@
 
 /// Writes a response with a length.
 pub fn respond(stream: &mut TcpStream, status: u16, headers: &str, body: &[u8]) -> io::Result<()> {
-    let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n{headers}\r\n", body.len());
+    let head = format!(
+        "HTTP/1.1 {status} X\r\nContent-Length: {}\r\n{headers}\r\n",
+        body.len()
+    );
     stream.write_all(head.as_bytes())?;
     stream.write_all(body)
 }
@@ -226,7 +242,9 @@
             if shared.load(Ordering::SeqCst) {
                 return hang(&shared, &near);
             }
-            let Ok(far) = TcpStream::connect(target) else { return };
+            let Ok(far) = TcpStream::connect(target) else {
+                return;
+            };
             let _ = far.set_nodelay(true);
             let (from_far, to_near) = (far.try_clone().unwrap(), near.try_clone().unwrap());
             let back = shared.clone();
@@ -315,7 +333,13 @@
         "/log-newest" => (200, newest(state, &topic)),
         "/log-read" => {
             let (from, wait_ms) = (number("from").unwrap_or(0), number("waitMs").unwrap_or(0));
-            read(state, &topic, from, wait_ms, number("maxKb").unwrap_or(1024) << 10)
+            read(
+                state,
+                &topic,
+                from,
+                wait_ms,
+                number("maxKb").unwrap_or(1024) << 10,
+            )
         }
         "/log-append" => append(state, &topic, number("asOf"), &request.body),
         _ => (404, vec![]),
@@ -333,11 +357,18 @@
     let entries: Vec<_> = newest
         .iter()
         .map(|(key, (at, value))| {
-            format!("{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":{at}}}", base64(value))
+            format!(
+                "{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":{at}}}",
+                base64(value)
+            )
         })
         .collect();
     let entries = entries.join(",");
-    format!("{{\"entries\":[{entries}],\"hasMore\":false,\"end\":{}}}", records.len()).into_bytes()
+    format!(
+        "{{\"entries\":[{entries}],\"hasMore\":false,\"end\":{}}}",
+        records.len()
+    )
+    .into_bytes()
 }
 
 /// Records from an offset on, of at most `max_bytes` together, but at least one.
@@ -379,7 +410,10 @@
     let (key, value) = body[5..].split_at(key);
     records.push((String::from_utf8_lossy(key).into_owned(), value.to_vec()));
     state.changed.notify_all();
-    (200, format!("{{\"offset\":{offset},\"end\":{}}}", offset + 1).into_bytes())
+    (
+        200,
+        format!("{{\"offset\":{offset},\"end\":{}}}", offset + 1).into_bytes(),
+    )
 }
 
 fn base64(bytes: &[u8]) -> String {
@@ -431,17 +465,24 @@
         let id = engine.id.clone();
         accept(listener, move |stream| {
             let mut reader = Reader::new(stream);
-            let Ok(Some(request)) = reader.request() else { return };
+            let Ok(Some(request)) = reader.request() else {
+                return;
+            };
             let expected = request.header("bronzevale-expect-instance").map(str::to_owned);
             if expected.is_some_and(|it| it != id) {
-                let head = format!("Bronzevale-Instance: {id}\r\nBronzevale-Not-Executed: 1\r\nConnection: close\r\n");
+                let head = format!(
+                    "Bronzevale-Instance: {id}\r\nBronzevale-Not-Executed: 1\r\nConnection: close\r\n"
+                );
                 let _ = respond(&mut reader.stream, 421, &head, b"");
                 return;
             }
             handle(&id, request, &mut reader.stream);
         });
         let (beating, store) = (engine.clone(), store.clone());
-        let born = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis();
+        let born = std::time::SystemTime::now()
+            .duration_since(std::time::UNIX_EPOCH)
+            .unwrap()
+            .as_millis();
         thread::spawn(move || {
             for seq in 1.. {
                 if beating.stopped.load(Ordering::SeqCst) {
@@ -455,7 +496,13 @@
     }
 
     fn check_in(&self, store: &Store, seq: u32, born: u128) {
-        let Self { id, service, version, address, .. } = self;
+        let Self {
+            id,
+            service,
+            version,
+            address,
+            ..
+        } = self;
         let entry = format!(
             "{{\"service\":\"{service}\",\"addr\":\"{address}\",\"zone\":\"norte-a\",\"version\":\"{version}\",\
              \"slots\":64,\"state\":\"ready\",\"coldLeftMs\":0,\"seq\":{seq},\"born\":{born}}}"
@@ -497,7 +544,11 @@
             .all(|it| TcpListener::bind((*it, port)).is_ok() && UdpSocket::bind((*it, port)).is_ok())
     };
     while ports.len() < count {
-        let port = TcpListener::bind((ips[0], 0)).unwrap().local_addr().unwrap().port();
+        let port = TcpListener::bind((ips[0], 0))
+            .unwrap()
+            .local_addr()
+            .unwrap()
+            .port();
         if !ports.contains(&port) && is_free(port) {
             ports.push(port);
         }
@@ -507,9 +558,14 @@
 
 /// Starts nodes with the settings of `deploy/node.ini`, each at a loopback address of its own.
 pub fn start_nodes(count: u8, store: SocketAddr, folder: &Path) -> Vec<Node> {
-    let ips: Vec<IpAddr> = (1..=count).map(|it| IpAddr::V4(Ipv4Addr::new(127, 60, 0, it))).collect();
+    let ips: Vec<IpAddr> = (1..=count)
+        .map(|it| IpAddr::V4(Ipv4Addr::new(127, 60, 0, it)))
+        .collect();
     let ports = free_ports(&ips, 5);
-    let seeds: Vec<_> = ips.iter().map(|it| SocketAddr::new(*it, ports[3]).to_string()).collect();
+    let seeds: Vec<_> = ips
+        .iter()
+        .map(|it| SocketAddr::new(*it, ports[3]).to_string())
+        .collect();
     let seeds = seeds.join(",");
     let nodes = ips.iter().enumerate().map(|(index, ip)| {
         let name = format!("edge-norte-a-{}", index + 1);
@@ -523,7 +579,11 @@
              [bounds]\nconfig_ms = 2000\nrevocation_ms = 5000\nstrict_revocation = true\ndrain_ms = 2000\n\
              grace_seconds = 8\nretry_ratio = 0.9\nretry_slack = 56\nretry_window_seconds = 10\n\
              session_seconds = 5\nexposure_share = 0.15\nexposure_slack = 30\n",
-            address(0), address(1), address(2), address(3), address(4),
+            address(0),
+            address(1),
+            address(2),
+            address(3),
+            address(4),
         );
         fs::write(&settings, text).expect("the settings can be written");
         Node {
@@ -539,7 +599,11 @@
 }
 
 fn spawn(settings: &Path, name: &str) -> Child {
-    let log = File::options().create(true).append(true).open(settings.with_file_name(format!("{name}.log"))).unwrap();
+    let log = File::options()
+        .create(true)
+        .append(true)
+        .open(settings.with_file_name(format!("{name}.log")))
+        .unwrap();
     Command::new("target/release/bronzevaled")
         .arg("--config")
         .arg(settings)
@@ -553,14 +617,19 @@
 
 impl Node {
     pub fn is_ready(&self) -> bool {
-        let Ok(mut stream) = TcpStream::connect(self.ready) else { return false };
+        let Ok(mut stream) = TcpStream::connect(self.ready) else {
+            return false;
+        };
         let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
         let sent = stream.write_all(b"GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
         sent.is_ok() && Reader::new(stream).response().is_ok_and(|it| it.status() == 200)
     }
 
     pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
+        let _ = Command::new("kill")
+            .arg(format!("-{name}"))
+            .arg(self.child.id().to_string())
+            .status();
     }
 
     /// Starts the node again, at the same addresses.
