relay: a read that the store cut off does not count as current

Cause: a response of the store holds 1,024 KB at most and states the end of the topic in its first 8 bytes. The adapter dropped that end, and the node confirmed its configuration as current at the time of the request after any read that had records.

Evidence: the log of a node in the case shows three reads in 25 ms after the cut, each followed by a confirmation (versions 8, 15, 16); the requests that ran too late lie between the first and the last.

Change: Tail::Records has the end that the response states. The end that it states is kept with its time until it is reached, so that a topic that grows while it is read becomes current all the same. The node reads on at once until it has reached the end. An empty response short of the end is an error instead of a confirmation.

Old and new builds: replies about a topic say whether their age counts to the end (to_end, absent from builds before). Without it, a node that knows that the topic goes on does not use the age.

Ruled out: full reads in pages, the time of the registry's reads, the own interface.

--- a/crates/entry/src/follow/engines.rs
+++ b/crates/entry/src/follow/engines.rs
@@ -4,9 +4,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use forward::BootTime;
 use forward::directory::{Directory, Engine};
-use forward::relay::Position;
+use forward::relay::{Extent, Position};
 use model::{Name, Upstream};
 use tokio::time::sleep;
 
@@ -51,10 +50,10 @@
         false => relay::query(shared, RelayedTopic::Engines, from, access.is_lost()).await,
     };
     let is_relayed = relayed.is_ok();
-    let (from, reason) = match relayed {
+    let (mut from, reason) = match relayed {
         Ok(Relayed { reply, .. }) => {
             let changes = reply.changes.into_iter().map(EngineChange::into_entry);
-            apply(shared, changes, reply.next, reply.current_at);
+            apply(shared, changes, Extent::to_end(reply.next, reply.current_at));
             let reason = Some(DirectRead::Evicted).filter(|_| has_evicted && access.has_backed_off());
             (reply.next, reason)
         }
@@ -65,17 +64,20 @@
         return Some(from);
     }
     reason.unwrap_or(DirectRead::Retry).count(shared);
-    let result = read_changes(shared, from).await;
-    let Some(next) = access.complete(result, !is_relayed).await else {
-        if is_relayed {
-            sleep(RelayedTopic::Engines.query_interval(shared)).await;
+    loop {
+        let result = read_changes(shared, from).await;
+        let Some(read) = access.complete(result, !is_relayed).await else {
+            if is_relayed {
+                sleep(RelayedTopic::Engines.query_interval(shared)).await;
+            }
+            return Some(from);
+        };
+        from = read?.next;
+        if !read?.is_cut_off() {
+            sleep(shared.settings().store.engine_poll).await;
+            return Some(from);
         }
-        return Some(from);
-    };
-    if next.is_some() {
-        sleep(shared.settings().store.engine_poll).await;
     }
-    next
 }
 
 /// Whether an engine was evicted lately. If it still runs, it renews its entry with the next heartbeat, which other nodes do
@@ -122,24 +124,27 @@
 }
 
 /// Reads changes from the store; `None` if records are missing and all entries must be read again.
-async fn read_changes(shared: &Shared, from: Position) -> Result<Option<Position>, Error> {
+async fn read_changes(shared: &Shared, from: Position) -> Result<Option<Extent>, Error> {
     let requested_at = clock::now();
     let (tail, _) = store::tail(shared, Topic::Engines, from, Duration::ZERO).await?;
     match tail {
         Tail::Expired => Ok(None),
-        Tail::Records { records, next } => {
+        Tail::Records { records, next, end } => {
             let entries = records.into_iter().filter_map(|it| match it {
                 Record::Engine(id, engine) => Some((id, engine)),
                 _ => None,
             });
-            apply(shared, entries, next, requested_at);
-            Ok(Some(next))
+            let at = requested_at;
+            let read = Extent { next, end, at };
+            apply(shared, entries, read);
+            Ok(Some(read))
         }
     }
 }
 
-/// Applies the entries of a read that was made at `at` and ends at the position `next`.
-fn apply(shared: &Shared, entries: impl Iterator<Item = Entry>, next: Position, at: BootTime) {
+/// Applies the entries of a read.
+fn apply(shared: &Shared, entries: impl Iterator<Item = Entry>, read: Extent) {
+    let at = read.at;
     let mut directory = lock(&shared.directory);
     directory.record_read(at);
     let mut relayed = vec![];
@@ -161,7 +166,7 @@
             relayed.push(EngineChange::new(&id, engine.map(|it| &**it)));
         }
     }
-    lock(&shared.relay.engines).extend(next, relayed, at);
+    lock(&shared.relay.engines).extend(read, relayed);
     if changed {
         forget_removed(shared, &directory);
     }
--- a/crates/entry/src/follow/operators.rs
+++ b/crates/entry/src/follow/operators.rs
@@ -6,7 +6,7 @@
 
 use forward::BootTime;
 use forward::configuration::Configuration;
-use forward::relay::Position;
+use forward::relay::{Extent, Position};
 use forward::release::{Exposure, Release, ReleaseOrder, ReleaseStatus};
 use model::Name;
 use tokio::time::sleep;
@@ -52,18 +52,25 @@
     }
     reason.unwrap_or(DirectRead::Retry).count(shared);
     // A call that waits confirms only at its end, which would be late for what is old already.
-    let wait = match access.is_lost() || relay::is_outdated(shared, RelayedTopic::Operators) {
+    let mut wait = match access.is_lost() || relay::is_outdated(shared, RelayedTopic::Operators) {
         true => Duration::ZERO,
         false => shared.settings().store.config_wait,
     };
-    let result = wait_for_operators(shared, known, wait).await;
-    let Some(next) = access.complete(result, reason.is_some()).await else {
-        if reason.is_none() {
-            sleep(RelayedTopic::Operators.query_interval(shared)).await;
+    let mut known = known;
+    loop {
+        let result = wait_for_operators(shared, known, wait).await;
+        let Some(read) = access.complete(result, reason.is_some()).await else {
+            if reason.is_none() {
+                sleep(RelayedTopic::Operators.query_interval(shared)).await;
+            }
+            return Some(known);
+        };
+        known = read?.next;
+        if !read?.is_cut_off() {
+            return Some(known);
         }
-        return Some(known);
-    };
-    next
+        wait = Duration::ZERO;
+    }
 }
 
 /// Gets the records from another node that it knows of.
@@ -81,7 +88,12 @@
             }
         }
     }
-    confirm(shared, known, relayed.reply.current_at);
+    let mut journal = lock(&shared.relay.operators);
+    if journal.is_credible(known, relayed.counts_to_end) {
+        journal.extend(Extent::to_end(known, relayed.reply.current_at), vec![]);
+    }
+    drop(journal);
+    confirm(shared);
     (known, None)
 }
 
@@ -89,14 +101,15 @@
 async fn get_operators(shared: &Shared, peer: SocketAddr, from: Position) -> Result<Position, Error> {
     let read = relay::operators::get(shared, peer, from).await?;
     let tail = store::parse_tail(shared, Topic::Operators, read.from, &read.reply)?;
-    let Tail::Records { records, next } = tail else {
+    let Tail::Records { records, next, end } = tail else {
         return Err(Error::HistoryChanged);
     };
     if next <= from {
         return Err(Error::RecordsUnknown);
     }
     apply_operators(shared, records)?;
-    relay::operators::keep(shared, read, next, BootTime::ZERO);
+    let at = BootTime::ZERO;
+    relay::operators::keep(shared, read, Extent { next, end, at });
     Ok(next)
 }
 
@@ -114,7 +127,7 @@
     }
     apply_operators(shared, records)?;
     lock(&shared.relay.operators).reset(end, requested_at);
-    confirm(shared, end, requested_at);
+    confirm(shared);
     apply_statuses(shared, statuses);
     Ok(end)
 }
@@ -124,34 +137,36 @@
     shared: &Shared,
     from: Position,
     wait: Duration,
-) -> Result<Option<Position>, Error> {
+) -> Result<Option<Extent>, Error> {
     let requested_at = clock::now();
     let (tail, reply) = store::tail(shared, Topic::Operators, from, wait).await?;
     match tail {
         Tail::Expired => Ok(None),
-        Tail::Records { records, next } => {
+        Tail::Records { records, next, end } => {
             // If there are no records, the store held the request for the whole wait, and nothing changed in
             // that time.
-            let confirmed = match records.is_empty() {
+            let at = match records.is_empty() {
                 true => clock::now().min(requested_at + wait),
                 false => requested_at,
             };
-            let found = !records.is_empty();
-            apply_operators(shared, records)?;
-            if found {
-                let read = OperatorsRead { from, reply };
-                relay::operators::keep(shared, read, next, confirmed);
+            let extent = Extent { next, end, at };
+            if records.is_empty() {
+                lock(&shared.relay.operators).extend(extent, vec![]);
+            } else {
+                apply_operators(shared, records)?;
+                relay::operators::keep(shared, OperatorsRead { from, reply }, extent);
             }
-            confirm(shared, next, confirmed);
-            Ok(Some(next))
+            confirm(shared);
+            Ok(Some(extent))
         }
     }
 }
 
-/// Records that the configuration was current, and that the topic ended at `next`, at the time `at`.
-fn confirm(shared: &Shared, next: Position, at: BootTime) {
-    lock(&shared.configuration).confirm(at);
-    lock(&shared.relay.operators).extend(next, vec![], at);
+/// Confirms the configuration at the time at which the operators' topic is known to have been current. All records
+/// that were read must have been applied.
+fn confirm(shared: &Shared) {
+    let current_at = lock(&shared.relay.operators).current_at();
+    lock(&shared.configuration).confirm(current_at);
 }
 
 /// Applies the operators' records.
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -177,6 +177,8 @@
         records: Vec<Record>,
         /// Position at which the next read begins.
         next: Position,
+        /// End of the topic, behind `next` if the response does not have all records.
+        end: Position,
     },
     /// The store does not have the records from the position on: they were deleted, or belong to a history that it
     /// has lost.
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -94,6 +94,10 @@
     /// Whether further changes have to be queried before the next offset is reached.
     #[serde(default)]
     more: bool,
+    /// Whether the age counts from a read that reached the end of the topic. Nodes of earlier versions state that of any
+    /// read, also of one that the store cut off.
+    #[serde(default)]
+    to_end: bool,
 }
 
 /// Topics that nodes pass on. Release statuses are not among them, as the driver of a release sends these.
@@ -143,6 +147,8 @@
     pub reply: AcceptedReply<EngineChange>,
     /// Address of the node for calls of other nodes.
     pub peer: SocketAddr,
+    /// Whether the node counts the age from a read that reached the end of the topic.
+    pub counts_to_end: bool,
 }
 
 /// Queries the readers of a topic for changes from the position `from` on.
@@ -163,7 +169,7 @@
         let sent_at = clock::now();
         let own = topic.newest(&shared.relay, sent_at);
         let age = own.map_or(Duration::MAX, |(_, age)| age);
-        let Some(reply) = query_reader(shared, reader.gossip, topic, from).await else {
+        let Some((reply, counts_to_end)) = query_reader(shared, reader.gossip, topic, from).await else {
             continue;
         };
         replied = true;
@@ -175,6 +181,7 @@
             return Ok(Relayed {
                 reply,
                 peer: reader.peer,
+                counts_to_end,
             });
         }
     }
@@ -254,13 +261,14 @@
     [RelayedTopic::Operators, RelayedTopic::Engines].map(topic).into()
 }
 
-/// Queries a node until it has replied with all of its changes.
+/// Queries a node until it has replied with all of its changes; returns them, and whether the node counts their age from
+/// a read that reached the end of the topic.
 async fn query_reader(
     shared: &Shared,
     reader: SocketAddr,
     topic: RelayedTopic,
     from: Position,
-) -> Option<JournalReply<EngineChange>> {
+) -> Option<(JournalReply<EngineChange>, bool)> {
     let mut changes = vec![];
     for _ in 0..MAX_PAGES {
         let reply = query_page(shared, reader, topic, from, changes.len()).await?;
@@ -269,14 +277,13 @@
         changes.extend(page);
         if is_last {
             // An empty page that is not the last one is a change that fits into no reply.
-            return (!reply.more).then_some(JournalReply {
-                next: Position {
-                    era: reply.era,
-                    offset,
-                },
-                age: Duration::from_millis(age_ms),
-                changes,
-            });
+            let next = Position {
+                era: reply.era,
+                offset,
+            };
+            let age = Duration::from_millis(age_ms);
+            let to_end = reply.to_end;
+            return (!reply.more).then_some((JournalReply { next, age, changes }, to_end));
         }
     }
     None
@@ -335,6 +342,7 @@
         read: None,
         era: 0,
         more: false,
+        to_end: true,
     };
     let Some(read) = read else {
         return unknown;
@@ -356,6 +364,7 @@
         era: read.next.era,
         read: Some((read.next.offset, read.age.as_millis() as u64 + 1, page)),
         more,
+        to_end: true,
     }
 }
 
--- a/crates/entry/src/relay/operators.rs
+++ b/crates/entry/src/relay/operators.rs
@@ -7,8 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use forward::BootTime;
-use forward::relay::Position;
+use forward::relay::{Extent, Position};
 use http_body_util::Full;
 use hyper::header::HeaderName;
 use hyper::{Method, Response, StatusCode};
@@ -40,13 +39,11 @@
     pub reply: StoreReply,
 }
 
-/// Keeps a read for other nodes, after which the topic is known up to `next`.
-///
-/// `ended_at` is a time at which the topic was known to end there, or zero.
-pub(crate) fn keep(shared: &Shared, mut read: OperatorsRead, next: Position, ended_at: BootTime) {
+/// Keeps a read for other nodes.
+pub(crate) fn keep(shared: &Shared, mut read: OperatorsRead, extent: Extent) {
     strip_connection_headers(read.reply.headers_mut());
     let mut journal = lock(&shared.relay.operators);
-    journal.extend(next, vec![read], ended_at);
+    journal.extend(extent, vec![read]);
     journal.shrink(MAX_KEPT_BYTES, |it| it.reply.body().len());
 }
 
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -42,6 +42,9 @@
     /// Another node does not have the records that this one lacks.
     #[error("the other node does not have the records")]
     RecordsUnknown,
+    /// The topic goes on, but the response has no record.
+    #[error("no records, although the topic ends at offset {0}")]
+    NoRecords(u64),
     /// The store came back from an older copy between two pages of a topic.
     #[error("the history of the store changed while it was read")]
     HistoryChanged,
@@ -80,6 +83,10 @@
     Ok(match shared.protocol.parse_tail(topic, from, reply)? {
         // The offset belongs to another history, so the records may not follow on those that are known.
         Tail::Records { next, .. } if next.era != from.era => Tail::Expired,
+        // Such a response neither leads to the end nor shows that nothing changed.
+        Tail::Records { records, next, end } if records.is_empty() && next < end => {
+            return Err(Error::NoRecords(end.offset));
+        }
         tail => tail,
     })
 }
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -5,6 +5,9 @@
 //! Any node may be queried: the age of the reply decides whether it can be used, and the querying node reads
 //! the store itself if it cannot.
 //!
+//! A response of the store may hold only a part of the records, so a read counts as current only once the end that was
+//! stated with it is reached. The [`Journal`] decides that for every topic.
+//!
 //! A store that came back from an older copy has lost its newest records and assigns their offsets again. Such a
 //! history has a higher era, and a [`Position`] names both, so that nodes in different eras do not mix them up.
 
@@ -29,6 +32,29 @@
     pub offset: u64,
 }
 
+/// How far a read of a topic got.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Extent {
+    /// Position after the last record of the read.
+    pub next: Position,
+    /// End of the topic that was stated with the records.
+    pub end: Position,
+    /// A time at which the topic had not grown beyond `end`; zero if none is known.
+    pub at: BootTime,
+}
+
+impl Extent {
+    /// A read that reached the end, at which the topic ended at the time `at`.
+    pub fn to_end(end: Position, at: BootTime) -> Self {
+        Self { next: end, end, at }
+    }
+
+    /// Whether the topic goes on behind the read.
+    pub fn is_cut_off(self) -> bool {
+        self.next < self.end
+    }
+}
+
 /// Changes of one read.
 #[derive(Debug, Clone)]
 struct Batch<C> {
@@ -45,8 +71,12 @@
     batches: VecDeque<Batch<C>>,
     /// Position from which on no change is missing.
     first: Position,
-    /// Position after the newest read, and the latest time at which the topic was known to end there.
+    /// Position after the newest read, and the latest time at which the topic is known not to have grown beyond it.
     newest: Option<(Position, BootTime)>,
+    /// An end of the topic behind the newest read, and a time at which the topic had not grown beyond that end.
+    ///
+    /// It is kept until it is reached, so that a topic that grows while it is read still counts as current at some time.
+    next_end: Option<(Position, BootTime)>,
 }
 
 /// Reply to a node that knows a topic up to some offset.
@@ -54,7 +84,7 @@
 pub struct JournalReply<C> {
     /// Position up to which the topic is known after the changes.
     pub next: Position,
-    /// Time since the topic was known to end at that position.
+    /// Time since the topic was last known not to have grown beyond that position.
     pub age: Duration,
     /// Changes in the order in which they apply.
     pub changes: Vec<C>,
@@ -119,6 +149,7 @@
             batches: VecDeque::new(),
             first: Position::default(),
             newest: None,
+            next_end: None,
         }
     }
 
@@ -127,11 +158,12 @@
         self.batches.clear();
         self.first = next;
         self.newest = Some((next, at));
+        self.next_end = None;
     }
 
     /// Records a read that began where the previous one ended.
-    pub fn extend(&mut self, next: Position, changes: Vec<C>, at: BootTime) {
-        self.push(next, changes, None, at);
+    pub fn extend(&mut self, read: Extent, changes: Vec<C>) {
+        self.push(read, changes, None);
     }
 
     /// Records a read of the whole topic, by what differs from the state after the previous read.
@@ -140,13 +172,12 @@
     /// between.
     pub fn extend_by_difference(&mut self, next: Position, changes: Vec<C>, at: BootTime) {
         let only_from = self.newest.map(|it| it.0);
-        self.push(next, changes, only_from, at);
+        self.push(Extent::to_end(next, at), changes, only_from);
     }
 
-    fn push(&mut self, next: Position, changes: Vec<C>, only_from: Option<Position>, at: BootTime) {
-        // An earlier time than the recorded one would understate how current the journal is.
-        let at = self.newest.map_or(at, |(_, known)| known.max(at));
-        self.newest = Some((next, at));
+    fn push(&mut self, read: Extent, changes: Vec<C>, only_from: Option<Position>) {
+        let next = read.next;
+        self.newest = Some((next, self.current_after(read)));
         if !changes.is_empty() || only_from.is_some_and(|it| it < next) {
             self.batches.push_back(Batch {
                 next,
@@ -162,6 +193,30 @@
         }
     }
 
+    /// The latest time at which the topic is known not to have grown beyond the end of a read.
+    fn current_after(&mut self, read: Extent) -> BootTime {
+        let reached = self.next_end.take_if(|it| it.0 <= read.next);
+        // An earlier time than the recorded one would understate how current the journal is.
+        let known = [self.newest, reached].into_iter().flatten().map(|it| it.1).max();
+        let known = known.unwrap_or(BootTime::ZERO);
+        if read.is_cut_off() {
+            self.next_end.get_or_insert((read.end, read.at));
+            return known;
+        }
+        known.max(read.at)
+    }
+
+    /// Whether another node's statement that the topic ended at `next` may be true. One of a build that counts
+    /// reads that the store cut off as current (`!counts_to_end`) is not, if the topic is known to go on.
+    pub fn is_credible(&self, next: Position, counts_to_end: bool) -> bool {
+        counts_to_end || self.next_end.is_none_or(|it| it.0 <= next)
+    }
+
+    /// The latest time at which the topic is known not to have grown beyond the newest read; zero before the first one.
+    pub fn current_at(&self) -> BootTime {
+        self.newest.map_or(BootTime::ZERO, |it| it.1)
+    }
+
     /// Drops the oldest changes until the rest weighs at most `max`.
     pub fn shrink(&mut self, max: usize, weight: impl Fn(&C) -> usize) {
         let weigh = |it: &Batch<C>| it.changes.iter().map(&weight).sum::<usize>();
--- a/crates/forward/tests/relay.rs
+++ b/crates/forward/tests/relay.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use forward::BootTime;
-use forward::relay::{Journal, Position, Query};
+use forward::relay::{Extent, Journal, Position, Query};
 use proptest::prelude::*;
 
 type Changes = Vec<(u8, Option<u8>)>;
@@ -36,7 +36,7 @@
 fn out_of_order_read_does_not_increase_the_age() {
     let mut journal = Journal::<u8>::new();
     journal.reset(offset(7), at(300));
-    journal.extend(offset(7), vec![], at(200));
+    journal.extend(Extent::to_end(offset(7), at(200)), vec![]);
     assert_eq!(journal.since(offset(7), at(300)).map(|it| it.age), Some(at(0)));
 }
 
@@ -44,7 +44,7 @@
 fn no_reply_for_an_offset_before_the_journal() {
     let mut journal = Journal::new();
     journal.reset(offset(7), at(0));
-    journal.extend(offset(9), vec![1], at(1));
+    journal.extend(Extent::to_end(offset(9), at(1)), vec![1]);
     assert!(journal.since(offset(6), at(1)).is_none());
 }
 
@@ -53,7 +53,7 @@
 fn node_ahead_of_the_reader_gets_the_offset_of_the_reader() {
     let mut journal = Journal::new();
     journal.reset(offset(7), at(0));
-    journal.extend(offset(9), vec![1], at(1));
+    journal.extend(Extent::to_end(offset(9), at(1)), vec![1]);
     let reply = journal.since(offset(10), at(1)).expect("nothing is missing");
     assert_eq!((reply.next, reply.changes.len()), (offset(9), 0));
 }
@@ -63,8 +63,8 @@
 fn journal_shrinks_to_the_newest_changes() {
     let mut journal = Journal::new();
     journal.reset(offset(7), at(0));
-    journal.extend(offset(8), vec![30], at(1));
-    journal.extend(offset(9), vec![50], at(2));
+    journal.extend(Extent::to_end(offset(8), at(1)), vec![30]);
+    journal.extend(Extent::to_end(offset(9), at(2)), vec![50]);
     journal.shrink(80, |it| *it);
     assert_eq!(journal.first_after(offset(7)), Some(&30));
     journal.shrink(79, |it| *it);
@@ -73,12 +73,59 @@
     assert_eq!(journal.first_after(offset(9)), None);
 }
 
+/// A read up to `next` of a topic that ended at `end`.
+fn cut_off(next: u64, end: u64, millis: u64) -> Extent {
+    Extent {
+        next: offset(next),
+        end: offset(end),
+        at: at(millis),
+    }
+}
+
+/// Guards against a part of the records that counts as current.
+#[test]
+fn read_that_was_cut_off_is_current_when_its_end_is_reached() {
+    let mut journal = Journal::new();
+    journal.reset(offset(7), at(100));
+    journal.extend(cut_off(8, 10, 200), vec![1]);
+    assert_eq!(journal.newest(at(300)), Some((offset(8), at(200))));
+    journal.extend(cut_off(9, 10, 210), vec![1]);
+    assert_eq!(journal.current_at(), at(100));
+    journal.extend(Extent::to_end(offset(10), at(220)), vec![1]);
+    assert_eq!(journal.current_at(), at(220));
+}
+
+/// Guards against a node that rejects all keys because the topic grows as fast as it is read.
+#[test]
+fn topic_that_grows_while_it_is_read_becomes_current() {
+    let mut journal = Journal::new();
+    journal.reset(offset(0), at(0));
+    for step in 1..20 {
+        journal.extend(cut_off(step, step + 3, 10 * step), vec![1]);
+        // A stated end is reached three reads later, and the next one is kept only then.
+        let age = 10 * step - journal.current_at().as_millis() as u64;
+        assert!(step < 4 || age <= 60, "{age} ms at read {step}");
+    }
+}
+
+/// Guards against a node of an earlier build that takes a part of the records for all of them, and passes its age on.
+#[test]
+fn age_of_a_read_that_may_be_cut_off_is_checked_with_the_known_end() {
+    let mut journal = Journal::new();
+    journal.reset(offset(7), at(100));
+    assert!(journal.is_credible(offset(7), false));
+    journal.extend(cut_off(8, 10, 0), vec![1]);
+    assert!(!journal.is_credible(offset(8), false));
+    assert!(journal.is_credible(offset(8), true));
+    assert!(journal.is_credible(offset(10), false));
+}
+
 /// Guards against offsets of a lost history that are taken for those of the current one.
 #[test]
 fn eras_do_not_mix() {
     let mut journal = Journal::new();
     journal.reset(Position { era: 1, offset: 4 }, at(0));
-    journal.extend(Position { era: 1, offset: 6 }, vec![1], at(1));
+    journal.extend(Extent::to_end(Position { era: 1, offset: 6 }, at(1)), vec![1]);
     assert!(journal.since(offset(5), at(1)).is_none());
     let query = Query {
         from: Position { era: 2, offset: 3 },
@@ -100,7 +147,7 @@
     let mut journal = Journal::new();
     journal.reset(offset(0), at(0));
     for next in 1..2000 {
-        journal.extend(offset(next), vec![next], at(next));
+        journal.extend(Extent::to_end(offset(next), at(next)), vec![next]);
     }
     assert!(journal.since(offset(1), at(2000)).is_none());
     let recent = journal
@@ -132,7 +179,7 @@
         let mut read = 0;
         for part in parts {
             let end = log.len().min(read + part);
-            journal.extend(offset(end as u64), log[read..end].to_vec(), at(read as u64));
+            journal.extend(Extent::to_end(offset(end as u64), at(read as u64)), log[read..end].to_vec());
             read = end;
         }
         let mut expected = BTreeMap::new();
--- a/crates/forward/tests/relay_schedules.rs
+++ b/crates/forward/tests/relay_schedules.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use forward::BootTime;
-use forward::relay::{AcceptedReply, Journal, JournalReply, Position, Query};
+use forward::relay::{AcceptedReply, Extent, Journal, JournalReply, Position, Query};
 use proptest::prelude::*;
 
 type Change = (u8, Option<u8>);
@@ -48,6 +48,8 @@
     ReadFromArrival,
     /// The records from an offset on are applied although the offset belongs to another era.
     TailOfOtherEra,
+    /// A read counts as current although the response had only a part of the records.
+    CutReadIsCurrent,
     /// A reader replies to a query from another era as if the offset were its own.
     ReplyToOtherEra,
 }
@@ -72,6 +74,8 @@
     Read {
         node: usize,
         full: bool,
+        /// Number of records that the response holds, if only changes are read.
+        records: usize,
     },
     Query {
         node: usize,
@@ -88,6 +92,7 @@
         node: usize,
         sent_at: BootTime,
         from: Option<Position>,
+        records: usize,
         end: Position,
     },
     Query {
@@ -111,7 +116,7 @@
 }
 
 impl Node {
-    fn apply(&mut self, changes: &[Change], next: Position, at: BootTime) {
+    fn apply(&mut self, changes: &[Change], next: Position) {
         for (key, value) in changes {
             match value {
                 Some(value) => self.state.insert(*key, *value),
@@ -119,7 +124,6 @@
             };
         }
         self.next = Some(next);
-        self.current_at = self.current_at.max(at);
     }
 }
 
@@ -172,13 +176,15 @@
                 self.histories.push((history, self.now));
             }
             Step::Wait(millis) => self.now += Duration::from_millis((*millis).into()),
-            Step::Read { node, full } => {
+            Step::Read { node, full, records } => {
                 let from = self.nodes[*node].next.filter(|_| !full);
                 let (node, sent_at, end) = (*node, self.now, self.end());
+                let records = *records;
                 self.messages.push(Message::LogRead {
                     node,
                     sent_at,
                     from,
+                    records,
                     end,
                 });
             }
@@ -219,8 +225,9 @@
                 node,
                 sent_at,
                 from,
+                records,
                 end,
-            } => self.read(node, sent_at, from, end),
+            } => self.read(node, sent_at, from, records, end),
             Message::Query { node, reader, query } => {
                 let journal = &self.nodes[reader].journal;
                 let from = match (self.fault, journal.newest(self.now)) {
@@ -239,7 +246,14 @@
     }
 
     /// A node handles reads and replies sequentially, so a read that was overtaken is never applied.
-    fn read(&mut self, node: usize, sent_at: BootTime, from: Option<Position>, end: Position) {
+    fn read(
+        &mut self,
+        node: usize,
+        sent_at: BootTime,
+        from: Option<Position>,
+        records: usize,
+        end: Position,
+    ) {
         let fault = self.fault;
         let at = if fault == Some(Fault::ReadFromArrival) {
             self.now
@@ -260,20 +274,31 @@
         }
         let known = from.map_or(0, |it| usize::try_from(it.offset).unwrap());
         let changes = &log[known.min(log.len())..];
+        // A read of everything goes on until it has all pages.
+        let changes = &changes[..from.map_or(changes.len(), |_| records.min(changes.len()))];
+        let next = Position {
+            offset: end.offset.min((known + changes.len()) as u64),
+            ..end
+        };
+        let extent = match fault {
+            Some(Fault::CutReadIsCurrent) => Extent::to_end(next, at),
+            _ => Extent { next, end, at },
+        };
         let continues = node.journal.newest(at).is_some_and(|(it, _)| it.era == end.era);
-        node.apply(changes, end, at);
+        node.apply(changes, next);
         match from {
-            Some(_) => node.journal.extend(end, changes.to_vec(), at),
+            Some(_) => node.journal.extend(extent, changes.to_vec()),
             None if fault == Some(Fault::DifferenceAsChanges) && continues => {
-                node.journal.extend(end, difference(&before, &node.state), at);
+                node.journal.extend(extent, difference(&before, &node.state));
             }
-            None if fault == Some(Fault::NoJournalReset) => node.journal.extend(end, vec![], at),
+            None if fault == Some(Fault::NoJournalReset) => node.journal.extend(extent, vec![]),
             None if continues => {
                 let changes = difference(&before, &node.state);
                 node.journal.extend_by_difference(end, changes, at);
             }
             None => node.journal.reset(end, at),
         }
+        node.current_at = node.current_at.max(node.journal.current_at());
     }
 
     fn apply_reply(&mut self, node: usize, query: Query, reply: JournalReply<Change>) {
@@ -297,8 +322,10 @@
             _ => query.accept(reply, now, MAX_AGE),
         };
         if let Some(it) = accepted {
-            node.apply(&it.changes, it.next, it.current_at);
-            node.journal.extend(it.next, it.changes, it.current_at);
+            node.apply(&it.changes, it.next);
+            let extent = Extent::to_end(it.next, it.current_at);
+            node.journal.extend(extent, it.changes);
+            node.current_at = node.current_at.max(node.journal.current_at());
         }
     }
 
@@ -306,7 +333,7 @@
         for node in &self.nodes {
             let known = node.next.unwrap_or_default();
             let mut expected = Node::default();
-            expected.apply(&self.records(known), known, node.current_at);
+            expected.apply(&self.records(known), known);
             if node.state != expected.state {
                 return Err(Violation::State);
             }
@@ -330,7 +357,8 @@
     let step = prop_oneof![
         3 => (0..3_u8, prop::option::of(0..3_u8)).prop_map(Step::Write),
         1 => (1..400_u16).prop_map(Step::Wait),
-        3 => (0..NODES, prop::bool::weighted(0.3)).prop_map(|(node, full)| Step::Read { node, full }),
+        3 => (0..NODES, prop::bool::weighted(0.3), 1..6_usize)
+            .prop_map(|(node, full, records)| Step::Read { node, full, records }),
         3 => (0..NODES, 0..NODES).prop_map(|(node, reader)| Step::Query { node, reader }),
         6 => index().prop_map(Step::Deliver),
         1 => index().prop_map(Step::Lose),
@@ -370,5 +398,6 @@
     difference_for_a_position_in_between_is_detected: DifferenceAsChanges => State;
     read_from_arrival_is_detected: ReadFromArrival => Currency;
     tail_of_another_era_is_detected: TailOfOtherEra => State;
+    cut_read_that_counts_as_current_is_detected: CutReadIsCurrent => Currency;
     reply_to_another_era_is_detected: ReplyToOtherEra => State;
 }
