relay: a response that arrives before the end of its wait confirms its request only

An empty response to a read that waits was taken as current at its arrival, if that was before the end of the wait. It may have been made at any time since the request, and have been delayed on its way: a change after it, a removed key for instance, was covered by a confirmation that did not know it.

Its test fails with the earlier rule (149 instead of 100 ms for a response that arrives a millisecond early). Calls to the store and the time of a confirmation after a whole wait are as before.

--- a/crates/entry/src/follow/operators.rs
+++ b/crates/entry/src/follow/operators.rs
@@ -142,20 +142,17 @@
     let (tail, reply) = store::tail(shared, Topic::Operators, from, wait).await?;
     match tail {
         Tail::Expired => Ok(None),
+        Tail::Records { records, next, .. } if records.is_empty() => {
+            let extent = Extent::without_records(next, requested_at, wait, clock::now());
+            lock(&shared.relay.operators).extend(extent, vec![]);
+            confirm(shared);
+            Ok(Some(extent))
+        }
         Tail::Records { records, next, end } => {
-            // If there are no records, the store held the request for the whole wait, and nothing changed in
-            // that time.
-            let at = match records.is_empty() {
-                true => clock::now().min(requested_at + wait),
-                false => requested_at,
-            };
+            apply_operators(shared, records)?;
+            let at = requested_at;
             let extent = Extent { next, end, at };
-            if records.is_empty() {
-                lock(&shared.relay.operators).extend(extent, vec![]);
-            } else {
-                apply_operators(shared, records)?;
-                relay::operators::keep(shared, OperatorsRead { from, reply }, extent);
-            }
+            relay::operators::keep(shared, OperatorsRead { from, reply }, extent);
             confirm(shared);
             Ok(Some(extent))
         }
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -49,6 +49,23 @@
         Self { next: end, end, at }
     }
 
+    /// A read without records that asked the store to wait for some, and whose response arrived at `received_at`.
+    ///
+    /// After the whole wait the topic had not grown. If the response arrives earlier, it may have been made at any time
+    /// since the request.
+    pub fn without_records(
+        end: Position,
+        requested_at: BootTime,
+        wait: Duration,
+        received_at: BootTime,
+    ) -> Self {
+        let waited = match received_at.saturating_sub(requested_at) >= wait {
+            true => wait,
+            false => Duration::ZERO,
+        };
+        Self::to_end(end, requested_at + waited)
+    }
+
     /// Whether the topic goes on behind the read.
     pub fn is_cut_off(self) -> bool {
         self.next < self.end
--- a/crates/forward/tests/relay.rs
+++ b/crates/forward/tests/relay.rs
@@ -95,6 +95,15 @@
     assert_eq!(journal.current_at(), at(220));
 }
 
+/// Guards against CONFIG: a response that was made before a change, and arrived late, counts as current at its arrival.
+#[test]
+fn early_response_without_records_is_current_at_its_request() {
+    let read = |received| Extent::without_records(offset(7), at(100), at(50), at(received)).at;
+    assert_eq!(read(149), at(100));
+    assert_eq!(read(150), at(150));
+    assert_eq!(read(400), at(150));
+}
+
 /// Guards against a node that rejects all keys because the topic grows as fast as it is read.
 #[test]
 fn topic_that_grows_while_it_is_read_becomes_current() {
