releases: all pages of statuses are read before one is recorded

A driver read the first page of the statuses, at most 500, before it recorded a stage, and made its append depend on the end that this page states. With more services it did not see the status of a release on a later page: it recorded the first stage over an end. Operators saw a reverted release in progress again.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -123,7 +123,7 @@
 
 /// Reads all pages of a topic. Records that change meanwhile are read again from the end that the first page
 /// states.
-async fn read_all(shared: &Shared, topic: Topic) -> Result<(Vec<Record>, Position), Error> {
+pub(crate) async fn read_all(shared: &Shared, topic: Topic) -> Result<(Vec<Record>, Position), Error> {
     let Page {
         mut records,
         mut after,
--- a/crates/entry/src/releases.rs
+++ b/crates/entry/src/releases.rs
@@ -170,9 +170,9 @@
 
 /// Reads and applies all recorded statuses; returns the end of their topic.
 async fn read_statuses(shared: &Shared) -> Result<Position, Error> {
-    let page = store::newest(shared, Topic::Status, None).await?;
-    follow::operators::apply_statuses(shared, page.records);
-    Ok(page.end)
+    let (statuses, end) = follow::read_all(shared, Topic::Status).await?;
+    follow::operators::apply_statuses(shared, statuses);
+    Ok(end)
 }
 
 /// Addresses of the first `count` nodes in the order in which they drive the releases of a service; `None` for this node.
