memory: requests under way, their buffers and bodies have a bound on their sum

Report of another operator: an engine sent bytes without end, and the machine that kept them ran out of memory. Each exchange was bounded here, their sum was not.

Cause: read buffers of connections to engines, up to three of 64 KB each; 16 KiB of each body that no budget counted; requests themselves, 52 KB each.

Change: memory::ReadBuffers shrinks reads when many connections are open, the free share of a body shrinks when many are open, and memory::Room holds requests and all bodies within 0.4 of the memory. A request takes its share before its body is read, or is refused at once with 503 no_memory, not run. A peer takes a share before it accepts a request of another node. The parts for bodies go from 0.2 to 0.17 of the memory, above the longest body that is accepted at 110 MB.

Not measured: throughput of large bodies, sound callers beside it.

--- a/crates/daemon/tests/endless.rs
+++ b/crates/daemon/tests/endless.rs
@@ -6,7 +6,7 @@
 mod common;
 
 use std::fs;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
@@ -21,11 +21,16 @@
 use common::{engine, free_address, wait_until};
 
 /// Memory that an entry host of the smallest installation has.
-const HOST_MEMORY_KB: u64 = 110 * 1000;
+const HOST_MEMORY_MB: u64 = 110;
+const HOST_MEMORY_KB: u64 = HOST_MEMORY_MB * 1000;
 
 /// Engines or callers that misbehave at once.
 const PEERS: usize = 50;
 
+/// Engines without end that many callers share, and the time for which every other caller doesn't read.
+const SHARED_ENGINES: usize = 4;
+const LATE_TIME: Duration = Duration::from_secs(4);
+
 struct Daemon {
     child: Child,
     entry: SocketAddr,
@@ -36,7 +41,7 @@
         store.put("keyed.op", "config", CONFIG);
         let (entry, ready) = (free_address(), free_address());
         let text = format!(
-            "[node]\nhost = n1\nfailure_domain = a\nregion = r\n\
+            "[node]\nhost = n1\nfailure_domain = a\nregion = r\nmemory_mb = {HOST_MEMORY_MB}\ndescriptors = 4100\n\
              [listen]\nentry = {entry}\nready = {ready}\ndirectory = {}\ncontrol = {}\ngossip = {}\n\
              [store]\naddress = {}\n\
              [bounds]\nstrict_revocation = true\ngrace_seconds = 5\nretry_ratio = 0.9\nretry_slack = 56\n",
@@ -125,6 +130,54 @@
     endless_event: Event of "/draft/1" at "pool";
 }
 
+macro_rules! many_callers {
+    ($($name:ident: $count:literal callers, $part:ident of $path:literal at $service:literal;)*) => {
+        $(#[test]
+        fn $name() {
+            many_callers(stringify!($name), $count, Part::$part, $path, $service);
+        })*
+    };
+}
+
+// Guards against a process that is killed for the sum of what it holds for connections, each of which is within its bounds.
+many_callers! {
+    many_endless_bodies: 600 callers, Body of "/look/1" at "desk";
+    many_endless_small_chunks: 600 callers, SmallChunks of "/look/1" at "desk";
+    many_endless_bodies_of_failures: 600 callers, FailureBody of "/look/1" at "desk";
+    many_midsize_events: 600 callers, MidsizeEvents of "/draft/1" at "pool";
+    many_large_events: 600 callers, LargeEvents of "/draft/1" at "pool";
+    very_many_endless_bodies: 1500 callers, Body of "/look/1" at "desk";
+    very_many_midsize_events: 1500 callers, MidsizeEvents of "/draft/1" at "pool";
+}
+
+/// Many callers of a few engines without end, half of which read late.
+fn many_callers(name: &str, count: usize, part: Part, path: &str, service: &str) {
+    let store = Store::spawn();
+    let engines: Vec<_> = (0..SHARED_ENGINES).map(|_| EndlessEngine::spawn(part)).collect();
+    for (idx, engine) in engines.iter().enumerate() {
+        engine.register(&store, &format!("e{idx}"), service);
+    }
+    let daemon = Daemon::spawn(name, &store);
+    println!("after the start: {} kB", daemon.memory_kb("VmHWM"));
+    let callers = (0..count).map(|idx| {
+        let (entry, request) = (daemon.entry, request(path, &format!("a{idx}"), ""));
+        thread::spawn(move || {
+            let mut stream = send(entry, &request);
+            if idx % 2 == 0 {
+                thread::sleep(LATE_TIME);
+            }
+            let mut buffer = [0; 16 << 10];
+            let end = Instant::now() + LATE_TIME;
+            while Instant::now() < end && stream.read(&mut buffer).is_ok_and(|it| it > 0) {}
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    callers.into_iter().for_each(|it| it.join().unwrap());
+    let asked: usize = engines.iter().map(EndlessEngine::request_count).sum();
+    println!("requests that reached an engine: {asked}");
+    daemon.assert_peak_below_host_memory();
+}
+
 /// Guards against a process that is killed for its memory while callers do not read large events.
 #[test]
 fn large_events_for_callers_that_do_not_read() {
--- a/crates/entry/src/client.rs
+++ b/crates/entry/src/client.rs
@@ -26,6 +26,7 @@
 
 use crate::head;
 use crate::keep_alive::{self, PEER_TIMEOUT};
+use crate::memory::{OpenBuffers, ReadBuffers};
 use crate::network::Network;
 
 /// Maximum size of the head of a response.
@@ -72,11 +73,29 @@
 /// Bytes received since the last head or part of a body.
 type IdleBytes = Arc<AtomicUsize>;
 
-/// Socket that fails once a peer has sent [`MAX_IDLE_BYTES`] to no effect.
+/// Socket that fails once a peer has sent [`MAX_IDLE_BYTES`] to no effect, and reads at once what its share of the
+/// process's memory allows.
 #[derive(Debug)]
 struct BoundedStream {
     stream: TcpStream,
     idle_bytes: IdleBytes,
+    buffers: OpenBuffers,
+}
+
+impl BoundedStream {
+    /// Reads at most `max_bytes`, which are fewer than the buffer has room for.
+    fn poll_read_part(
+        &mut self,
+        context: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+        max_bytes: usize,
+    ) -> Poll<io::Result<()>> {
+        let mut part = ReadBuf::new(buf.initialize_unfilled_to(max_bytes));
+        ready!(Pin::new(&mut self.stream).poll_read(context, &mut part))?;
+        let received = part.filled().len();
+        buf.advance(received);
+        Poll::Ready(Ok(()))
+    }
 }
 
 impl AsyncRead for BoundedStream {
@@ -86,7 +105,10 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buf))?;
+        match self.buffers.max_read().filter(|it| *it < buf.remaining()) {
+            Some(max_bytes) => ready!(self.poll_read_part(context, buf, max_bytes))?,
+            None => ready!(Pin::new(&mut self.stream).poll_read(context, buf))?,
+        }
         let received = buf.filled().len() - before;
         let idle = self.idle_bytes.fetch_add(received, Ordering::Relaxed) + received;
         if idle > MAX_IDLE_BYTES {
@@ -174,39 +196,62 @@
     idle_bytes: IdleBytes,
 }
 
-/// Connects within `limit`.
-pub(crate) async fn connect(
-    network: &dyn Network,
-    address: SocketAddr,
-    limit: Duration,
-) -> Result<IdleConnection, Error> {
-    let stream = match timeout(limit, network.connect(address)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(err)) => return Err(Error::Connect(err.to_string())),
-        Err(_) => return Err(Error::Connect("time-out".to_owned())),
-    };
-    stream.set_nodelay(true).ok();
-    keep_alive::try_set(&stream, PEER_TIMEOUT);
-    let idle_bytes = IdleBytes::default();
-    let stream = BoundedStream {
-        stream,
-        idle_bytes: idle_bytes.clone(),
-    };
-    let (sender, connection) = http1::Builder::new()
-        .max_buf_size(MAX_HEAD_BYTES)
-        .handshake(TokioIo::new(stream))
-        .await
-        .map_err(|err| Error::Connect(err.to_string()))?;
-    let task = tokio::spawn(async move {
-        if let Err(err) = connection.await {
-            log::debug!("connection to {address}: {err}");
+/// Opens connections to engines, the store and other nodes.
+#[derive(Debug)]
+pub(crate) struct Client {
+    network: Arc<dyn Network>,
+    buffers: Arc<ReadBuffers>,
+}
+
+impl Client {
+    /// A client whose read buffers share `memory` bytes with the rest of the process.
+    pub(crate) fn new(network: Arc<dyn Network>, memory: usize) -> Self {
+        Self {
+            network,
+            buffers: ReadBuffers::of_process(memory),
         }
-    });
-    Ok(IdleConnection {
-        sender,
-        connection: Connection(task),
-        idle_bytes,
-    })
+    }
+
+    /// Open connections.
+    pub(crate) fn open_connections(&self) -> usize {
+        self.buffers.open()
+    }
+
+    /// Connects within `limit`.
+    pub(crate) async fn connect(
+        &self,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<IdleConnection, Error> {
+        let stream = match timeout(limit, self.network.connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(err)) => return Err(Error::Connect(err.to_string())),
+            Err(_) => return Err(Error::Connect("time-out".to_owned())),
+        };
+        stream.set_nodelay(true).ok();
+        keep_alive::try_set(&stream, PEER_TIMEOUT);
+        let idle_bytes = IdleBytes::default();
+        let stream = BoundedStream {
+            stream,
+            idle_bytes: idle_bytes.clone(),
+            buffers: self.buffers.begin(),
+        };
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|err| Error::Connect(err.to_string()))?;
+        let task = tokio::spawn(async move {
+            if let Err(err) = connection.await {
+                log::debug!("connection to {address}: {err}");
+            }
+        });
+        Ok(IdleConnection {
+            sender,
+            connection: Connection(task),
+            idle_bytes,
+        })
+    }
 }
 
 impl IdleConnection {
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -177,8 +177,10 @@
     json!({
         "ready": shared.is_ready(),
         "memory": {
+            "all": shared.memory.used(),
             "requests": shared.request_memory.used(),
             "responses": shared.response_memory.used(),
+            "connections": shared.client.open_connections(),
         },
         "hosts": { "reachable": reachable, "known": known },
         "configuration": configuration,
--- a/crates/entry/src/detour.rs
+++ b/crates/entry/src/detour.rs
@@ -28,6 +28,7 @@
 use tokio::time::timeout;
 
 use crate::client::{self, Connection, IdleConnection};
+use crate::memory::RequestShare;
 use crate::open_requests::OpenRequest;
 use crate::path::{self, CONNECT_TIMEOUT};
 use crate::response::{ResponseBody, StreamBroken, TrackedBody, full_response, strip_connection_headers};
@@ -184,7 +185,7 @@
 }
 
 async fn open(shared: &Shared, peer: SocketAddr, engine: &Engine) -> Result<IdleConnection, OpenError> {
-    let mut connection = client::connect(&*shared.network, peer, PEER_CONNECT_TIMEOUT).await?;
+    let mut connection = shared.client.connect(peer, PEER_CONNECT_TIMEOUT).await?;
     let call = serde_json::json!(RunReport::new(&Run::of(engine))).to_string();
     let mut request = Request::new(Full::new(Bytes::from(call)));
     *request.method_mut() = Method::POST;
@@ -211,6 +212,7 @@
     engine: Arc<Engine>,
     connection: IdleConnection,
     permit: OwnedSemaphorePermit,
+    memory: RequestShare,
 }
 
 /// No response was received for a request that was passed on. The connection to the other node is closed, as the one to
@@ -275,6 +277,7 @@
     }
     let permit = shared.room.0.clone().try_acquire_owned();
     let permit = permit.map_err(|_| Refusal::Full)?;
+    let memory = shared.memory.request_share().ok_or(Refusal::Full)?;
     let now = clock::now();
     let engine = lock(&shared.directory).engine(&run.engine).cloned();
     let engine = engine.filter(|it| Run::of(it) == run && !it.draining);
@@ -285,7 +288,7 @@
     if path::answer(shared, &engine.service) == Answer::NotReached {
         return Err(Refusal::NoPath);
     }
-    let connected = client::connect(&*shared.network, engine.address, CONNECT_TIMEOUT).await;
+    let connected = shared.client.connect(engine.address, CONNECT_TIMEOUT).await;
     let Ok(connection) = connected else {
         path::record_unreached(shared, &engine);
         return Err(Refusal::Unreachable);
@@ -295,6 +298,7 @@
         engine,
         connection,
         permit,
+        memory,
     })
 }
 
@@ -315,10 +319,11 @@
         engine,
         connection,
         permit,
+        memory,
     } = opened;
     let (mut head, body) = request.into_parts();
     let id = shared.protocol.request_metadata(&head).id.unwrap_or_default();
-    let open = Arc::new(OpenRequest::begin(shared, id.clone(), clock::now()));
+    let open = Arc::new(OpenRequest::begin(shared, id.clone(), clock::now(), memory));
     open.record_attempt(&engine);
     let limits = lock(&shared.configuration).value().map(|it| it.limits);
     let body = request_body::read(shared, body, limits, None).await;
--- a/crates/entry/src/engine_end.rs
+++ b/crates/entry/src/engine_end.rs
@@ -18,7 +18,7 @@
 
 use crate::path::{self, CONNECT_TIMEOUT};
 use crate::shared::{Shared, lock};
-use crate::{client, clock, quarantine};
+use crate::{clock, quarantine};
 
 /// Time in which a process that ends closes its listening socket after its connections.
 const CLOSING_TIME: Duration = Duration::from_millis(20);
@@ -94,7 +94,7 @@
 }
 
 async fn try_connect(shared: &Arc<Shared>, engine: &Engine) -> bool {
-    let result = client::connect(&*shared.network, engine.address, CONNECT_TIMEOUT).await;
+    let result = shared.client.connect(engine.address, CONNECT_TIMEOUT).await;
     match &result {
         Ok(_) => path::record_reached(shared, engine),
         Err(_) => path::record_unreached(shared, engine),
--- a/crates/entry/src/open_requests.rs
+++ b/crates/entry/src/open_requests.rs
@@ -9,6 +9,7 @@
 use forward::directory::Engine;
 
 use crate::clock;
+use crate::memory::RequestShare;
 use crate::shared::{Shared, lock};
 
 /// Maximum number of requests that are logged one by one when the process exits.
@@ -70,11 +71,12 @@
 pub(crate) struct OpenRequest {
     shared: Arc<Shared>,
     number: u64,
+    _memory: RequestShare,
 }
 
 impl OpenRequest {
     /// Adds a request that arrived at a time.
-    pub(crate) fn begin(shared: &Arc<Shared>, id: String, arrived: BootTime) -> Self {
+    pub(crate) fn begin(shared: &Arc<Shared>, id: String, arrived: BootTime, memory: RequestShare) -> Self {
         let requests = &shared.open_requests;
         let number = requests.last_number.fetch_add(1, Ordering::Relaxed);
         let progress = Progress {
@@ -87,6 +89,7 @@
         Self {
             shared: shared.clone(),
             number,
+            _memory: memory,
         }
     }
 
--- a/crates/entry/src/path.rs
+++ b/crates/entry/src/path.rs
@@ -18,7 +18,7 @@
 
 use crate::pending::PendingReplies;
 use crate::shared::{Shared, lock};
-use crate::{client, clock, datagrams};
+use crate::{clock, datagrams};
 
 /// Timeout for connecting to an engine. The failure domains of a region are a few milliseconds apart; a lost
 /// packet costs about 200 ms.
@@ -215,7 +215,7 @@
     let Some(engine) = engines.iter().find(|it| !failed(it)).or(engines.first()) else {
         return false;
     };
-    let result = client::connect(&*shared.network, engine.address, CONNECT_TIMEOUT).await;
+    let result = shared.client.connect(engine.address, CONNECT_TIMEOUT).await;
     match &result {
         Ok(_) => record_reached(shared, engine),
         Err(_) => record_unreached(shared, engine),
--- a/crates/entry/src/reach.rs
+++ b/crates/entry/src/reach.rs
@@ -11,7 +11,7 @@
 use tokio::time::timeout;
 
 use crate::attempt::{AttemptOutcome, record_failure};
-use crate::client::{self, IdleConnection};
+use crate::client::IdleConnection;
 use crate::in_flight::InFlight;
 use crate::path::{self, CONNECT_TIMEOUT};
 use crate::request::RequestContext;
@@ -124,7 +124,7 @@
     let shared = &context.shared;
     let remaining = context.remaining();
     let limit = CONNECT_TIMEOUT.min(remaining);
-    let err = match client::connect(&*shared.network, engine.address, limit).await {
+    let err = match shared.client.connect(engine.address, limit).await {
         Ok(connection) => {
             path::record_reached(shared, engine);
             return Ok(connection);
--- a/crates/entry/src/relay/operators.rs
+++ b/crates/entry/src/relay/operators.rs
@@ -57,7 +57,7 @@
         target: format!("{PATH}{}/{}", from.era, from.offset),
         body: Bytes::new(),
     };
-    let reply = timeout(TIMEOUT, store::exchange(&*shared.network, peer, request)).await;
+    let reply = timeout(TIMEOUT, store::exchange(&shared.client, peer, request)).await;
     let reply = reply.map_err(|_| Error::TimedOut)??;
     let first = reply.headers().get(FIRST_OFFSET);
     let offset = first.and_then(|it| it.to_str().ok()?.parse().ok());
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -84,7 +84,11 @@
     let (head, body) = request.into_parts();
     let metadata = shared.protocol.request_metadata(&head);
     let id = metadata.id.clone().unwrap_or_default();
-    let open = Arc::new(OpenRequest::begin(&shared, id.clone(), arrived));
+    let Some(memory) = shared.memory.request_share() else {
+        request_body::discard_later(body);
+        return refuse(&shared, &id, Refusal::NoMemory, arrived).map(TrackedBody::untracked);
+    };
+    let open = Arc::new(OpenRequest::begin(&shared, id.clone(), arrived, memory));
     let mut final_responses = pin!(shared.stop_reaches(|it| it.final_responses));
     let admitted = tokio::select! {
         biased;
--- a/crates/entry/src/request_body.rs
+++ b/crates/entry/src/request_body.rs
@@ -40,10 +40,15 @@
         Ok(Err(body::Error::NoMemory)) => Refusal::NoMemory,
         Err(_) => Refusal::BodyTooSlow,
     };
-    tokio::spawn(timeout(DISCARD_TIMEOUT, discard(body)));
+    discard_later(body);
     Err(refusal)
 }
 
+/// Reads what is left of the body of a refused request for a short time.
+pub(crate) fn discard_later(body: Incoming) {
+    tokio::spawn(timeout(DISCARD_TIMEOUT, discard(body)));
+}
+
 async fn discard(mut body: Incoming) {
     let mut discarded = 0;
     while discarded < MAX_DISCARDED_BYTES {
--- a/crates/entry/src/response.rs
+++ b/crates/entry/src/response.rs
@@ -149,7 +149,7 @@
     BodyBroken,
     /// The body did not arrive in time.
     BodyTooSlow,
-    /// The bodies of other requests use up the memory for them.
+    /// Other requests, or their bodies, use up the memory for them.
     NoMemory,
     /// The node is about to stop.
     Leaving,
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -29,11 +29,12 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::sleep;
 
+use crate::client::Client;
 use crate::clock;
 use crate::datagrams::Rejections;
 use crate::detour::Room;
 use crate::engine_end::EndChecks;
-use crate::memory::Budget;
+use crate::memory::{self, Budget};
 use crate::metrics::Metrics;
 use crate::model_choice::RouteModels;
 use crate::network::Network;
@@ -50,7 +51,8 @@
 pub(crate) struct Shared {
     settings: RwLock<Arc<Settings>>,
     pub protocol: Arc<dyn Protocol>,
-    pub network: Arc<dyn Network>,
+    /// Connections to engines, the store and other nodes.
+    pub client: Client,
     pub incarnation: Incarnation,
     /// Socket for datagrams to other nodes.
     pub socket: Arc<UdpSocket>,
@@ -82,6 +84,8 @@
     /// Room for requests of other nodes.
     pub room: Room,
     pub metrics: Metrics,
+    /// Memory for requests under way and all bodies.
+    pub memory: Arc<memory::Room>,
     /// Memory for the bodies of requests.
     pub request_memory: Arc<Budget>,
     /// Memory for the bodies of responses and for events on their way to callers.
@@ -140,6 +144,7 @@
     ) -> Self {
         let outage = settings.store.heartbeat * Self::OUTAGE_HEARTBEATS;
         let (memory, descriptors) = (settings.node.memory, settings.node.descriptors);
+        let memory_room = memory::Room::of_process(memory);
         let start = match settings.node.first_start {
             true => Start::Fleet,
             false => Start::Process,
@@ -147,7 +152,7 @@
         Self {
             settings: RwLock::new(Arc::new(settings)),
             protocol,
-            network,
+            client: Client::new(network, memory),
             incarnation,
             socket: Arc::new(socket),
             configuration: Mutex::new(Cached::empty()),
@@ -174,8 +179,9 @@
             end_checks: EndChecks::default(),
             room: Room::of_process(descriptors),
             metrics: Metrics::new(),
-            request_memory: Budget::of_process(memory),
-            response_memory: Budget::of_process(memory),
+            request_memory: Budget::of_process(memory, &memory_room),
+            response_memory: Budget::of_process(memory, &memory_room),
+            memory: memory_room,
             engines_known: AtomicBool::new(false),
             open_requests: OpenRequests::default(),
             leaving: watch::Sender::new(None),
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -10,8 +10,7 @@
 use hyper::{Request, Response};
 use tokio::time::timeout;
 
-use crate::client;
-use crate::network::Network;
+use crate::client::{self, Client};
 use crate::protocol::{AppendOutcome, Page, StoreError, StoreReply, StoreRequest, Tail, Topic};
 use crate::shared::Shared;
 
@@ -115,7 +114,7 @@
     let address = shared.settings().store.address;
     let result = match timeout(
         wait + RESPONSE_TIMEOUT,
-        exchange(&*shared.network, address, request),
+        exchange(&shared.client, address, request),
     )
     .await
     {
@@ -130,7 +129,7 @@
 
 /// Makes one call to the store, or to a node that passes on what the store has responded.
 pub(crate) async fn exchange(
-    network: &dyn Network,
+    client: &Client,
     address: SocketAddr,
     request: StoreRequest,
 ) -> Result<StoreReply, Error> {
@@ -140,7 +139,7 @@
         .header(HOST, address.to_string())
         .body(Full::new(request.body))
         .map_err(|err| Error::Body(err.to_string()))?;
-    let connection = client::connect(network, address, CONNECT_TIMEOUT).await?;
+    let connection = client.connect(address, CONNECT_TIMEOUT).await?;
     let (response, _connection) = connection.send(http_request).await?;
     let (head, body) = response.into_parts();
     let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -20,11 +20,11 @@
 };
 use crate::clock;
 use crate::cut_off::Bound;
-use crate::memory::{self, FREE_BYTES, Reservation};
+use crate::memory::{self, MAX_FREE_BYTES, Reservation};
 use crate::request::RequestContext;
 use crate::response::{ResponseBody, strip_connection_headers};
 
-/// Batches of events buffered for a slow caller. Their bytes are bounded by [`FREE_BYTES`], or one batch.
+/// Batches of events buffered for a slow caller. Their bytes are bounded by [`MAX_FREE_BYTES`], or one batch.
 const BUFFERED_BATCHES: usize = 16;
 
 /// Maximum number of bytes of events that the caller already has, sent by an engine that was asked to resume
@@ -44,7 +44,7 @@
     let is_complete = Arc::new(AtomicBool::new(false));
     let caller = Caller {
         sender,
-        unsent: Arc::new(Semaphore::new(FREE_BYTES)),
+        unsent: Arc::new(Semaphore::new(MAX_FREE_BYTES)),
         is_complete: is_complete.clone(),
     };
     let mut head = engine_response.head.clone();
@@ -81,7 +81,7 @@
         if !reservation.try_resize(events.len()) {
             return Err(ReadEnd::NoMemory);
         }
-        let bytes = events.len().min(FREE_BYTES) as u32;
+        let bytes = events.len().min(MAX_FREE_BYTES) as u32;
         let send = async {
             let permit = self.unsent.clone().acquire_many_owned(bytes).await.ok();
             let guard: BatchGuard = (permit, reservation);
