stream: a silent engine is kept until another one has taken over

Cause: attempt dropped the response of the silent engine, which ends its run, once another engine was connected and before that one had answered.

Change: resume owns the old response until another engine's head continues the stream, and reads it meanwhile. If the silent engine writes first, or no other one goes on, the stream continues with it. As many engines are asked as before.

Ruled out: the end of the grace, as the streams were cut 2.3 s after the signal of 8 s.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -89,17 +89,9 @@
     }
 }
 
-/// What an attempt goes on from, if it isn't the first one to respond.
-#[derive(Debug, Default)]
-pub(crate) struct Resumption {
-    /// Last event that the caller has.
-    pub last_event_id: Option<u64>,
-    /// Response of a silent engine. It is dropped, which stops that engine, once another engine is connected.
-    pub replaced: Option<Box<EngineResponse>>,
-}
-
-/// Sends a request to an engine and waits for the head of the response.
-pub(crate) async fn attempt(context: &mut RequestContext, resumption: &mut Resumption) -> AttemptOutcome {
+/// Sends a request to an engine and waits for the head of the response. `last_event_id` is that of the last event that
+/// the caller has, if a stream is resumed.
+pub(crate) async fn attempt(context: &mut RequestContext, last_event_id: Option<u64>) -> AttemptOutcome {
     context.retry_state.begin_attempt();
     let work = context.work();
     let reached = match reach_engine(context, work).await {
@@ -113,7 +105,7 @@
         is_direct,
         mut in_flight,
     } = reached;
-    let request = match build_request(context, &engine, work, resumption.last_event_id) {
+    let request = match build_request(context, &engine, work, last_event_id) {
         Ok(request) => request,
         Err(err) => {
             log::error!(id = context.id, error:% = err; "request cannot be built");
@@ -123,7 +115,6 @@
     if !context.mark_sent() {
         return AttemptOutcome::NoEngine;
     }
-    drop(resumption.replaced.take());
     let sent_at = clock::now();
     let grading = Grading::begin(context, arm);
     let (response, connection) = match wait_for_head(context, connection.send(request)).await {
--- a/crates/entry/src/client.rs
+++ b/crates/entry/src/client.rs
@@ -154,8 +154,30 @@
 pub(crate) struct Body {
     body: Incoming,
     idle_bytes: IdleBytes,
+    /// What has arrived and was not polled yet; the inner `None` is the end.
+    arrived: Option<Option<Result<Frame<Bytes>, hyper::Error>>>,
 }
 
+impl Body {
+    /// Waits until a part or the end has arrived, which remains to be polled.
+    ///
+    /// # Errors
+    /// The body has broken off.
+    pub(crate) async fn wait(&mut self) -> Result<(), BodyBroken> {
+        if self.arrived.is_none() {
+            self.arrived = Some(self.frame().await);
+        }
+        match self.arrived {
+            Some(Some(Err(_))) => Err(BodyBroken),
+            _ => Ok(()),
+        }
+    }
+}
+
+/// A body broke off; polling it gives the cause.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct BodyBroken;
+
 impl hyper::body::Body for Body {
     type Data = Bytes;
     type Error = hyper::Error;
@@ -164,13 +186,16 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        if let Some(arrived) = self.arrived.take() {
+            return Poll::Ready(arrived);
+        }
         let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
         self.idle_bytes.store(0, Ordering::Relaxed);
         Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.arrived.is_none() && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
@@ -277,7 +302,11 @@
         head::check(&response)?;
         let idle_bytes = self.idle_bytes;
         idle_bytes.store(0, Ordering::Relaxed);
-        let response = response.map(|body| Body { body, idle_bytes });
+        let response = response.map(|body| Body {
+            body,
+            idle_bytes,
+            arrived: None,
+        });
         Ok((response, self.connection))
     }
 }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -19,7 +19,7 @@
 use hyper::{Method, Request, Response};
 use model::{Name, hash};
 
-use crate::attempt::{AttemptOutcome, EngineResponse, Resumption, attempt};
+use crate::attempt::{AttemptOutcome, EngineResponse, attempt};
 use crate::open_requests::OpenRequest;
 use crate::protocol::RequestMetadata;
 use crate::response::{Refusal, ResponseBody, TrackedBody, strip_connection_headers};
@@ -219,7 +219,7 @@
 async fn serve(context: &mut RequestContext) -> Served {
     context.choose_model();
     loop {
-        let engine_response = match attempt(context, &mut Resumption::default()).await {
+        let engine_response = match attempt(context, None).await {
             AttemptOutcome::Responded(engine_response) => engine_response,
             AttemptOutcome::NoEngine => {
                 let response = context.retry_state.response_without_engine(clock::now());
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -1,5 +1,6 @@
 //! Forwards the events of an engine to a caller, and resumes the stream on another engine after a failure.
 
+use std::future::pending;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -15,9 +16,7 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
 
-use crate::attempt::{
-    AttemptOutcome, EngineResponse, MAX_RESPONSE_BYTES, MAX_SOUND_SILENCE, Resumption, attempt,
-};
+use crate::attempt::{AttemptOutcome, EngineResponse, MAX_RESPONSE_BYTES, MAX_SOUND_SILENCE, attempt};
 use crate::clock;
 use crate::cut_off::Bound;
 use crate::memory::{self, MAX_FREE_BYTES, Reservation};
@@ -154,22 +153,19 @@
             }
             ReadEnd::Failed(failure) => failure,
         };
-        // An engine that is only silent may go on. Any other failure ends its response, and its connection is
-        // closed before another engine resumes the stream.
+        // An engine that is only silent may go on, also while others are asked or refuse. Its connection is closed, which
+        // stops it, once another engine has resumed the stream; after any other failure it is closed before that.
         let is_alive = failure == Failure::Silent && !context.remaining().is_zero();
-        let mut resumption = Resumption {
-            last_event_id: cursor.last(),
-            replaced: Some(engine_response).filter(|_| is_alive),
-        };
+        let mut silent = Some(engine_response).filter(|_| is_alive);
         let arm = context.arm;
-        match resume(&mut context, &form, failure, cursor, &mut resumption, &caller).await {
+        match resume(&mut context, &form, failure, cursor, &mut silent, &caller).await {
             Some(it) => {
                 engine_response = it;
                 splitter = Splitter::default();
             }
-            None => match resumption.replaced {
+            None => match silent {
                 Some(it) if !caller.sender.is_closed() => {
-                    log::info!(id = context.id; "silent engine kept: no other could be reached");
+                    log::info!(id = context.id; "silent engine kept: no other goes on with the stream");
                     context.arm = arm;
                     engine_response = it;
                 }
@@ -324,13 +320,25 @@
     }
 }
 
-/// Resumes the stream on another engine if the retry policy and the caller allow it.
+/// Waits until a silent engine writes again. A response that breaks off is dropped.
+async fn writes_again(silent: &mut Option<Box<EngineResponse>>) {
+    if let Some(response) = silent {
+        if response.body.wait().await.is_ok() {
+            return;
+        }
+        *silent = None;
+    }
+    pending::<()>().await;
+}
+
+/// Resumes the stream on another engine if the retry policy and the caller allow it, unless the `silent` one writes
+/// before that.
 async fn resume(
     context: &mut RequestContext,
     form: &Form,
     failure: Failure,
     cursor: Cursor,
-    resumption: &mut Resumption,
+    silent: &mut Option<Box<EngineResponse>>,
     caller: &Caller,
 ) -> Option<Box<EngineResponse>> {
     let mut failure = failure;
@@ -343,12 +351,14 @@
             return None;
         }
         let outcome = tokio::select! {
-            it = attempt(context, resumption) => it,
+            it = attempt(context, cursor.last()) => it,
+            () = writes_again(silent) => return None,
             () = caller.disconnected() => return None,
         };
         failure = match outcome {
             AttemptOutcome::Responded(engine_response) if Form::of(&engine_response.head) == *form => {
                 context.shared.metrics.streams_resumed.inc();
+                *silent = None;
                 return Some(engine_response);
             }
             AttemptOutcome::Responded(engine_response) => {
