Review: a node that starts after the store's drill accepts a removed key

One of three nodes is stopped as planned. A key is removed, the store goes away and comes back from a copy that is 6 s old, and the node starts. It serves the removed key until the operator has written the configuration again, although the other two nodes know the newer one.

The stand-in of the store learns eras for it.

--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -10,7 +10,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -181,12 +181,17 @@
 
 // ---------------------------------------------------------------- store
 
-type Topics = BTreeMap<String, Vec<(String, Vec<u8>)>>;
+/// Records of all topics.
+pub type Topics = BTreeMap<String, Vec<(String, Vec<u8>)>>;
 
 #[derive(Default)]
 struct StoreState {
     topics: Mutex<Topics>,
     changed: Condvar,
+    /// Times that the store came back from an older copy.
+    era: AtomicU64,
+    /// Whether the store closes all connections without an answer.
+    is_away: AtomicBool,
 }
 
 /// The platform's store: keyed topics with one partition each.
@@ -201,8 +206,15 @@
         let state = Arc::new(StoreState::default());
         let shared = state.clone();
         let address = serve(SocketAddr::from(([127, 0, 0, 1], 0)), move |request, stream| {
-            let (status, body) = shared.respond(&request);
-            respond(stream, status, "Content-Type: application/json\r\n", &body)
+            let answer = shared.respond(&request);
+            if shared.is_away.load(Ordering::SeqCst) {
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
+            let head = format!(
+                "Content-Type: application/json\r\nStore-Era: {}\r\n",
+                shared.era.load(Ordering::SeqCst)
+            );
+            respond(stream, answer.0, &head, &answer.1)
         })?;
         Ok(Self { state, address })
     }
@@ -214,6 +226,25 @@
         records.push((key.to_owned(), value.as_bytes().to_vec()));
         self.state.changed.notify_all();
     }
+
+    /// A copy of all records.
+    pub fn copy(&self) -> Topics {
+        self.state.topics.lock().unwrap().clone()
+    }
+
+    /// Goes away.
+    pub fn leave(&self) {
+        self.state.is_away.store(true, Ordering::SeqCst);
+        self.state.changed.notify_all();
+    }
+
+    /// Comes back from an older copy.
+    pub fn return_from(&self, copy: Topics) {
+        *self.state.topics.lock().unwrap() = copy;
+        self.state.era.fetch_add(1, Ordering::SeqCst);
+        self.state.is_away.store(false, Ordering::SeqCst);
+        self.state.changed.notify_all();
+    }
 }
 
 impl StoreState {
@@ -263,6 +294,12 @@
         let mut topics = self.topics.lock().unwrap();
         loop {
             let records = topics.get(topic).map_or(&[][..], Vec::as_slice);
+            if records.len() < from {
+                return (410, b"{\"first\":0}".to_vec());
+            }
+            if self.is_away.load(Ordering::SeqCst) {
+                return (503, Vec::new());
+            }
             let left = end.saturating_duration_since(Instant::now());
             if records.len() > from || left.is_zero() {
                 let mut body = (records.len() as u64).to_be_bytes().to_vec();
