entry: an engine's status is no false promise that nothing ran

What callers saw. An engine that has run a booking fails it with 429 or 408 and does not state that it did not run it. The node passed the status on.

Which status may leave the node was decided in the branch of `evaluate` for server errors only, which dropped a 503. Every other status of a run went out through the branch for good responses.

`RetryState::permits` decides from what is known about execution and from the kind of the request which statuses of engines may be sent to the caller. `EngineResponse::collect`, the only way from an engine's response to one that is not a stream, asks it before it reads the body; the branch for 503 is gone. A withheld response becomes 502, which promises nothing, is counted (`responses_withheld`) and logged. Truthful refusals do not come this far.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -329,12 +329,9 @@
         if matches!(context.route.kind, RouteKind::Stream { .. }) {
             record_failure(context, engine, Failure::Failed, engine_response.sent_at);
         }
-        let promises_not_run = status == StatusCode::SERVICE_UNAVAILABLE;
-        let response = engine_response.collect(context).await.ok();
         return AttemptOutcome::Failed {
             failure: Failure::Failed,
-            // Status 503 promises that nothing ran, which this engine did not state.
-            response: response.filter(|_| !promises_not_run),
+            response: engine_response.collect(context).await.ok(),
         };
     }
     let shared = &context.shared;
@@ -412,11 +409,18 @@
         }
     }
 
-    /// Reads the whole body before the deadline of the request.
+    /// Reads the whole body before the deadline of the request, unless the caller must not get a response with this status.
     pub(crate) async fn collect(
         mut self,
         context: &RequestContext,
     ) -> Result<Response<ResponseBody>, Failure> {
+        let status = self.head.status.as_u16();
+        if !context.retry_state.permits(status) {
+            context.shared.metrics.responses_withheld.inc();
+            let engine = &*self.in_flight.engine.id;
+            log::info!(id = context.id, engine, status; "response withheld: its status says that nothing ran");
+            return Err(Failure::Failed);
+        }
         let memory = &context.shared.response_memory;
         let read = body::read(&mut self.body, MAX_RESPONSE_BYTES, memory);
         let body = match timeout(context.remaining(), read).await {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -23,6 +23,8 @@
     pub refusals: Family<Label, Counter>,
     /// Failed attempts by kind of failure.
     pub failures: Family<Label, Counter>,
+    /// Responses of engines that callers did not get because their status would have been a false promise.
+    pub responses_withheld: Counter,
     /// Retries by reason.
     pub retries: Family<Label, Counter>,
     /// Requests that count towards the retry budget, by service.
@@ -109,6 +111,7 @@
             requests: Family::default(),
             refusals: Family::default(),
             failures: Family::default(),
+            responses_withheld: Counter::default(),
             retries: Family::default(),
             retry_budget_requests: Family::default(),
             retries_allowed: Family::default(),
@@ -172,6 +175,11 @@
             self.refusals.clone(),
         );
         registry.register("failures", "Failed attempts by failure", self.failures.clone());
+        registry.register(
+            "responses_withheld",
+            "Responses of engines whose status says that a request which may have run has not",
+            self.responses_withheld.clone(),
+        );
         registry.register(
             "retries",
             "Second and later attempts by reason",
--- a/crates/forward/src/retry.rs
+++ b/crates/forward/src/retry.rs
@@ -2,7 +2,8 @@
 //!
 //! [`RetryState`] records what happened to each attempt and decides what follows: another attempt, or the
 //! final response. The final response is derived from [`Execution`] alone, so that a refusal that promises
-//! "not run" cannot follow an attempt that may have run.
+//! "not run" cannot follow an attempt that may have run. The same holds for the responses of engines, see
+//! [`RetryState::permits`].
 
 use std::time::Duration;
 
@@ -10,6 +11,9 @@
 
 use crate::BootTime;
 
+/// Statuses that promise a caller that its request has not run and never will.
+const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+
 /// Whether a request may have been executed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Execution {
@@ -203,6 +207,16 @@
         }
     }
 
+    /// Whether a response of an engine with this status may be sent to the caller.
+    ///
+    /// The caller of a request that must not run twice sends it again after a promise that it has not run, so such a
+    /// promise must be true. An idempotent request gets the engine's own response.
+    pub fn permits(&self, status: u16) -> bool {
+        self.repeat == Repeat::Idempotent
+            || self.execution() == Execution::NotRun
+            || !NOT_RUN_STATUSES.contains(&status)
+    }
+
     /// When the caller must have a response.
     pub fn deadline(&self) -> BootTime {
         self.deadline
--- a/crates/forward/tests/retry.rs
+++ b/crates/forward/tests/retry.rs
@@ -100,8 +100,8 @@
 }
 
 proptest! {
-    /// Guards against a "not run" response after an attempt that may have run, a second run of a request that
-    /// is not idempotent, and more runs than the route allows.
+    /// Guards against a "not run" response, be it an engine's own, after an attempt that may have run, a second run of a
+    /// request that is not idempotent, and more runs than the route allows.
     #[test]
     fn responses_are_truthful(
         idempotent: bool,
@@ -122,6 +122,12 @@
             prop_assert_eq!(state.execution() == Execution::NotRun, possible_runs == 0);
             let (RetryDecision::Retry(response) | RetryDecision::Finish(response)) = decision;
             prop_assert!(response != FinalResponse::NotRun || possible_runs == 0);
+            for status in [408, 421, 429, 503] {
+                prop_assert_eq!(state.permits(status), idempotent || possible_runs == 0);
+            }
+            for status in [200, 307, 400, 404, 413, 425, 431, 500, 502, 504] {
+                prop_assert!(state.permits(status));
+            }
             if let RetryDecision::Finish(_) = decision {
                 break;
             }
