entry: a run that fails with 429 or 408 is no good response

What callers saw. An engine that fails idempotent requests with 429 or 408 and does not state that it did not run them: the caller gets the failure at once, although another engine would serve the request, as it does after a 500. The engine gets more streams than the sound ones (16 of 20 where three engines share them), as its failures come first and count as successes. A version under release that fails every request so is not halted.

`evaluate` took every status below 500, other than 421 and stated refusals, for a good response: it recorded the first byte, a success of the engine, the end of its warm-up and a good response of its version, and no failure that would lead to another attempt.

`Failure::of_response` says in one place what the status of a response means for the attempt. A status that promises that nothing ran is no result of a run, so it is a failure like a 500 unless the engine states that it did not run the request. Other statuses below 500 remain results: 400, 404, 413, 425 and 431 pass as before.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -308,31 +308,32 @@
     elapsed: Duration,
 ) -> AttemptOutcome {
     let status = engine_response.head.status;
-    if status == StatusCode::MISDIRECTED_REQUEST {
-        grading.discard();
-        lock(&context.shared.directory).evict(&engine.id, engine.started_ms, clock::now());
-        return AttemptOutcome::failed(Failure::Misdirected);
-    }
-    if engine_response.metadata.not_run {
-        grading.discard();
-        record_failure(context, engine, Failure::Refused, engine_response.sent_at);
-        return AttemptOutcome::failed(Failure::Refused);
-    }
-    let is_unnamed = engine_response.metadata.id.is_none();
-    if is_unnamed || (status.is_success() && !engine_response.metadata.is_signed) {
-        grading.discard();
-        return foreign_response(context, engine, status, &engine_response.metadata);
-    }
-    if status.is_server_error() {
-        grading.record_failure();
-        // Plain services fail some requests on every engine, which says nothing about the health of this one.
-        if matches!(context.route.kind, RouteKind::Stream { .. }) {
-            record_failure(context, engine, Failure::Failed, engine_response.sent_at);
+    let metadata = &engine_response.metadata;
+    match Failure::of_response(status.as_u16(), metadata.not_run) {
+        Some(Failure::Misdirected) => {
+            grading.discard();
+            lock(&context.shared.directory).evict(&engine.id, engine.started_ms, clock::now());
+            return AttemptOutcome::failed(Failure::Misdirected);
         }
-        return AttemptOutcome::Failed {
-            failure: Failure::Failed,
-            response: engine_response.collect(context).await.ok(),
-        };
+        Some(Failure::Refused) => {
+            grading.discard();
+            record_failure(context, engine, Failure::Refused, engine_response.sent_at);
+            return AttemptOutcome::failed(Failure::Refused);
+        }
+        _ if metadata.id.is_none() || (status.is_success() && !metadata.is_signed) => {
+            grading.discard();
+            return foreign_response(context, engine, status, metadata);
+        }
+        Some(failure) => {
+            grading.record_failure();
+            // Plain services fail some requests on every engine, which says nothing about the health of this one.
+            if matches!(context.route.kind, RouteKind::Stream { .. }) {
+                record_failure(context, engine, failure, engine_response.sent_at);
+            }
+            let response = engine_response.collect(context).await.ok();
+            return AttemptOutcome::Failed { failure, response };
+        }
+        None => {}
     }
     let shared = &context.shared;
     shared.metrics.first_byte_seconds.observe(elapsed.as_secs_f64());
--- a/crates/forward/src/retry.rs
+++ b/crates/forward/src/retry.rs
@@ -11,8 +11,11 @@
 
 use crate::BootTime;
 
+/// Status of an engine that is not the one that the request names. It has not run the request.
+const MISDIRECTED: u16 = 421;
+
 /// Statuses that promise a caller that its request has not run and never will.
-const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+const NOT_RUN_STATUSES: [u16; 4] = [408, MISDIRECTED, 429, 503];
 
 /// Whether a request may have been executed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -45,6 +48,20 @@
 }
 
 impl Failure {
+    /// The failure that the status of an engine's response means; `None` for the result of a run.
+    ///
+    /// An engine that has run a request has no reason to promise that nothing ran, so such a status is a failure unless
+    /// the engine also `states_not_run`.
+    pub fn of_response(status: u16, states_not_run: bool) -> Option<Self> {
+        match status {
+            MISDIRECTED => Some(Self::Misdirected),
+            _ if states_not_run => Some(Self::Refused),
+            500.. => Some(Self::Failed),
+            _ if NOT_RUN_STATUSES.contains(&status) => Some(Self::Failed),
+            _ => None,
+        }
+    }
+
     /// Whether it proves that the engine neither ran nor will run the request.
     pub fn proves_not_run(self) -> bool {
         matches!(self, Self::Unreachable | Self::Refused | Self::Misdirected)
--- a/crates/forward/tests/retry.rs
+++ b/crates/forward/tests/retry.rs
@@ -52,6 +52,31 @@
     failed_idempotent_is_retried: Idempotent Failed => Retry Engine;
 }
 
+macro_rules! responses {
+    ($($name:ident: $status:literal, states_not_run: $states:literal => $failure:expr;)*) => {
+        $(#[test]
+        fn $name() {
+            assert_eq!(Failure::of_response($status, $states), $failure);
+        })*
+    };
+}
+
+// Guards against a failed run that counts as a good one, or as none, and against a refusal that counts as a run.
+responses! {
+    success_is_a_result: 200, states_not_run: false => None;
+    redirection_is_a_result: 307, states_not_run: false => None;
+    rejected_content_is_a_result: 400, states_not_run: false => None;
+    missing_object_is_a_result: 404, states_not_run: false => None;
+    engine_failure_is_a_failure: 500, states_not_run: false => Some(Failure::Failed);
+    status_503_without_a_statement_is_a_failure: 503, states_not_run: false => Some(Failure::Failed);
+    status_429_without_a_statement_is_a_failure: 429, states_not_run: false => Some(Failure::Failed);
+    status_408_without_a_statement_is_a_failure: 408, states_not_run: false => Some(Failure::Failed);
+    status_503_with_a_statement_is_a_refusal: 503, states_not_run: true => Some(Failure::Refused);
+    status_429_with_a_statement_is_a_refusal: 429, states_not_run: true => Some(Failure::Refused);
+    status_421_needs_no_statement: 421, states_not_run: false => Some(Failure::Misdirected);
+    status_421_with_a_statement_comes_from_another_engine: 421, states_not_run: true => Some(Failure::Misdirected);
+}
+
 #[test]
 fn request_refused_by_all_engines_has_not_run() {
     let mut state = state(Repeat::NonIdempotent, 1);
