demo: a plain service's own 429, 408 or 503 is no refusal

On the own interface the promise is the field `ran` of an error, not the status (docs/design.md, sections 1 and 11). A call that ran and whose service replies with 408, 429 or 503 passes as it is, without `ran`; with its key all nodes repeat the kept reply, and it runs once. The stand-in of plain services can reply with any status after a call.

--- a/crates/demo/tests/idempotency_keys.rs
+++ b/crates/demo/tests/idempotency_keys.rs
@@ -177,6 +177,25 @@
     assert_eq!(cluster.services[0].executions(&unused), 0);
 }
 
+/// Guards against a service's own status that looks like a refusal of the node, after which a caller may call again: only
+/// `ran` says that nothing ran.
+#[test]
+fn failure_with_the_status_of_a_refusal_is_kept_and_states_nothing() {
+    let cluster = start();
+    let addresses = cluster.addresses();
+    for status in [408, 429, 503] {
+        cluster.services[0].update(|it| it.fail_with = Some(status));
+        let key = format!("{}.{status}", issued_prefix(addresses[0]));
+        let first = call_service(addresses[0], KEY, Some(&key), "{}");
+        assert_eq!((first.status, &first.error), (status, &None), "{first:?}");
+        cluster.services[0].update(|it| it.fail_with = None);
+        for address in &addresses {
+            assert_eq!(call_service(*address, KEY, Some(&key), "{}"), first);
+        }
+        assert_eq!(cluster.services[0].executions(&key), 1);
+    }
+}
+
 /// Guards against service calls that depend on the log.
 #[test]
 fn service_calls_succeed_during_a_log_outage() {
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -42,6 +42,8 @@
     pub refusing: bool,
     /// Replies with status 500 after executing the call.
     pub failing: bool,
+    /// Replies with this status after executing the call.
+    pub fail_with: Option<u16>,
     /// Neither executes calls nor replies.
     pub silent: bool,
     /// Number of next calls that are executed and get no reply; decremented with each such call.
@@ -139,8 +141,8 @@
         if self.count_down(|it| &mut it.break_replies) {
             return call.abort();
         }
-        if faults.failing {
-            return call.reply(500, &json!({"error": "failing"}));
+        if let Some(status) = faults.fail_with.or(faults.failing.then_some(500)) {
+            return call.reply(status, &json!({"error": "failing"}));
         }
         let reply = json!({"path": call.path, "executions": executions});
         call.reply(200, &reply);
