entry: a configuration that the store has lost a successor of is not current

What callers saw.

A read that reaches the end of the operators' topic confirmed the configuration in any era. That the other nodes state a newer version in their gossip did not matter.

The node's log: both members are known 365 ms before version 1 is adopted from the copy, and version 2 follows only after the operators have written again. Their statements have the version since the first datagram.

`forward::successor` compares the version with the newest that members state, where the configuration is confirmed. A read that was made after a statement and lacks the stated version shows a loss: the configuration is withdrawn, so that keys are refused with a true "not run". While a version spreads, the next read has it, and nothing changes. A node that starts waits up to 0.5 s for the first datagram of another one, as it reads the store and meets the others at the same time.

--- a/crates/entry/src/follow/operators.rs
+++ b/crates/entry/src/follow/operators.rs
@@ -8,6 +8,7 @@
 use forward::configuration::Configuration;
 use forward::relay::{Extent, Position};
 use forward::release::{Exposure, Release, ReleaseOrder, ReleaseStatus};
+use forward::successor::Standing;
 use model::Name;
 use tokio::time::sleep;
 
@@ -19,6 +20,13 @@
 use crate::store::{self, Error};
 use crate::{clock, evacuation, warm_up};
 
+/// Maximum time for which a node that starts waits for another one: some attempts to reach a seed, of which datagrams may be
+/// lost.
+const MEETING_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Interval at which it looks.
+const MEETING_POLL: Duration = Duration::from_millis(10);
+
 /// Follows the operators' records: reads all, then waits for changes.
 pub(crate) async fn run(shared: Arc<Shared>) {
     let mut next = None;
@@ -128,6 +136,7 @@
     evacuation::replace(shared, &records, end);
     apply_operators(shared, records)?;
     lock(&shared.relay.operators).reset(end, requested_at);
+    meet_others(shared).await;
     confirm(shared);
     apply_statuses(shared, statuses);
     Ok(end)
@@ -162,10 +171,44 @@
 
 /// Confirms the configuration at the time at which the operators' topic is known to have been current. All records
 /// that were read must have been applied.
+///
+/// A store that came back from an older copy may lack a configuration that other nodes have.
 fn confirm(shared: &Shared) {
     let current_at = lock(&shared.relay.operators).current_at();
     evacuation::confirm(shared, current_at);
-    lock(&shared.configuration).confirm(current_at);
+    let stated = lock(&shared.members).newest_revision();
+    let now = clock::now();
+    let mut cached = lock(&shared.configuration);
+    let own = cached.value().map_or(0, |it| it.version);
+    let standing = lock(&shared.successor).standing(own, stated, current_at, now);
+    match standing {
+        Standing::Newest => cached.confirm(current_at),
+        // One that is in use stays so until a read decides; one that is not must not be used before.
+        Standing::Behind if cached.is_fresh(now, shared.settings().bounds.revocation) => {
+            cached.confirm(current_at);
+        }
+        Standing::Behind => {}
+        Standing::Lost => {
+            if cached.withdraw() {
+                log::warn!(version = own, stated; "configuration withdrawn: the store lacks one that other nodes have");
+            }
+        }
+    }
+}
+
+/// Waits until another node has stated its configuration, which the store may lack, or does not answer in time.
+async fn meet_others(shared: &Shared) {
+    let settings = shared.settings();
+    let is_alone = settings.node.first_start || settings.seeds.iter().all(|it| *it == settings.listen.gossip);
+    let has_met = || {
+        lock(&shared.members)
+            .time_since_last_datagram(clock::now())
+            .is_some()
+    };
+    let begin = clock::now();
+    while !is_alone && !has_met() && clock::now().saturating_sub(begin) < MEETING_TIMEOUT {
+        sleep(MEETING_POLL).await;
+    }
 }
 
 /// Applies the operators' records.
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -25,6 +25,7 @@
 use forward::release::{Arm, Release, ResponseGrade, Stage, Subject};
 use forward::response_time::ResponseTimes;
 use forward::statement::{Access, Statements};
+use forward::successor::Successor;
 use forward::work::{Work, WorkDistribution};
 use membership::Table;
 use model::{Incarnation, Name};
@@ -60,6 +61,7 @@
     /// Socket for datagrams to other nodes.
     pub socket: Arc<UdpSocket>,
     pub configuration: Mutex<Cached<Configuration>>,
+    pub successor: Mutex<Successor>,
     pub directory: Mutex<Directory>,
     pub loads: Mutex<Loads>,
     /// Loads that nodes tell each other.
@@ -165,6 +167,7 @@
             incarnation,
             socket: Arc::new(socket),
             configuration: Mutex::new(Cached::empty()),
+            successor: Mutex::default(),
             directory: Mutex::new(Directory::new(outage)),
             loads: Mutex::default(),
             load_exchange: Mutex::default(),
--- a/crates/forward/src/cached.rs
+++ b/crates/forward/src/cached.rs
@@ -36,7 +36,12 @@
         self.confirmed_at = self.confirmed_at.max(Some(time));
     }
 
-    /// Time since the value was last confirmed; `None` if it never was.
+    /// Records that the value is known not to be current; returns whether it was confirmed before.
+    pub fn withdraw(&mut self) -> bool {
+        self.confirmed_at.take().is_some()
+    }
+
+    /// Time since the value was last confirmed; `None` if it never was, or not since it was withdrawn.
     pub fn age(&self, now: BootTime) -> Option<Duration> {
         Some(now.saturating_sub(self.confirmed_at?))
     }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! - [`cached`], [`configuration`], [`directory`]: the configuration and the engines as this node knows them,
 //!   and the age of that knowledge
+//! - [`successor`]: newer configurations that other nodes state and the store may have lost
 //! - [`retry`]: one request with its attempts; whether it may be sent again, and which final response is true
 //! - [`work`], [`load`], [`placement`], [`urgency`]: which engine serves a request, and in which order
 //! - [`engine_memory`]: the tokens that requests hold in engines' memory
@@ -61,6 +62,7 @@
 pub mod retry;
 pub mod retry_budget;
 pub mod statement;
+pub mod successor;
 pub mod unread;
 pub mod urgency;
 pub mod warm_up;
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -232,6 +232,11 @@
         self.seeds().filter(|it| !it.1).count()
     }
 
+    /// The newest revision that any other member has stated, dead ones included; 0 if there is none.
+    pub fn newest_revision(&self) -> Revision {
+        self.members().map(|it| it.revision).max().unwrap_or_default()
+    }
+
     /// Addresses of the seeds, and whether each is that of a member or of the node itself.
     pub fn seeds(&self) -> impl Iterator<Item = (SocketAddr, bool)> {
         let met: HashSet<_> = self
