entry: a stream without chunks that was left unread may have been cut off

What callers saw. A caller reads nothing of a stream for some seconds.

A body without framing that ended between two events counted as complete, also where the node knew that it had left the response unread for longer than engines bear. That knowledge was asked for only after a body had broken off.

The node's log has `request ended` with outcome `streamed` after one run, and no failed attempt, for each of these streams.

`StreamEnd` tells complete, doubtful and broken ends apart. A doubtful stream is resumed behind its last event, as one that was cut off unread is. An engine that has no more events shows that the stream was complete. If no engine may be asked, the stream breaks off, as an end that is not known must not look complete.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -367,9 +367,14 @@
         }
     }
 
+    /// Whether the engine may have cut the response off because it was not read.
+    pub(crate) fn may_be_cut_off(&self) -> bool {
+        self.unread.explains_break(self.body.waited())
+    }
+
     /// The failure that the early end of the body means, which is recorded for the engine unless the node is to blame.
     pub(crate) fn broken(&self, context: &RequestContext) -> Failure {
-        if self.unread.explains_break(self.body.waited()) {
+        if self.may_be_cut_off() {
             return Failure::Unread;
         }
         // Through a peer, the engine need not be what broke off.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -56,6 +56,7 @@
 mod statement;
 mod store;
 mod stream;
+mod stream_end;
 mod warm_up;
 mod write_timeout;
 
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -22,6 +22,7 @@
 use crate::memory::{self, MAX_FREE_BYTES, Reservation};
 use crate::request::RequestContext;
 use crate::response::{ResponseBody, strip_connection_headers};
+use crate::stream_end::StreamEnd;
 
 /// Batches of events buffered for a slow caller. Their bytes are bounded by [`MAX_FREE_BYTES`], or one batch.
 const BUFFERED_BATCHES: usize = 16;
@@ -128,12 +129,14 @@
     let begin = clock::now().saturating_sub(context.arrived);
     let mut cursor = Cursor::after(context.metadata.last_event_id);
     let mut splitter = Splitter::default();
+    let mut may_be_whole = false;
     loop {
         let end = forward_events(
             &mut context,
             &mut engine_response,
             &mut splitter,
             &mut cursor,
+            &mut may_be_whole,
             &caller,
         );
         let failure = match end.await {
@@ -187,11 +190,14 @@
 }
 
 /// Forwards complete events until the engine's stream ends.
+///
+/// `may_be_whole` says whether the events so far may be all of them, see [`StreamEnd`].
 async fn forward_events(
     context: &mut RequestContext,
     engine_response: &mut EngineResponse,
     splitter: &mut Splitter,
     cursor: &mut Cursor,
+    may_be_whole: &mut bool,
     caller: &Caller,
 ) -> ReadEnd {
     let mut reservation = context.shared.response_memory.reservation();
@@ -222,17 +228,26 @@
                 false => continue,
             },
             Ok(Some(Err(err))) => return ReadEnd::Failed(engine_response.body_failure(context, &err)),
-            Ok(None) if is_complete(engine_response, splitter) => {
-                if let Some(grading) = &mut engine_response.grading {
-                    grading.record_end();
-                }
-                engine_response.record_complete(context);
-                return ReadEnd::Complete;
+            Ok(None) => {
+                let end = StreamEnd::of(engine_response, splitter, *may_be_whole);
+                *may_be_whole = matches!(end, StreamEnd::Doubtful(_));
+                let failure = match end {
+                    StreamEnd::Complete => {
+                        if let Some(grading) = &mut engine_response.grading {
+                            grading.record_end();
+                        }
+                        engine_response.record_complete(context);
+                        return ReadEnd::Complete;
+                    }
+                    StreamEnd::Doubtful(failure) => failure,
+                    StreamEnd::Broken => engine_response.broken(context),
+                };
+                return ReadEnd::Failed(failure);
             }
-            Ok(None) => return ReadEnd::Failed(engine_response.broken(context)),
             Ok(Some(Ok(frame))) => {
                 let Ok(data) = frame.into_data() else { continue };
                 splitter.push(&data);
+                *may_be_whole = false;
             }
         }
         if !reservation.try_resize(splitter.memory()) {
@@ -263,15 +278,6 @@
     }
 }
 
-/// Whether a stream that has ended is complete.
-///
-/// A body without framing ends with its connection, also if the engine fails. That shows if it ends inside an event or
-/// has none.
-fn is_complete(engine_response: &EngineResponse, splitter: &Splitter) -> bool {
-    let is_framed = engine_response.is_framed();
-    splitter.partial_event().is_empty() && (is_framed || splitter.has_yielded())
-}
-
 /// Complete events taken from a stream.
 #[derive(Debug, Default)]
 struct Batch {
