entry: a stream without chunks whose engine has ended may not be complete

What callers saw. An engine is killed while it writes streams that have neither a length nor chunks.

As for streams that were left unread: a clean end between two events counted as complete, whatever had become of the engine.

The regression tests have an engine that stops listening and closes its connection after three of eight events: the node ends the stream as complete after one run.

An end between two events is doubtful as well if the engine accepts no connection 20 ms later (a peer tries it behind a lost path), so that the stream is resumed. What follows is as before: an engine that has no more events shows that the stream was complete. The check costs one connection for each such stream.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -65,8 +65,8 @@
     progress_at: Option<BootTime>,
     _connection: Connection,
     /// Whether the connection goes to the engine itself and not through a peer.
-    is_direct: bool,
-    in_flight: InFlight,
+    pub is_direct: bool,
+    pub in_flight: InFlight,
 }
 
 /// Result of an attempt.
--- a/crates/entry/src/detour.rs
+++ b/crates/entry/src/detour.rs
@@ -171,6 +171,15 @@
     Err(Error::NoPeer)
 }
 
+/// Whether a peer connects to an engine. One that does not says nothing about the requests that it would take.
+pub(crate) async fn reaches(shared: &Shared, engine: &Engine) -> bool {
+    let Some((_, address)) = path::choose_peer(shared, &engine.service, &[]) else {
+        return false;
+    };
+    let result = timeout(OPEN_TIMEOUT, open(shared, address, engine)).await;
+    matches!(result, Ok(Ok(_)))
+}
+
 fn count_passed_on(shared: &Shared, result: &'static str) {
     let label = [("result", result)];
     shared.metrics.requests_passed_on.get_or_create(&label).inc();
--- a/crates/entry/src/engine_end.rs
+++ b/crates/entry/src/engine_end.rs
@@ -2,7 +2,8 @@
 //!
 //! An answer may be lost, or a connection reset, while the engine lives on, and a node that loses its own path sees many
 //! requests break off. Only an engine that accepts no connections, while this node reaches others or no node reaches
-//! any, shows that its process has ended.
+//! any, shows that its process has ended. The end of a stream that ends with its connection is doubtful already if the engine
+//! accepts none.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
@@ -18,7 +19,7 @@
 
 use crate::path::{self, CONNECT_TIMEOUT};
 use crate::shared::{Shared, lock};
-use crate::{clock, quarantine};
+use crate::{clock, detour, quarantine};
 
 /// Time in which a process that ends closes its listening socket after its connections.
 const CLOSING_TIME: Duration = Duration::from_millis(20);
@@ -74,6 +75,15 @@
     }
 }
 
+/// Whether an engine that has just closed a connection accepts further ones, from this node or from a peer.
+pub(crate) async fn accepts_connections(shared: &Arc<Shared>, engine: &Engine, is_direct: bool) -> bool {
+    sleep(CLOSING_TIME).await;
+    match is_direct {
+        true => try_connect(shared, engine).await,
+        false => detour::reaches(shared, engine).await,
+    }
+}
+
 async fn has_ended(shared: &Arc<Shared>, engine: &Engine, broken_at: BootTime) -> bool {
     if try_connect(shared, engine).await {
         return false;
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -229,7 +229,7 @@
             },
             Ok(Some(Err(err))) => return ReadEnd::Failed(engine_response.body_failure(context, &err)),
             Ok(None) => {
-                let end = StreamEnd::of(engine_response, splitter, *may_be_whole);
+                let end = StreamEnd::of(context, engine_response, splitter, *may_be_whole).await;
                 *may_be_whole = matches!(end, StreamEnd::Doubtful(_));
                 let failure = match end {
                     StreamEnd::Complete => {
@@ -239,7 +239,11 @@
                         engine_response.record_complete(context);
                         return ReadEnd::Complete;
                     }
-                    StreamEnd::Doubtful(failure) => failure,
+                    StreamEnd::Doubtful(failure) => {
+                        let engine = &*engine_response.in_flight.engine.id;
+                        log::info!(id = context.id, engine, failure = failure.as_str(); "stream may not be complete");
+                        failure
+                    }
                     StreamEnd::Broken => engine_response.broken(context),
                 };
                 return ReadEnd::Failed(failure);
--- a/crates/entry/src/stream_end.rs
+++ b/crates/entry/src/stream_end.rs
@@ -1,13 +1,16 @@
 //! How the body of a stream ended.
 //!
 //! A body without framing ends with its connection, also if the engine fails. That shows if it ends inside an event or
-//! has none. Otherwise it may be whole or not: the node may have left it unread until the engine cut it off.
-//! Then an engine that is asked for the events that follow tells.
+//! has none. Otherwise it may be whole or not: the node may have left it unread until the engine cut it off, or the
+//! engine's process has ended. Then an engine that is asked for the events that follow tells.
 
 use forward::event_stream::Splitter;
 use forward::retry::Failure;
+use tokio::time::timeout;
 
 use crate::attempt::EngineResponse;
+use crate::engine_end;
+use crate::request::RequestContext;
 
 /// End of a body that was read without an error.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -23,7 +26,12 @@
 impl StreamEnd {
     /// The end of a response whose events were taken from `splitter`. `is_rest` says that a response before it may have
     /// been whole, and that this one added nothing.
-    pub(crate) fn of(response: &EngineResponse, splitter: &Splitter, is_rest: bool) -> Self {
+    pub(crate) async fn of(
+        context: &RequestContext,
+        response: &EngineResponse,
+        splitter: &Splitter,
+        is_rest: bool,
+    ) -> Self {
         if !splitter.partial_event().is_empty() {
             return Self::Broken;
         }
@@ -33,9 +41,14 @@
         if !splitter.has_yielded() {
             return Self::Broken;
         }
-        match response.may_be_cut_off() {
-            true => Self::Doubtful(Failure::Unread),
-            false => Self::Complete,
+        if response.may_be_cut_off() {
+            return Self::Doubtful(Failure::Unread);
+        }
+        let engine = &response.in_flight.engine;
+        let accepts = engine_end::accepts_connections(&context.shared, engine, response.is_direct);
+        match timeout(context.remaining(), accepts).await {
+            Ok(true) => Self::Complete,
+            Ok(false) | Err(_) => Self::Doubtful(Failure::Lost),
         }
     }
 }
