--- a/crates/entry/src/follow/operators.rs
+++ b/crates/entry/src/follow/operators.rs
@@ -20,11 +20,11 @@
 use crate::store::{self, Error};
 use crate::{clock, evacuation, warm_up};
 
-/// Maximum time for which a node that starts waits for another one: some attempts to reach a seed, of which datagrams may be
-/// lost.
+/// Maximum time for which a node that starts waits for the first datagram of another one; as datagrams may be lost, that
+/// takes some attempts.
 const MEETING_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Interval at which it looks.
+/// Interval at which it looks for one.
 const MEETING_POLL: Duration = Duration::from_millis(10);
 
 /// Follows the operators' records: reads all, then waits for changes.
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -61,6 +61,7 @@
     /// Socket for datagrams to other nodes.
     pub socket: Arc<UdpSocket>,
     pub configuration: Mutex<Cached<Configuration>>,
+    /// A newer configuration that other nodes state.
     pub successor: Mutex<Successor>,
     pub directory: Mutex<Directory>,
     pub loads: Mutex<Loads>,
