--- a/crates/entry/src/stream_end.rs
+++ b/crates/entry/src/stream_end.rs
@@ -24,18 +24,18 @@
 }
 
 impl StreamEnd {
-    /// The end of a response whose events were taken from `splitter`. `is_rest` says that a response before it may have
-    /// been whole, and that this one added nothing.
+    /// The end of a response whose events were taken from `splitter`. `may_be_whole` says that the events
+    /// before it may be all, and that this response added nothing.
     pub(crate) async fn of(
         context: &RequestContext,
         response: &EngineResponse,
         splitter: &Splitter,
-        is_rest: bool,
+        may_be_whole: bool,
     ) -> Self {
         if !splitter.partial_event().is_empty() {
             return Self::Broken;
         }
-        if response.is_framed() || is_rest {
+        if response.is_framed() || may_be_whole {
             return Self::Complete;
         }
         if !splitter.has_yielded() {
