entry: log what a node knows of a topic at each read, and from whom

The logs of the incident could not tell its hypotheses apart: no line said which nodes were queried, what they replied, or how old the own knowledge was. Each read now has a line 'topic read'.

A burst of changed engines hid the one that drains: each change had a line, and the batch of a log was written at once, of which a reader of the pipe may show a part. Lines 'engines changed' name the engines of a read by state, those that drain first, and a batch is written in parts of at most PIPE_BUF. The line 'engine changed' is gone.

--- a/crates/daemon/src/log_sink.rs
+++ b/crates/daemon/src/log_sink.rs
@@ -16,6 +16,10 @@
 /// Maximum number of queued lines: about one second of a node's log at ten times its share of the peak load.
 const QUEUE_LINES: usize = 4096;
 
+/// Maximum size of a write of several lines: `PIPE_BUF` of Linux. A larger write to a pipe is not atomic, and its reader may
+/// get only a part of the lines at once.
+const MAX_WRITE_BYTES: usize = 4096;
+
 /// Time for which lines are collected before they are written together.
 const BATCH_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -53,13 +57,21 @@
         thread::sleep(BATCH_INTERVAL);
         let mut text = first;
         for line in lines.try_iter() {
+            if text.len() + line.len() > MAX_WRITE_BYTES {
+                write_lines(&mut out, &text);
+                text.clear();
+            }
             text.push_str(&line);
         }
-        // If nobody reads the log, there is nowhere to report the error.
-        let _ = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+        write_lines(&mut out, &text);
     }
 }
 
+/// Writes lines. If nobody reads the log, there is nowhere to report the error.
+fn write_lines(out: &mut impl Write, text: &str) {
+    let _ = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+}
+
 impl Log for Sink {
     fn enabled(&self, metadata: &Metadata<'_>) -> bool {
         metadata.level() <= log::max_level()
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -15,6 +15,9 @@
 
 pub(crate) mod engines;
 pub(crate) mod operators;
+mod read_log;
+
+use read_log::{ReadLog, Source};
 
 /// Range of the backoff after failed requests, which doubles each time. A random time of up to the same
 /// length is added so that nodes do not return together. Requests that the store rejects are billed as well.
--- a/crates/entry/src/follow/engines.rs
+++ b/crates/entry/src/follow/engines.rs
@@ -6,16 +6,20 @@
 
 use forward::directory::{Directory, Engine};
 use forward::relay::{Extent, Position};
-use model::{Name, Upstream};
+use model::Upstream;
 use tokio::time::sleep;
 
-use super::{TopicAccess, pause_after_full_read, read_all};
+use super::{ReadLog, Source, TopicAccess, pause_after_full_read, read_all};
 use crate::protocol::{Record, Tail, Topic};
-use crate::relay::{self, DirectRead, EngineChange, Relayed, RelayedTopic};
+use crate::relay::{self, DirectRead, EngineChange, QueryFailures, Relayed, RelayedTopic};
 use crate::shared::{Shared, lock};
 use crate::store::{self, Error};
 use crate::{clock, path, warm_up};
 
+mod changes;
+
+use changes::Changes;
+
 /// Heartbeats after an eviction within which an engine that still runs has renewed its entry.
 const EVICTION_HEARTBEATS: u32 = 3;
 
@@ -45,13 +49,14 @@
 /// Returns the next position; `None` if records are missing and all entries must be read again.
 async fn follow(shared: &Shared, from: Position, access: &mut TopicAccess) -> Option<Position> {
     let has_evicted = has_evicted(shared);
-    let relayed = match has_evicted && !access.is_lost() {
-        true => Err(DirectRead::Evicted),
+    let log = ReadLog::begin(shared, RelayedTopic::Engines);
+    let (relayed, failures) = match has_evicted && !access.is_lost() {
+        true => (Err(DirectRead::Evicted), QueryFailures::default()),
         false => relay::query(shared, RelayedTopic::Engines, from, access.is_lost()).await,
     };
     let is_relayed = relayed.is_ok();
     let (mut from, reason) = match relayed {
-        Ok(Relayed { reply, .. }) => {
+        Ok(Relayed { reply, host, .. }) => {
             let changes = reply.changes.into_iter().map(EngineChange::into_entry);
             apply(
                 shared,
@@ -59,18 +64,24 @@
                 Extent::to_end(reply.next, reply.current_at),
                 false,
             );
+            log.write(shared, &Source::Node(host), &failures);
             let reason = Some(DirectRead::Evicted).filter(|_| has_evicted && access.has_backed_off());
             (reply.next, reason)
         }
         Err(reason) => (from, Some(reason)),
     };
     if !access.is_due(shared, RelayedTopic::Engines, reason) {
+        if !is_relayed {
+            log.write(shared, &Source::None, &failures);
+        }
         sleep(RelayedTopic::Engines.query_interval(shared)).await;
         return Some(from);
     }
-    reason.unwrap_or(DirectRead::Retry).count(shared);
+    let reason = reason.unwrap_or(DirectRead::Retry);
+    reason.count(shared);
     loop {
         let result = read_changes(shared, from).await;
+        log.write(shared, &Source::store(reason, &result), &failures);
         let Some(read) = access.complete(result, !is_relayed).await else {
             if is_relayed {
                 sleep(RelayedTopic::Engines.query_interval(shared)).await;
@@ -116,8 +127,11 @@
         Some((known, _)) if known <= end => {
             // Other nodes would have to read the whole list too if they could not follow from here.
             let changed = directory.replace(present, requested_at);
-            let change =
-                |id: &Upstream| EngineChange::new(id, directory.listed(id).map(|it| &**it), requested_at);
+            let listed = |id: &Upstream| directory.listed(id).map(|it| &**it);
+            let mut log = Changes::default();
+            changed.iter().for_each(|it| log.record(it, listed(it)));
+            log.log();
+            let change = |id: &Upstream| EngineChange::new(id, listed(id), requested_at);
             let changes = changed.iter().map(change).collect();
             journal.extend_by_difference(end, changes, requested_at);
         }
@@ -169,27 +183,26 @@
     directory.record_read(at);
     let mut relayed = vec![];
     let mut present = vec![];
-    let mut changed = false;
+    let mut changes = Changes::default();
     for (id, engine) in entries {
         let listed = engine.is_some();
         present.extend(engine.iter().map(|it| (it.clone(), is_start(&directory, it))));
-        let description = engine.as_ref().map(|it| (it.version.clone(), it.draining));
         let is_new = directory.apply(&id, engine, at);
+        if is_new && let Some(engine) = directory.engine(&id) {
+            path::record_start(shared, &engine.service);
+        }
+        let engine = directory.engine(&id).filter(|_| listed).map(|it| &**it);
         if is_new {
-            changed = true;
-            if let Some(engine) = directory.engine(&id) {
-                path::record_start(shared, &engine.service);
-            }
-            log_engine(&id, description);
+            changes.record(&id, engine);
         }
         // Other nodes may still list an engine that was removed and that this node no longer knows.
         if is_new || !listed {
-            let engine = directory.engine(&id).filter(|_| listed);
-            relayed.push(EngineChange::new(&id, engine.map(|it| &**it), read_at));
+            relayed.push(EngineChange::new(&id, engine, read_at));
         }
     }
     lock(&shared.relay.engines).extend(read, relayed);
-    if changed {
+    changes.log();
+    if !changes.is_empty() {
         forget_removed(shared, &directory);
     }
     drop(directory);
@@ -206,13 +219,6 @@
         .retain(|service| directory.engines().any(|it| it.service == *service));
 }
 
-/// Logs a change of an engine, of which the version and whether it drains are known if it is listed.
-fn log_engine(id: &Upstream, description: Option<(Name, bool)>) {
-    let listed = description.is_some();
-    let (version, draining) = description.unwrap_or_default();
-    log::info!(engine = **id, listed, version = *version, draining; "engine changed");
-}
-
 /// Listed engines, for operators.
 pub(crate) fn listed(shared: &Shared) -> Vec<Arc<Engine>> {
     lock(&shared.directory).engines().cloned().collect()
--- a/crates/entry/src/follow/operators.rs
+++ b/crates/entry/src/follow/operators.rs
@@ -12,7 +12,7 @@
 use model::Name;
 use tokio::time::sleep;
 
-use super::{TopicAccess, pause_after_full_read, read_all};
+use super::{ReadLog, Source, TopicAccess, pause_after_full_read, read_all};
 use crate::protocol::{Record, Tail, Topic};
 use crate::relay::operators::OperatorsRead;
 use crate::relay::{self, DirectRead, Relayed, RelayedTopic};
@@ -49,16 +49,25 @@
 ///
 /// Returns the next position; `None` if records are missing and all must be read again.
 async fn follow(shared: &Shared, from: Position, access: &mut TopicAccess) -> Option<Position> {
-    let relayed = relay::query(shared, RelayedTopic::Operators, from, access.is_lost()).await;
+    let log = ReadLog::begin(shared, RelayedTopic::Operators);
+    let (relayed, failures) = relay::query(shared, RelayedTopic::Operators, from, access.is_lost()).await;
     let (known, reason) = match &relayed {
-        Ok(relayed) => follow_peer(shared, from, relayed).await,
+        Ok(relayed) => {
+            let (known, reason) = follow_peer(shared, from, relayed).await;
+            log.write(shared, &Source::Node(relayed.host.clone()), &failures);
+            (known, reason)
+        }
         Err(reason) => (from, Some(*reason)),
     };
     if !access.is_due(shared, RelayedTopic::Operators, reason) {
+        if relayed.is_err() {
+            log.write(shared, &Source::None, &failures);
+        }
         sleep(RelayedTopic::Operators.query_interval(shared)).await;
         return Some(known);
     }
-    reason.unwrap_or(DirectRead::Retry).count(shared);
+    let direct_reason = reason.unwrap_or(DirectRead::Retry);
+    direct_reason.count(shared);
     // A call that waits confirms only at its end, which would be late for what is old already.
     let mut wait = match access.is_lost() || relay::is_outdated(shared, RelayedTopic::Operators) {
         true => Duration::ZERO,
@@ -67,6 +76,7 @@
     let mut known = known;
     loop {
         let result = wait_for_operators(shared, known, wait).await;
+        log.write(shared, &Source::store(direct_reason, &result), &failures);
         let Some(read) = access.complete(result, reason.is_some()).await else {
             if reason.is_none() {
                 sleep(RelayedTopic::Operators.query_interval(shared)).await;
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -22,10 +22,14 @@
 mod direct_read;
 mod engine_change;
 pub(crate) mod operators;
+mod query_failure;
 
 pub(crate) use direct_read::DirectRead;
 pub(crate) use engine_change::EngineChange;
+pub(crate) use query_failure::QueryFailures;
+
 use operators::OperatorsRead;
+use query_failure::QueryFailure;
 
 /// Timeout of a reply: some tens of times the round trip between two failure domains, so that only a lost
 /// datagram or a busy host exceeds it.
@@ -110,7 +114,7 @@
 }
 
 impl RelayedTopic {
-    fn name(self) -> &'static str {
+    pub(crate) fn name(self) -> &'static str {
         match self {
             Self::Operators => "operators",
             Self::Engines => "engines",
@@ -132,7 +136,7 @@
     }
 
     /// Position after the newest read of the topic, and its age.
-    fn newest(self, relay: &Relay, now: BootTime) -> Option<(Position, Duration)> {
+    pub(crate) fn newest(self, relay: &Relay, now: BootTime) -> Option<(Position, Duration)> {
         match self {
             Self::Operators => lock(&relay.operators).newest(now),
             Self::Engines => lock(&relay.engines).newest(now),
@@ -145,6 +149,8 @@
 pub(crate) struct Relayed {
     /// The changes.
     pub reply: AcceptedReply<EngineChange>,
+    /// The node.
+    pub host: Host,
     /// Address of the node for calls of other nodes.
     pub peer: SocketAddr,
     /// Whether the node counts the age from a read that reached the end of the topic.
@@ -153,48 +159,61 @@
 
 /// Queries the readers of a topic for changes from the position `from` on.
 ///
+/// A node that cannot reach the store (`is_lost`) queries other nodes even if it is a reader, and queries more of them.
+///
 /// # Errors
-/// This node must read the store itself, because it is a reader or because no reader has a recent read. A node that cannot reach the store (`is_lost`) queries other nodes even if it is a reader, and
-/// queries more of them.
+/// This node must read the store itself, because it is a reader or because no reader has a recent read.
 pub(crate) async fn query(
     shared: &Shared,
     topic: RelayedTopic,
     from: Position,
     is_lost: bool,
-) -> Result<Relayed, DirectRead> {
+) -> (Result<Relayed, DirectRead>, QueryFailures) {
     let interval = topic.read_interval(shared);
-    let Candidates { nodes, is_deputy } = candidates(shared, topic, is_lost).ok_or(DirectRead::Reader)?;
+    let mut failures = QueryFailures::default();
+    let Some(Candidates { nodes, is_deputy }) = candidates(shared, topic, is_lost) else {
+        return (Err(DirectRead::Reader), failures);
+    };
     let mut replied = false;
-    for reader in nodes {
+    for (host, reader) in nodes {
         let sent_at = clock::now();
         let own = topic.newest(&shared.relay, sent_at);
         let age = own.map_or(Duration::MAX, |(_, age)| age);
-        let Some((reply, counts_to_end)) = query_reader(shared, reader.gossip, topic, from).await else {
-            continue;
+        let (reply, counts_to_end) = match query_reader(shared, reader.gossip, topic, from).await {
+            Ok(it) => it,
+            Err(failure) => {
+                failures.push(host, failure);
+                continue;
+            }
         };
         replied = true;
+        let reply_age = reply.age;
         let query = Query { from, age, sent_at };
         let accepted = query.accept(reply, clock::now(), interval.mul_f64(MAX_AGE_INTERVALS));
         if let Some(reply) = accepted {
             let label = [("subject", topic.name())];
             shared.metrics.relayed.get_or_create(&label).inc();
-            return Ok(Relayed {
+            let relayed = Relayed {
                 reply,
+                host,
                 peer: reader.peer,
                 counts_to_end,
-            });
+            };
+            return (Ok(relayed), failures);
         }
+        failures.push(host, QueryFailure::Old(reply_age));
     }
-    Err(match replied && !is_deputy {
+    let reason = match replied && !is_deputy {
         true => DirectRead::Stale,
         false => DirectRead::NoReply,
-    })
+    };
+    (Err(reason), failures)
 }
 
 /// Nodes to query about a topic.
 #[derive(Debug)]
 struct Candidates {
-    nodes: Vec<Addresses>,
+    nodes: Vec<(Host, Addresses)>,
     /// Whether this node reads the store if they have no recent read.
     is_deputy: bool,
 }
@@ -223,7 +242,10 @@
         chosen.extend(rest.into_iter().choose_multiple(&mut rand::rng(), RANDOM_NODES));
     }
     Some(Candidates {
-        nodes: chosen.into_iter().map(|it| it.addresses).collect(),
+        nodes: chosen
+            .into_iter()
+            .map(|it| (it.host.clone(), it.addresses))
+            .collect(),
         is_deputy: position(&own.host).is_some(),
     })
 }
@@ -268,11 +290,12 @@
     reader: SocketAddr,
     topic: RelayedTopic,
     from: Position,
-) -> Option<(JournalReply<EngineChange>, bool)> {
+) -> Result<(JournalReply<EngineChange>, bool), QueryFailure> {
     let mut changes = vec![];
     for _ in 0..MAX_PAGES {
-        let reply = query_page(shared, reader, topic, from, changes.len()).await?;
-        let (offset, age_ms, page) = reply.read?;
+        let reply = query_page(shared, reader, topic, from, changes.len()).await;
+        let reply = reply.ok_or(QueryFailure::NoReply)?;
+        let (offset, age_ms, page) = reply.read.ok_or(QueryFailure::Unknown)?;
         let is_last = !reply.more || page.is_empty();
         changes.extend(page);
         if is_last {
@@ -283,10 +306,13 @@
             };
             let age = Duration::from_millis(age_ms);
             let to_end = reply.to_end;
-            return (!reply.more).then_some((JournalReply { next, age, changes }, to_end));
+            return match reply.more {
+                false => Ok((JournalReply { next, age, changes }, to_end)),
+                true => Err(QueryFailure::Unknown),
+            };
         }
     }
-    None
+    Err(QueryFailure::Unknown)
 }
 
 async fn query_page(
--- a/crates/entry/src/relay/direct_read.rs
+++ b/crates/entry/src/relay/direct_read.rs
@@ -20,20 +20,21 @@
 }
 
 impl DirectRead {
-    /// Counts a read.
-    pub(crate) fn count(self, shared: &Shared) {
-        let reason = match self {
+    /// Name in the log and in the metrics.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
             Self::Reader => "reader",
             Self::NoReply => "no_reply",
             Self::Stale => "stale",
             Self::RecordsUnknown => "records_unknown",
             Self::Evicted => "evicted",
             Self::Retry => "retry",
-        };
-        shared
-            .metrics
-            .store_reads
-            .get_or_create(&[("reason", reason)])
-            .inc();
+        }
+    }
+
+    /// Counts a read.
+    pub(crate) fn count(self, shared: &Shared) {
+        let label = [("reason", self.name())];
+        shared.metrics.store_reads.get_or_create(&label).inc();
     }
 }
