--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use forward::BootTime;
+use forward::freshness::{Budget, Duty, Next, Round};
 use forward::relay::Position;
 use rand::Rng;
 use tokio::time::sleep;
@@ -33,6 +34,29 @@
 /// may serve only some of the nodes.
 const TRIALS_PER_SECOND: f64 = 2.0;
 
+/// What a node has to do about a topic in one round.
+#[derive(Debug, Clone, Copy)]
+struct Plan {
+    topic: RelayedTopic,
+    budget: Budget,
+    duty: Duty,
+    /// Age from which on this node reads the store.
+    due: Duration,
+}
+
+impl Plan {
+    fn draw(shared: &Shared, topic: RelayedTopic) -> Self {
+        let budget = topic.budget(shared);
+        let duty = relay::duty(shared, topic);
+        Self {
+            topic,
+            budget,
+            duty,
+            due: budget.due_age(duty, rand::rng().random_range(0.0..1.0)),
+        }
+    }
+}
+
 /// Whether it is up to this node to try the store, although others do; to be asked once in each interval.
 fn is_trial(shared: &Shared, interval: Duration) -> bool {
     let hosts = shared.host_counts().reachable.max(1) as f64;
@@ -68,24 +92,42 @@
         clock::now().saturating_sub(self.last_request) >= MAX_BACKOFF
     }
 
-    /// Whether to read from the store, by what other nodes have replied.
-    fn is_due(&self, shared: &Shared, topic: RelayedTopic, relayed: Option<DirectRead>) -> bool {
-        let is_trial = || is_trial(shared, topic.query_interval(shared));
-        match relayed {
-            Some(
-                DirectRead::Reader | DirectRead::NoReply | DirectRead::RecordsUnknown | DirectRead::Evicted,
-            ) => true,
-            // The store may be away for some nodes only, but has failed this one if it has just tried.
-            Some(DirectRead::Stale) => is_trial() || !self.is_lost() && relay::is_outdated(shared, topic),
+    /// What to do after a round of queries about a topic: to read the store, and why, or to wait for this time.
+    fn after_round(&self, shared: &Shared, round: Round, plan: Plan) -> Result<DirectRead, Duration> {
+        let Plan {
+            topic,
+            budget,
+            duty,
+            due,
+        } = plan;
+        let next = budget.after_round(round, duty, topic.age(shared), due);
+        let pause = match next {
+            Next::Pause(pause) => pause,
+            Next::Read => budget.query_interval(),
+        };
+        let is_read = match round {
             // It may serve this node again, for which others wait if it should read the topic for them.
-            Some(DirectRead::Retry) | None => {
-                let elapsed = clock::now().saturating_sub(self.last_request);
-                let is_time = || elapsed >= RETRY_INTERVAL && is_trial();
-                self.is_lost() && (relay::is_ranked(shared, topic) || is_time())
-            }
+            Round::Accepted => self.is_lost() && (duty != Duty::Other || self.is_retry(shared, pause)),
+            // The store may be away for some nodes only, but has failed this one if it has just tried.
+            Round::Stale if self.is_lost() && duty == Duty::Other => is_trial(shared, pause),
+            Round::Stale if duty == Duty::Other => is_trial(shared, pause) || next == Next::Read,
+            Round::Stale | Round::NoReply => next == Next::Read,
+        };
+        match (is_read, round) {
+            (false, _) => Err(pause),
+            (true, Round::Accepted) => Ok(DirectRead::Retry),
+            (true, _) if duty == Duty::Reader && !self.is_lost() => Ok(DirectRead::Reader),
+            (true, Round::Stale) if duty == Duty::Other => Ok(DirectRead::Stale),
+            (true, Round::Stale | Round::NoReply) => Ok(DirectRead::NoReply),
         }
     }
 
+    /// Whether it is up to this node to try the store that has failed it, although others have recent reads.
+    fn is_retry(&self, shared: &Shared, pause: Duration) -> bool {
+        let elapsed = clock::now().saturating_sub(self.last_request);
+        elapsed >= RETRY_INTERVAL && is_trial(shared, pause)
+    }
+
     /// Records the result of a request and returns its value; waits for the backoff after a failure if
     /// `pauses`.
     async fn complete<T>(&mut self, result: Result<T, Error>, pauses: bool) -> Option<T> {
@@ -120,7 +162,7 @@
 /// That gives a node that has started the time to find the others.
 async fn pause_after_full_read(shared: &Shared, topic: RelayedTopic) {
     if !relay::is_reader_for_others(shared, topic) {
-        sleep(topic.query_interval(shared)).await;
+        sleep(topic.budget(shared).query_interval()).await;
     }
 }
 
--- a/crates/entry/src/follow/engines.rs
+++ b/crates/entry/src/follow/engines.rs
@@ -9,9 +9,9 @@
 use model::Upstream;
 use tokio::time::sleep;
 
-use super::{ReadLog, Source, TopicAccess, pause_after_full_read, read_all};
+use super::{Plan, ReadLog, Source, TopicAccess, pause_after_full_read, read_all};
 use crate::protocol::{Record, Tail, Topic};
-use crate::relay::{self, DirectRead, EngineChange, QueryFailures, Relayed, RelayedTopic};
+use crate::relay::{self, DirectRead, EngineChange, Inquiry, Relayed, RelayedTopic};
 use crate::shared::{Shared, lock};
 use crate::store::{self, Error};
 use crate::{clock, path, warm_up};
@@ -48,49 +48,55 @@
 ///
 /// Returns the next position; `None` if records are missing and all entries must be read again.
 async fn follow(shared: &Shared, from: Position, access: &mut TopicAccess) -> Option<Position> {
+    let topic = RelayedTopic::Engines;
+    let log = ReadLog::begin(shared, topic);
+    let plan = Plan::draw(shared, topic);
     let has_evicted = has_evicted(shared);
-    let log = ReadLog::begin(shared, RelayedTopic::Engines);
-    let (relayed, failures) = match has_evicted && !access.is_lost() {
-        true => (Err(DirectRead::Evicted), QueryFailures::default()),
-        false => relay::query(shared, RelayedTopic::Engines, from, access.is_lost()).await,
+    let inquiry = match has_evicted && !access.is_lost() {
+        true => Inquiry::none(),
+        false => relay::query(shared, topic, from, plan.due, access.is_lost()).await,
     };
-    let is_relayed = relayed.is_ok();
-    let (mut from, reason) = match relayed {
-        Ok(Relayed { reply, host, .. }) => {
-            let changes = reply.changes.into_iter().map(EngineChange::into_entry);
-            apply(
-                shared,
-                changes,
-                Extent::to_end(reply.next, reply.current_at),
-                false,
-            );
-            log.write(shared, &Source::Node(host), &failures);
-            let reason = Some(DirectRead::Evicted).filter(|_| has_evicted && access.has_backed_off());
-            (reply.next, reason)
-        }
-        Err(reason) => (from, Some(reason)),
+    let failures = inquiry.failures;
+    let is_relayed = inquiry.relayed.is_some();
+    let mut from = from;
+    if let Some(Relayed { reply, host, .. }) = inquiry.relayed {
+        let changes = reply.changes.into_iter().map(EngineChange::into_entry);
+        from = reply.next;
+        apply(
+            shared,
+            changes,
+            Extent::to_end(reply.next, reply.current_at),
+            false,
+        );
+        log.write(shared, &Source::Node(host), &failures);
+    }
+    let next = match has_evicted && (!access.is_lost() || is_relayed && access.has_backed_off()) {
+        true => Ok(DirectRead::Evicted),
+        false => access.after_round(shared, inquiry.round, plan),
     };
-    if !access.is_due(shared, RelayedTopic::Engines, reason) {
-        if !is_relayed {
-            log.write(shared, &Source::None, &failures);
+    let reason = match next {
+        Ok(reason) => reason,
+        Err(pause) => {
+            if !is_relayed {
+                log.write(shared, &Source::None, &failures);
+            }
+            sleep(pause).await;
+            return Some(from);
         }
-        sleep(RelayedTopic::Engines.query_interval(shared)).await;
-        return Some(from);
-    }
-    let reason = reason.unwrap_or(DirectRead::Retry);
+    };
     reason.count(shared);
     loop {
         let result = read_changes(shared, from).await;
         log.write(shared, &Source::store(reason, &result), &failures);
         let Some(read) = access.complete(result, !is_relayed).await else {
             if is_relayed {
-                sleep(RelayedTopic::Engines.query_interval(shared)).await;
+                sleep(plan.budget.query_interval()).await;
             }
             return Some(from);
         };
         from = read?.next;
         if !read?.is_cut_off() {
-            sleep(shared.settings().store.engine_poll).await;
+            sleep(plan.budget.pause_after_read(topic.age(shared), plan.due)).await;
             return Some(from);
         }
     }
--- a/crates/entry/src/follow/operators.rs
+++ b/crates/entry/src/follow/operators.rs
@@ -12,10 +12,10 @@
 use model::Name;
 use tokio::time::sleep;
 
-use super::{ReadLog, Source, TopicAccess, pause_after_full_read, read_all};
+use super::{Plan, ReadLog, Source, TopicAccess, pause_after_full_read, read_all};
 use crate::protocol::{Record, Tail, Topic};
 use crate::relay::operators::OperatorsRead;
-use crate::relay::{self, DirectRead, Relayed, RelayedTopic};
+use crate::relay::{self, DirectRead, Inquiry, Relayed, RelayedTopic};
 use crate::shared::{Shared, lock};
 use crate::store::{self, Error};
 use crate::{clock, evacuation, warm_up};
@@ -49,37 +49,43 @@
 ///
 /// Returns the next position; `None` if records are missing and all must be read again.
 async fn follow(shared: &Shared, from: Position, access: &mut TopicAccess) -> Option<Position> {
-    let log = ReadLog::begin(shared, RelayedTopic::Operators);
-    let (relayed, failures) = relay::query(shared, RelayedTopic::Operators, from, access.is_lost()).await;
-    let (known, reason) = match &relayed {
-        Ok(relayed) => {
-            let (known, reason) = follow_peer(shared, from, relayed).await;
-            log.write(shared, &Source::Node(relayed.host.clone()), &failures);
-            (known, reason)
+    let topic = RelayedTopic::Operators;
+    let log = ReadLog::begin(shared, topic);
+    let plan = Plan::draw(shared, topic);
+    let Inquiry {
+        relayed,
+        round,
+        failures,
+    } = relay::query(shared, topic, from, plan.due, access.is_lost()).await;
+    let is_relayed = relayed.is_some();
+    let (mut known, mut next) = (from, None);
+    if let Some(relayed) = &relayed {
+        (known, next) = follow_peer(shared, from, relayed).await;
+        log.write(shared, &Source::Node(relayed.host.clone()), &failures);
+    }
+    let reason = match next.map_or_else(|| access.after_round(shared, round, plan), Ok) {
+        Ok(reason) => reason,
+        Err(pause) => {
+            if !is_relayed {
+                log.write(shared, &Source::None, &failures);
+            }
+            sleep(pause).await;
+            return Some(known);
         }
-        Err(reason) => (from, Some(*reason)),
     };
-    if !access.is_due(shared, RelayedTopic::Operators, reason) {
-        if relayed.is_err() {
-            log.write(shared, &Source::None, &failures);
-        }
-        sleep(RelayedTopic::Operators.query_interval(shared)).await;
-        return Some(known);
-    }
-    let direct_reason = reason.unwrap_or(DirectRead::Retry);
-    direct_reason.count(shared);
+    reason.count(shared);
+    let is_relayed = reason == DirectRead::Retry;
     // A call that waits confirms only at its end, which would be late for what is old already.
-    let mut wait = match access.is_lost() || relay::is_outdated(shared, RelayedTopic::Operators) {
+    let mut wait = match access.is_lost() || topic.age(shared) >= plan.due {
         true => Duration::ZERO,
         false => shared.settings().store.config_wait,
     };
-    let mut known = known;
     loop {
         let result = wait_for_operators(shared, known, wait).await;
-        log.write(shared, &Source::store(direct_reason, &result), &failures);
-        let Some(read) = access.complete(result, reason.is_some()).await else {
-            if reason.is_none() {
-                sleep(RelayedTopic::Operators.query_interval(shared)).await;
+        log.write(shared, &Source::store(reason, &result), &failures);
+        let Some(read) = access.complete(result, !is_relayed).await else {
+            if is_relayed {
+                sleep(plan.budget.query_interval()).await;
             }
             return Some(known);
         };
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 
 use forward::BootTime;
+use forward::freshness::{Budget, Duty, Round};
 use forward::relay::{AcceptedReply, Journal, JournalReply, Position, Query, READERS_PER_TOPIC};
-use membership::Addresses;
+use membership::{Addresses, Member};
 use model::{Host, hash};
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
@@ -31,22 +32,10 @@
 use operators::OperatorsRead;
 use query_failure::QueryFailure;
 
-/// Timeout of a reply: some tens of times the round trip between two failure domains, so that only a lost
-/// datagram or a busy host exceeds it.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(120);
-
 /// Maximum encoded size of a reply. A larger datagram is split into many packets, and the loss of one loses
 /// it all.
 const MAX_REPLY_BYTES: usize = 8 << 10;
 
-/// Age of a node's own knowledge, in read intervals, from which on it reads the store itself although others try. With half
-/// an interval until it notices, that ends within the time for which a configuration may be used unconfirmed.
-const MAX_OWN_AGE_INTERVALS: f64 = 1.5;
-
-/// Maximum age of a usable reply, in read intervals. An older one shows that its node cannot read the store
-/// reliably.
-const MAX_AGE_INTERVALS: f64 = 1.2;
-
 /// Maximum number of replies to one query.
 const MAX_PAGES: usize = 32;
 
@@ -57,9 +46,6 @@
 /// too.
 const RANDOM_NODES: usize = 2;
 
-/// Queries per read interval.
-const QUERIES_PER_INTERVAL: f64 = 2.0;
-
 /// State of the queries between nodes.
 #[derive(Debug, Default)]
 pub(crate) struct Relay {
@@ -121,18 +107,25 @@
         }
     }
 
-    /// Interval between two reads of the store.
-    fn read_interval(self, shared: &Shared) -> Duration {
-        let store = &shared.settings().store;
+    /// How old what a node knows of the topic may become.
+    pub(crate) fn budget(self, shared: &Shared) -> Budget {
+        let settings = shared.settings();
+        let (bounds, store) = (&settings.bounds, &settings.store);
         match self {
-            Self::Operators => store.config_wait,
-            Self::Engines => store.engine_poll,
+            Self::Operators => {
+                let bound = bounds
+                    .evacuation
+                    .map_or(bounds.config, |it| it.min(bounds.config));
+                Budget::new(bound, store.config_wait)
+            }
+            Self::Engines => Budget::new(bounds.drain, store.engine_poll),
         }
     }
 
-    /// Interval between two queries to other nodes.
-    pub(crate) fn query_interval(self, shared: &Shared) -> Duration {
-        self.read_interval(shared).div_f64(QUERIES_PER_INTERVAL)
+    /// Time since this node's knowledge of the topic is known to have been current.
+    pub(crate) fn age(self, shared: &Shared) -> Duration {
+        let newest = self.newest(&shared.relay, clock::now());
+        newest.map_or(Duration::MAX, |it| it.1)
     }
 
     /// Position after the newest read of the topic, and its age.
@@ -157,115 +150,127 @@
     pub counts_to_end: bool,
 }
 
-/// Queries the readers of a topic for changes from the position `from` on.
-///
-/// A node that cannot reach the store (`is_lost`) queries other nodes even if it is a reader, and queries more of them.
+/// Result of a round of queries.
+#[derive(Debug)]
+pub(crate) struct Inquiry {
+    /// What another node has provided, if it can be used.
+    pub relayed: Option<Relayed>,
+    /// How the round ended.
+    pub round: Round,
+    /// The nodes that were queried in vain.
+    pub failures: QueryFailures,
+}
+
+impl Inquiry {
+    /// A round in which no node is queried.
+    pub(crate) fn none() -> Self {
+        Self {
+            relayed: None,
+            round: Round::NoReply,
+            failures: QueryFailures::default(),
+        }
+    }
+}
+
+/// Queries the readers of a topic for changes from the position `from` on, if this node is none.
 ///
-/// # Errors
-/// This node must read the store itself, because it is a reader or because no reader has a recent read.
+/// `due` is the age from which on it reads the store itself. A node that cannot reach the store (`is_lost`) queries other
+/// nodes even if it is a reader, and queries more of them.
 pub(crate) async fn query(
     shared: &Shared,
     topic: RelayedTopic,
     from: Position,
+    due: Duration,
     is_lost: bool,
-) -> (Result<Relayed, DirectRead>, QueryFailures) {
-    let interval = topic.read_interval(shared);
-    let mut failures = QueryFailures::default();
-    let Some(Candidates { nodes, is_deputy }) = candidates(shared, topic, is_lost) else {
-        return (Err(DirectRead::Reader), failures);
-    };
-    let mut replied = false;
-    for (host, reader) in nodes {
+) -> Inquiry {
+    let budget = topic.budget(shared);
+    let mut inquiry = Inquiry::none();
+    for (host, reader) in candidates(shared, topic, is_lost) {
         let sent_at = clock::now();
         let own = topic.newest(&shared.relay, sent_at);
         let age = own.map_or(Duration::MAX, |(_, age)| age);
-        let (reply, counts_to_end) = match query_reader(shared, reader.gossip, topic, from).await {
+        if !budget.may_query(age, due) {
+            break;
+        }
+        let timeout = budget.reply_timeout();
+        let (reply, counts_to_end) = match query_reader(shared, reader.gossip, topic, from, timeout).await {
             Ok(it) => it,
             Err(failure) => {
-                failures.push(host, failure);
+                inquiry.failures.push(host, failure);
                 continue;
             }
         };
-        replied = true;
+        inquiry.round = Round::Stale;
         let reply_age = reply.age;
         let query = Query { from, age, sent_at };
-        let accepted = query.accept(reply, clock::now(), interval.mul_f64(MAX_AGE_INTERVALS));
-        if let Some(reply) = accepted {
-            let label = [("subject", topic.name())];
-            shared.metrics.relayed.get_or_create(&label).inc();
-            let relayed = Relayed {
-                reply,
-                host,
-                peer: reader.peer,
-                counts_to_end,
-            };
-            return (Ok(relayed), failures);
-        }
-        failures.push(host, QueryFailure::Old(reply_age));
+        let Some(reply) = query.accept(reply, clock::now(), budget.max_reply_age()) else {
+            inquiry.failures.push(host, QueryFailure::Old(reply_age));
+            continue;
+        };
+        let label = [("subject", topic.name())];
+        shared.metrics.relayed.get_or_create(&label).inc();
+        inquiry.round = Round::Accepted;
+        inquiry.relayed = Some(Relayed {
+            reply,
+            host,
+            peer: reader.peer,
+            counts_to_end,
+        });
+        break;
     }
-    let reason = match replied && !is_deputy {
-        true => DirectRead::Stale,
-        false => DirectRead::NoReply,
-    };
-    (Err(reason), failures)
+    inquiry
 }
 
-/// Nodes to query about a topic.
-#[derive(Debug)]
-struct Candidates {
-    nodes: Vec<(Host, Addresses)>,
-    /// Whether this node reads the store if they have no recent read.
-    is_deputy: bool,
+/// What this node has to do about a topic.
+pub(crate) fn duty(shared: &Shared, topic: RelayedTopic) -> Duty {
+    let table = lock(&shared.members);
+    let live = table.live(clock::now());
+    let ranked = ranked(topic, &live);
+    match ranked.iter().position(|it| **it == *table.local().host) {
+        Some(rank) if rank < READERS_PER_TOPIC => Duty::Reader,
+        Some(_) => Duty::Deputy,
+        None => Duty::Other,
+    }
 }
 
-/// Nodes to query; `None` if this node is a reader itself.
+/// The readers of a topic, then their deputies, among the live nodes.
+fn ranked(topic: RelayedTopic, live: &[Member]) -> Vec<&str> {
+    let hosts = live.iter().map(|it| &*it.host);
+    hash::highest(topic.name(), hosts, READERS_PER_TOPIC + DEPUTIES)
+}
+
+/// Nodes to query about a topic; none if this node is a reader that reaches the store.
 ///
 /// First the readers, that of this failure domain before the others, then their deputies, which read the store
 /// once the readers have no recent read. A node that the store has failed queries some others as well.
-fn candidates(shared: &Shared, topic: RelayedTopic, is_lost: bool) -> Option<Candidates> {
+fn candidates(shared: &Shared, topic: RelayedTopic, is_lost: bool) -> Vec<(Host, Addresses)> {
     let table = lock(&shared.members);
     let own = table.local();
     let live = table.live(clock::now());
-    let hosts = live.iter().map(|it| &*it.host);
-    let ranked = hash::highest(topic.name(), hosts, READERS_PER_TOPIC + DEPUTIES);
-    let position = |host: &Host| ranked.iter().position(|it| **it == **host);
-    if !is_lost && position(&own.host).is_some_and(|it| it < READERS_PER_TOPIC) {
-        return None;
+    let ranked = ranked(topic, &live);
+    let rank = |host: &Host| ranked.iter().position(|it| **it == **host);
+    if !is_lost && rank(&own.host).is_some_and(|it| it < READERS_PER_TOPIC) {
+        return vec![];
     }
     let others = live.iter().filter(|it| it.host != own.host);
-    let (mut chosen, rest): (Vec<_>, Vec<_>) = others.partition(|it| position(&it.host).is_some());
+    let (mut chosen, rest): (Vec<_>, Vec<_>) = others.partition(|it| rank(&it.host).is_some());
     chosen.sort_by_key(|it| {
-        let rank = position(&it.host).unwrap_or_default();
+        let rank = rank(&it.host).unwrap_or_default();
         (rank >= READERS_PER_TOPIC, it.domain != own.domain, rank)
     });
     if is_lost {
         chosen.extend(rest.into_iter().choose_multiple(&mut rand::rng(), RANDOM_NODES));
     }
-    Some(Candidates {
-        nodes: chosen
-            .into_iter()
-            .map(|it| (it.host.clone(), it.addresses))
-            .collect(),
-        is_deputy: position(&own.host).is_some(),
-    })
-}
-
-/// Whether what this node knows of a topic is older than it may be.
-pub(crate) fn is_outdated(shared: &Shared, topic: RelayedTopic) -> bool {
-    let newest = topic.newest(&shared.relay, clock::now());
-    let max_age = topic.read_interval(shared).mul_f64(MAX_OWN_AGE_INTERVALS);
-    newest.is_none_or(|(_, age)| age >= max_age)
+    chosen
+        .into_iter()
+        .map(|it| (it.host.clone(), it.addresses))
+        .collect()
 }
 
 /// Whether this node reads a topic and others are known that may rely on it.
 pub(crate) fn is_reader_for_others(shared: &Shared, topic: RelayedTopic) -> bool {
     let is_alone = lock(&shared.members).live(clock::now()).len() <= 1;
-    !is_alone && candidates(shared, topic, false).is_none()
-}
-
-/// Whether this node is a reader of a topic or a deputy of one.
-pub(crate) fn is_ranked(shared: &Shared, topic: RelayedTopic) -> bool {
-    candidates(shared, topic, false).is_none_or(|it| it.is_deputy)
+    !is_alone && duty(shared, topic) == Duty::Reader
 }
 
 /// State of each topic for operators: its offset, the age of that, and whether this node reads the store.
@@ -277,7 +282,7 @@
             "era": newest.map(|it| it.0.era),
             "offset": newest.map(|it| it.0.offset),
             "age_ms": newest.map(|it| it.1.as_millis() as u64),
-            "reads_store": candidates(shared, topic, false).is_none(),
+            "reads_store": duty(shared, topic) == Duty::Reader,
         })
     };
     [RelayedTopic::Operators, RelayedTopic::Engines].map(topic).into()
@@ -290,10 +295,11 @@
     reader: SocketAddr,
     topic: RelayedTopic,
     from: Position,
+    timeout: Duration,
 ) -> Result<(JournalReply<EngineChange>, bool), QueryFailure> {
     let mut changes = vec![];
     for _ in 0..MAX_PAGES {
-        let reply = query_page(shared, reader, topic, from, changes.len()).await;
+        let reply = query_page(shared, reader, topic, from, changes.len(), timeout).await;
         let reply = reply.ok_or(QueryFailure::NoReply)?;
         let (offset, age_ms, page) = reply.read.ok_or(QueryFailure::Unknown)?;
         let is_last = !reply.more || page.is_empty();
@@ -321,6 +327,7 @@
     topic: RelayedTopic,
     from: Position,
     skip: usize,
+    timeout: Duration,
 ) -> Option<ReplyMessage> {
     let pending = shared.relay.pending.begin();
     let message = QueryMessage {
@@ -331,7 +338,7 @@
         skip: Some(skip),
     };
     datagrams::send_query(&shared.socket, &message, reader);
-    let reply = pending.reply(REPLY_TIMEOUT).await;
+    let reply = pending.reply(timeout).await;
     if reply.is_none() {
         log::debug!(subject = topic.name(), reader:%; "no reply to a query about a topic");
     }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -23,6 +23,7 @@
 //! - [`crash`], [`hold`], [`quarantine`]: requests that end the engines which begin to answer them
 //! - [`path`]: whether this node reaches the engines of a service, or its requests go through peers
 //! - [`retry_budget`], [`fleet_part`]: the part of the fleet's retry budget that a node may use
+//! - [`freshness`]: how old what a node knows of the store may become, and who reads the store when
 //! - [`relay`]: changes read from the store that nodes pass on to each other
 //! - [`evidence`], [`release`]: how much traffic a new version of a service gets
 
@@ -45,6 +46,7 @@
 pub mod evidence;
 pub mod first_byte;
 pub mod fleet_part;
+pub mod freshness;
 pub mod hold;
 pub mod load;
 pub mod load_exchange;
