forward: what a node passes on to others is bounded by its link

Both readers answered the queries of 84 nodes at once: the logs show queries without a reply from 16.9 s on, as soon as the first reader knew the list, and before any node was cut off at 17.5 s. A page that was lost lost the list; the node then asked the other reader and the deputies, in vain, and again 0.6 s later. Records of operators take the same way.

A node now passes on what its link carries before replies are late (forward::uplink, setting node.link_mbps, 10 if it is not set), lists as a whole. To others it names nodes that have got the changes from it, and these do the same; a node that nobody serves reads the store. Nodes of earlier builds ignore the names.

--- a/crates/config/src/settings/entry.rs
+++ b/crates/config/src/settings/entry.rs
@@ -23,6 +23,8 @@
     pub memory: usize,
     /// File descriptors that the process may have open.
     pub descriptors: usize,
+    /// Bytes that the host's link carries a second.
+    pub link: u64,
     /// Whether the whole fleet starts for the first time, so that no earlier process has used any limit.
     pub first_start: bool,
 }
@@ -170,6 +172,11 @@
 
 const BYTES_PER_MB: usize = 1_000_000;
 
+/// Link of the smallest host that nodes run on.
+const DEFAULT_LINK_MBPS: u64 = 10;
+
+const BYTES_PER_MEGABIT: f64 = 125_000.0;
+
 fn node(reader: &mut Reader<'_>) -> Option<Node> {
     let host = reader.name("node", "host");
     let failure_domain = reader.name("node", "failure_domain");
@@ -177,6 +184,7 @@
     let cores = reader.count("node", "cores", 1..=256, 1);
     let memory_mb = reader.count("node", "memory_mb", 32..=1_000_000, DEFAULT_MEMORY_MB);
     let descriptors = reader.count("node", "descriptors", 500..=10_000_000, DEFAULT_DESCRIPTORS);
+    let link_mbps = reader.fractional("node", "link_mbps", 1..=1_000_000, DEFAULT_LINK_MBPS);
     let first_start = match reader.is_set("node", "first_start") {
         true => reader.flag("node", "first_start"),
         false => Some(false),
@@ -188,6 +196,7 @@
         cores: cores?,
         memory: memory_mb? * BYTES_PER_MB,
         descriptors: descriptors?,
+        link: (link_mbps? * BYTES_PER_MEGABIT) as u64,
         first_start: first_start?,
     })
 }
--- a/crates/config/src/settings/reader.rs
+++ b/crates/config/src/settings/reader.rs
@@ -196,6 +196,18 @@
         default: u64,
         unit_seconds: f64,
     ) -> Option<Duration> {
+        let number = self.fractional(section, key, range, default)?;
+        Some(Duration::from_secs_f64(number * unit_seconds))
+    }
+
+    /// A number, possibly fractional.
+    pub(super) fn fractional(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        range: RangeInclusive<u64>,
+        default: u64,
+    ) -> Option<f64> {
         let number = self.fraction_or(section, key, default as f64)?;
         let (low, high) = range.into_inner();
         if number < low as f64 || number > high as f64 {
@@ -203,7 +215,7 @@
             self.report(section, key, ErrorCause::OutOfRange { value, low, high });
             return None;
         }
-        Some(Duration::from_secs_f64(number * unit_seconds))
+        Some(number)
     }
 
     /// A required `true` or `false`.
--- a/crates/config/tests/entry_settings.rs
+++ b/crates/config/tests/entry_settings.rs
@@ -115,6 +115,7 @@
         "[node] first_start: \"yes\" is not true or false";
     too_few_descriptors: "cores = 2\n" => "descriptors = 100\n",
         "[node] descriptors: 100 is not between 500 and 10000000";
+    link_too_slow: "cores = 2\n" => "link_mbps = 0.5\n", "[node] link_mbps: 0 is not between 1 and 1000000";
     missing_address: "address = 10.200.0.1:90\n" => "", "[store] address: the key is missing";
     time_out_of_range: "grace_seconds = 8" => "grace_seconds = 0.5",
         "[bounds] grace_seconds: 0 is not between 1 and 86400";
--- a/crates/entry/src/datagrams.rs
+++ b/crates/entry/src/datagrams.rs
@@ -155,7 +155,7 @@
         Kind::Notice => notice::apply(shared, parse(content)?, from),
         Kind::Query => {
             let query: QueryMessage = parse(content)?;
-            if let Some(reply) = relay::reply_to(shared, &query) {
+            if let Some(reply) = relay::reply_to(shared, &query, from) {
                 send_content(&shared.socket, Kind::Reply, &reply, from);
             }
         }
--- a/crates/entry/src/follow/operators.rs
+++ b/crates/entry/src/follow/operators.rs
@@ -115,14 +115,15 @@
     let end = relayed.reply.next;
     let mut known = from;
     while known < end {
+        let peer = relayed.peer.ok_or(known)?;
         let time_left = match is_lost {
             true => Duration::MAX,
             false => plan.time_left(shared),
         };
-        match get_operators(shared, relayed.peer, known, time_left).await {
+        match get_operators(shared, peer, known, time_left).await {
             Ok(next) => known = next,
             Err(err) => {
-                log::info!(peer:% = relayed.peer, error:% = err; "operators' records not received from another node");
+                log::info!(peer:%, error:% = err; "operators' records not received from another node");
                 return Err(known);
             }
         }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -73,6 +73,8 @@
     pub store_failures: Counter,
     /// Reads of the store obtained from other nodes, by topic.
     pub relayed: Family<Label, Counter>,
+    /// Lists of changes that other nodes asked for, by topic and by who passes them on.
+    pub changes_passed_on: Family<[(&'static str, &'static str); 2], Counter>,
     /// Changes of paths to engines, by change.
     pub path_changes: Family<Label, Counter>,
     /// Questions for places at brittle engines, by result.
@@ -136,6 +138,7 @@
             store_reads: Family::default(),
             store_failures: Counter::default(),
             relayed: Family::default(),
+            changes_passed_on: Family::default(),
             path_changes: Family::default(),
             places: Family::default(),
             engine_end_checks: Family::default(),
@@ -300,6 +303,11 @@
             "Readings of the store from other nodes",
             self.relayed.clone(),
         );
+        registry.register(
+            "changes_passed_on",
+            "Lists of changes that other nodes asked for",
+            self.changes_passed_on.clone(),
+        );
         registry.register(
             "path_changes",
             "Paths to engines that were lost or regained",
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -3,6 +3,7 @@
 //! A reply states the age of its read. The querying node counts that age from the time at which it sent the
 //! query, so neither a delayed datagram nor a suspended host makes a read look more recent than it is.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 use forward::BootTime;
 use forward::freshness::{Budget, Duty, Round};
 use forward::relay::{AcceptedReply, Journal, JournalReply, Position, Query, READERS_PER_TOPIC};
+use forward::uplink::{Source, Uplink};
 use membership::{Addresses, Member};
 use model::{Host, hash};
 use rand::seq::IteratorRandom;
@@ -41,6 +43,9 @@
 /// Maximum number of replies to one query.
 const MAX_PAGES: usize = 32;
 
+/// Maximum number of nodes that are queried because busy ones have named them.
+const MAX_NAMED: usize = 3;
+
 /// Nodes that are queried after the readers. They read the store themselves if no reader can.
 const DEPUTIES: usize = 2;
 
@@ -49,11 +54,25 @@
 const RANDOM_NODES: usize = 2;
 
 /// State of the queries between nodes.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Relay {
     pub operators: Mutex<Journal<OperatorsRead>>,
     pub engines: Mutex<Journal<EngineChange>>,
     pending: PendingReplies<ReplyMessage>,
+    /// What this node passes on, by the addresses for datagrams.
+    uplink: Mutex<Uplink<RelayedTopic, SocketAddr>>,
+}
+
+impl Relay {
+    /// Without a read; the link of the host carries `link` bytes a second.
+    pub(crate) fn new(link: u64, now: BootTime) -> Self {
+        Self {
+            operators: Mutex::default(),
+            engines: Mutex::default(),
+            pending: PendingReplies::default(),
+            uplink: Mutex::new(Uplink::new(link as f64, now)),
+        }
+    }
 }
 
 /// A query from one node to another.
@@ -90,10 +109,22 @@
     /// read, also of one that the store cut off.
     #[serde(default)]
     to_end: bool,
+    /// Whether this node does not pass the changes on now. Nodes of earlier versions get no changes of engines then, and
+    /// still call this node for records of operators.
+    #[serde(default, skip_serializing_if = "is_false")]
+    busy: bool,
+    /// Address for datagrams of a node that has got the changes from this one, if it is busy.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    holder: Option<SocketAddr>,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 /// Topics that nodes pass on. Release statuses are not among them, as the driver of a release sends these.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub(crate) enum RelayedTopic {
     /// Only whether there are new records of operators; the records themselves are read from the store.
     Operators,
@@ -146,8 +177,8 @@
     pub reply: AcceptedReply<EngineChange>,
     /// The node.
     pub host: Host,
-    /// Address of the node for calls of other nodes.
-    pub peer: SocketAddr,
+    /// Address for calls of the node that passes on the records; `None` if there is none.
+    pub peer: Option<SocketAddr>,
     /// Whether the node counts the age from a read that reached the end of the topic.
     pub counts_to_end: bool,
 }
@@ -183,7 +214,9 @@
 
     fn record_failure(&mut self, host: Host, failure: QueryFailure) {
         self.reason = match (self.reason, failure) {
-            (DirectRead::Behind, _) | (_, QueryFailure::Unknown) => DirectRead::Behind,
+            (DirectRead::Behind, _) | (_, QueryFailure::Unknown | QueryFailure::Busy(_)) => {
+                DirectRead::Behind
+            }
             (_, QueryFailure::Old(_)) => DirectRead::Stale,
             (reason, QueryFailure::NoReply) => reason,
         };
@@ -199,20 +232,35 @@
 pub(crate) async fn query(shared: &Shared, plan: Plan, from: Position, is_lost: bool) -> Inquiry {
     let Plan { topic, budget, .. } = plan;
     let mut inquiry = Inquiry::none();
-    for (host, reader) in candidates(shared, topic, is_lost) {
+    let mut nodes: VecDeque<_> = candidates(shared, topic, is_lost).into();
+    let mut named = 0;
+    while let Some((host, addresses)) = nodes.pop_front() {
         let sent_at = clock::now();
         let age = topic.age(shared);
         if age >= plan.due && !is_lost {
             break;
         }
-        let (reply, counts_to_end) = match query_reader(shared, reader.gossip, plan, from, is_lost).await {
+        let answer = match query_reader(shared, addresses.gossip, plan, from, is_lost).await {
             Ok(it) => it,
             Err(failure) => {
+                if let QueryFailure::Busy(Some(holder)) = failure
+                    && named < MAX_NAMED
+                {
+                    named += 1;
+                    if let Some(member) = member_at(shared, holder) {
+                        nodes.push_front(member);
+                    }
+                }
                 inquiry.record_failure(host, failure);
                 continue;
             }
         };
+        let Answer {
+            reply, counts_to_end, ..
+        } = answer;
         let reply_age = reply.age;
+        // A node that was named may not have got the changes yet.
+        let is_missed = inquiry.reason == DirectRead::Behind && reply.next <= from;
         let query = Query { from, age, sent_at };
         let known_at = match &inquiry.relayed {
             Some(it) => it.reply.current_at,
@@ -220,15 +268,18 @@
         };
         let accepted = query.accept(reply, clock::now(), Duration::MAX);
         if let Some(reply) = accepted.filter(|it| it.current_at > known_at) {
-            let host = host.clone();
+            let holder = answer.holder.and_then(|it| member_at(shared, it));
             inquiry.relayed = Some(Relayed {
                 reply,
-                host,
-                peer: reader.peer,
+                host: host.clone(),
+                peer: match answer.busy {
+                    true => holder.map(|it| it.1.peer),
+                    false => Some(addresses.peer),
+                },
                 counts_to_end,
             });
         }
-        if reply_age <= budget.max_reply_age() {
+        if reply_age <= budget.max_reply_age() && !is_missed {
             inquiry.reason = DirectRead::Stale;
             break;
         }
@@ -241,6 +292,13 @@
     inquiry
 }
 
+/// The live node with an address for datagrams.
+fn member_at(shared: &Shared, gossip: SocketAddr) -> Option<(Host, Addresses)> {
+    let live = lock(&shared.members).live(clock::now());
+    let member = live.into_iter().find(|it| it.addresses.gossip == gossip)?;
+    Some((member.host, member.addresses))
+}
+
 /// What this node has to do about a topic.
 pub(crate) fn duty(shared: &Shared, topic: RelayedTopic) -> Duty {
     let table = lock(&shared.members);
@@ -308,8 +366,19 @@
     [RelayedTopic::Operators, RelayedTopic::Engines].map(topic).into()
 }
 
-/// Queries a node until it has replied with all of its changes; returns them, and whether the node counts their age from
-/// a read that reached the end of the topic.
+/// Reply of a node with all of its changes.
+#[derive(Debug)]
+struct Answer {
+    reply: JournalReply<EngineChange>,
+    /// Whether the node counts the age from a read that reached the end of the topic.
+    counts_to_end: bool,
+    /// Whether the node does not pass the records of operators on now.
+    busy: bool,
+    /// Address for datagrams of another one that does.
+    holder: Option<SocketAddr>,
+}
+
+/// Queries a node until it has replied with all of its changes.
 ///
 /// # Errors
 /// Changes are known to be missing here, but were not received, or only a part of them before the store is due.
@@ -319,7 +388,7 @@
     plan: Plan,
     from: Position,
     is_lost: bool,
-) -> Result<(JournalReply<EngineChange>, bool), QueryFailure> {
+) -> Result<Answer, QueryFailure> {
     let topic = plan.topic;
     let timeout = plan.budget.reply_timeout();
     let mut changes = vec![];
@@ -333,7 +402,11 @@
             None if has_part => return Err(QueryFailure::Unknown),
             None => return Err(QueryFailure::NoReply),
         };
-        let (offset, age_ms, page) = reply.read.ok_or(QueryFailure::Unknown)?;
+        let (busy, holder) = (reply.busy, reply.holder);
+        let (offset, age_ms, page) = reply.read.ok_or(match busy {
+            true => QueryFailure::Busy(holder),
+            false => QueryFailure::Unknown,
+        })?;
         let is_last = !reply.more || page.is_empty();
         changes.extend(page);
         if is_last {
@@ -343,9 +416,13 @@
                 offset,
             };
             let age = Duration::from_millis(age_ms);
-            let to_end = reply.to_end;
             return match reply.more {
-                false => Ok((JournalReply { next, age, changes }, to_end)),
+                false => Ok(Answer {
+                    reply: JournalReply { next, age, changes },
+                    counts_to_end: reply.to_end,
+                    busy,
+                    holder,
+                }),
                 true => Err(QueryFailure::Unknown),
             };
         }
@@ -377,43 +454,93 @@
     reply
 }
 
-/// The encoded reply to a query; `None` if it cannot be encoded.
-pub(crate) fn reply_to(shared: &Shared, query: &QueryMessage) -> Option<Vec<u8>> {
-    let from = Position {
+/// The encoded reply to a query of the node at an address; `None` if it cannot be encoded.
+pub(crate) fn reply_to(shared: &Shared, query: &QueryMessage, from: SocketAddr) -> Option<Vec<u8>> {
+    let known = Position {
         era: query.era,
         offset: query.from,
     };
     let now = clock::now();
-    let read = match query.topic {
+    match query.topic {
         // The records themselves are too large for a datagram.
-        RelayedTopic::Operators => query
-            .topic
-            .newest(&shared.relay, now)
-            .map(|(next, age)| JournalReply {
+        RelayedTopic::Operators => {
+            let (newest, missing) = {
+                let journal = lock(&shared.relay.operators);
+                (journal.newest(now), journal.since(known, now))
+            };
+            let read = newest.map(|(next, age)| JournalReply {
                 next,
                 age,
                 changes: vec![],
-            }),
+            });
+            let size = |it: &OperatorsRead| it.reply.body().len();
+            let size = missing.map_or(0, |it| it.changes.iter().map(size).sum());
+            let next = newest.map_or(known, |it| it.0);
+            let source = assign(shared, query.topic, from, next, size, now);
+            encode(&reply(query, read, &source))
+        }
         RelayedTopic::Engines => {
-            let read = lock(&shared.relay.engines).since(from, now);
-            read.map(|it| JournalReply {
+            let read = lock(&shared.relay.engines).since(known, now);
+            // The first page stands for all.
+            let is_first = query.skip.unwrap_or_default() == 0;
+            let size = |it: &JournalReply<EngineChange>| -> usize {
+                it.changes.iter().map(EngineChange::max_encoded_len).sum()
+            };
+            let source = match &read {
+                Some(it) if is_first => assign(shared, query.topic, from, it.next, size(it), now),
+                _ => Source::Own,
+            };
+            let read = read.filter(|_| source == Source::Own).map(|it| JournalReply {
                 changes: it.changes.into_iter().map(|change| change.at(now)).collect(),
                 ..it
-            })
+            });
+            encode(&reply(query, read, &source))
         }
+    }
+}
+
+/// Decides who passes changes on to the node at an address.
+fn assign(
+    shared: &Shared,
+    topic: RelayedTopic,
+    to: SocketAddr,
+    next: Position,
+    size: usize,
+    now: BootTime,
+) -> Source<SocketAddr> {
+    let source = lock(&shared.relay.uplink).assign(topic, &to, next, size, now);
+    let result = match source {
+        Source::Own => "own",
+        Source::Other(_) => "other",
+        Source::None => "none",
     };
-    encode(&reply(query, read))
+    if size > 0 {
+        let label = [("subject", topic.name()), ("source", result)];
+        shared.metrics.changes_passed_on.get_or_create(&label).inc();
+    }
+    source
 }
 
-/// The reply with as many changes as fit into it.
-fn reply(query: &QueryMessage, read: Option<JournalReply<EngineChange>>) -> ReplyMessage {
+/// The reply with as many changes as fit into it, of a node that has decided who passes them on.
+fn reply(
+    query: &QueryMessage,
+    read: Option<JournalReply<EngineChange>>,
+    source: &Source<SocketAddr>,
+) -> ReplyMessage {
     let number = query.number;
+    let busy = *source != Source::Own;
+    let holder = match source {
+        Source::Other(holder) => Some(*holder),
+        Source::Own | Source::None => None,
+    };
     let unknown = ReplyMessage {
         number,
         read: None,
         era: 0,
         more: false,
         to_end: true,
+        busy,
+        holder,
     };
     let Some(read) = read else {
         return unknown;
@@ -431,11 +558,10 @@
         return unknown;
     }
     ReplyMessage {
-        number,
         era: read.next.era,
         read: Some((read.next.offset, read.age.as_millis() as u64 + 1, page)),
         more,
-        to_end: true,
+        ..unknown
     }
 }
 
--- a/crates/entry/src/relay/engine_change.rs
+++ b/crates/entry/src/relay/engine_change.rs
@@ -71,13 +71,13 @@
         self
     }
 
-    /// Upper limit of the size of its JSON, whose names and numbers take less than 240 bytes.
+    /// Upper limit of the size of its JSON, whose names and numbers take less than 240 bytes, or 40 without an entry.
     pub(super) fn max_encoded_len(&self) -> usize {
-        let texts = self
-            .engine
-            .as_ref()
-            .map_or(0, |it| it.service.len() + it.domain.len() + it.version.len());
-        240 + self.id.len() + texts
+        let entry = self.engine.as_ref();
+        let entry = entry.map_or(40, |it| {
+            240 + it.service.len() + it.domain.len() + it.version.len()
+        });
+        entry + self.id.len()
     }
 
     /// The engine's id, and its entry; `None` if it was removed.
--- a/crates/entry/src/relay/query_failure.rs
+++ b/crates/entry/src/relay/query_failure.rs
@@ -1,6 +1,7 @@
 //! Nodes that were queried about a topic in vain, for the log.
 
 use std::fmt::{self, Display, Formatter};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use model::Host;
@@ -12,6 +13,8 @@
     NoReply,
     /// The node does not pass on the changes that are missing here.
     Unknown,
+    /// The node has passed on as much as it may; a node that has got the changes from it.
+    Busy(Option<SocketAddr>),
     /// What the node knows is too old; its age.
     Old(Duration),
 }
@@ -34,6 +37,7 @@
             match failure {
                 QueryFailure::NoReply => f.write_str("no_reply")?,
                 QueryFailure::Unknown => f.write_str("unknown")?,
+                QueryFailure::Busy(_) => f.write_str("busy")?,
                 QueryFailure::Old(age) => write!(f, "old_{}_ms", age.as_millis())?,
             }
         }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -158,6 +158,7 @@
     ) -> Self {
         let outage = settings.store.heartbeat * Self::OUTAGE_HEARTBEATS;
         let (memory, descriptors) = (settings.node.memory, settings.node.descriptors);
+        let link = settings.node.link;
         let memory_room = memory::Room::of_process(memory);
         let start = match settings.node.first_start {
             true => Start::Fleet,
@@ -191,7 +192,7 @@
             route_models: Mutex::default(),
             congestions: Mutex::default(),
             work_distributions: Mutex::default(),
-            relay: Relay::default(),
+            relay: Relay::new(link, clock::now()),
             store_failed_at: Mutex::default(),
             occupancy: Occupancy::new(clock::now()),
             paths: Paths::default(),
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -25,6 +25,7 @@
 //! - [`retry_budget`], [`fleet_part`]: the part of the fleet's retry budget that a node may use
 //! - [`freshness`]: how old what a node knows of the store may become, and who reads the store when
 //! - [`relay`]: changes read from the store that nodes pass on to each other
+//! - [`uplink`]: how much of these a node passes on, and whom it names instead
 //! - [`evidence`], [`release`]: how much traffic a new version of a service gets
 
 use std::time::Duration;
@@ -66,6 +67,7 @@
 pub mod statement;
 pub mod successor;
 pub mod unread;
+pub mod uplink;
 pub mod urgency;
 pub mod warm_up;
 pub mod work;
