entry: a request is not sent to an engine that drains by then

A request chooses its engine, then waits for a permit, a place or a connection, up to 0.3 s for the last. That time was no part of the bound, and made late knowledge later.

The list of engines is looked at again right before the request is sent, as the engine's own statements already were, for requests that go through a peer too.

--- a/crates/entry/src/reach.rs
+++ b/crates/entry/src/reach.rs
@@ -113,6 +113,10 @@
         log::info!(id = context.id, engine = *engine.id; "engine is cold and needs a permit, nothing was sent");
         return Err(Unreached::Again);
     }
+    if !lock(&context.shared.directory).is_available(&engine, now) {
+        log::info!(id = context.id, engine = *engine.id; "engine is leaving or gone, nothing was sent");
+        return Err(Unreached::Again);
+    }
     if !context.shared.access(&engine, now).may_send() {
         log::info!(id = context.id, engine = *engine.id; "engine takes no more requests, nothing was sent");
         return Err(Unreached::Again);
--- a/crates/forward/src/directory.rs
+++ b/crates/forward/src/directory.rs
@@ -143,14 +143,25 @@
 
     /// Engines of a service that may get new requests.
     pub fn available(&self, service: &str, now: BootTime) -> impl Iterator<Item = &Arc<Engine>> {
-        let grace_is_over = self.grace_end.is_none_or(|it| it <= now);
         self.entries
             .values()
-            .filter(move |it| !(it.engine.draining || grace_is_over && it.missing))
+            .filter(move |it| self.takes_requests(it, now))
             .map(|it| &it.engine)
             .filter(move |it| *it.service == *service)
     }
 
+    /// Whether the run of an engine may get new requests.
+    pub fn is_available(&self, engine: &Engine, now: BootTime) -> bool {
+        let entry = self.entries.get(&engine.id);
+        let entry = entry.filter(|it| it.engine.started_ms == engine.started_ms);
+        entry.is_some_and(|it| self.takes_requests(it, now))
+    }
+
+    fn takes_requests(&self, entry: &Entry, now: BootTime) -> bool {
+        let grace_is_over = self.grace_end.is_none_or(|it| it <= now);
+        !(entry.engine.draining || grace_is_over && entry.missing)
+    }
+
     /// An engine by its name.
     pub fn engine(&self, id: &str) -> Option<&Arc<Engine>> {
         self.entries.get(id).map(|it| &it.engine)
--- a/crates/forward/tests/directory.rs
+++ b/crates/forward/tests/directory.rs
@@ -40,7 +40,12 @@
 }
 
 fn available(directory: &Directory, now: Duration) -> Vec<Upstream> {
-    directory.available("pool", now).map(|it| it.id.clone()).collect()
+    let available: Vec<_> = directory.available("pool", now).map(|it| it.id.clone()).collect();
+    for engine in directory.engines() {
+        let is_available = directory.is_available(engine, now);
+        assert_eq!(is_available, available.contains(&engine.id), "{}", engine.id);
+    }
+    available
 }
 
 #[test]
@@ -50,6 +55,17 @@
     assert_eq!(available(&directory, SECOND), ["y".into()]);
 }
 
+/// Guards against a request that chose a run of an engine which has ended since.
+#[test]
+fn earlier_run_is_not_available() {
+    let mut directory = directory(&["x"]);
+    let earlier = engine("x", 1);
+    directory.apply(&"x".into(), Some(engine("x", 2)), SECOND);
+    assert!(!directory.is_available(&earlier, SECOND));
+    directory.apply(&"x".into(), None, SECOND);
+    assert!(!directory.is_available(&engine("x", 2), SECOND));
+}
+
 /// Guards against other nodes that keep an engine which the reader of the registry has evicted before it read the whole
 /// registry.
 #[test]
