entry: a call of the store takes its share of the budget

A call that is due waits for what the budget has for it, or twice as long as the last response took, as the store may be slow for all. A node that it failed asks others again at once, and calls the store again when the backoff is over, also if others know records that they did not pass on. A reader that is busy and names nobody does not end a round.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use forward::BootTime;
-use forward::freshness::{Duty, Next, Round};
+use forward::freshness::{Budget, Duty, Next, Round};
 use forward::relay::Position;
 use rand::Rng;
 use tokio::time::sleep;
@@ -50,6 +50,8 @@
     last_request: BootTime,
     /// Random part of the backoff, from 0 to 1.
     jitter: f64,
+    /// Time that the last successful request took, beyond its wait.
+    last_duration: Duration,
 }
 
 impl TopicAccess {
@@ -59,6 +61,7 @@
             failures: 0,
             last_request: BootTime::ZERO,
             jitter: 0.0,
+            last_duration: Duration::ZERO,
         }
     }
 
@@ -108,19 +111,45 @@
         }
     }
 
-    /// Records the result of a request and returns its value.
-    fn complete<T>(&mut self, shared: &Shared, result: Result<T, Error>) -> Option<T> {
+    /// Time to wait for the response to the next request. A store that is slow for all would otherwise never respond in time.
+    fn timeout(&self, budget: Budget) -> Duration {
+        match self.is_lost() {
+            true => store::RESPONSE_TIMEOUT,
+            false => (self.last_duration * 2)
+                .max(budget.call_timeout())
+                .min(store::RESPONSE_TIMEOUT),
+        }
+    }
+
+    /// Makes a request that waits for `wait` if there is nothing to read, and records its result.
+    async fn request<T>(
+        &mut self,
+        shared: &Shared,
+        wait: Duration,
+        request: impl Future<Output = Result<T, Error>>,
+    ) -> Result<T, Error> {
+        let begin = clock::now();
+        let result = request.await;
         let what = self.what;
+        self.last_request = clock::now();
         match &result {
-            Err(err) if !self.is_lost() => log::warn!(what, error:% = err; "store lost"),
-            Ok(_) if self.is_lost() => log::info!(what, failures = self.failures; "store regained"),
-            _ => {}
+            Ok(_) => {
+                if self.is_lost() {
+                    log::info!(what, failures = self.failures; "store regained");
+                }
+                self.failures = 0;
+                self.last_duration = self.last_request.saturating_sub(begin + wait);
+            }
+            Err(err) => {
+                if !self.is_lost() {
+                    log::warn!(what, error:% = err; "store lost");
+                }
+                self.failures = self.failures.saturating_add(1);
+                self.jitter = rand::rng().random_range(0.0..1.0);
+            }
         }
-        self.failures = result.as_ref().map_or(self.failures.saturating_add(1), |_| 0);
-        self.jitter = rand::rng().random_range(0.0..1.0);
-        self.last_request = clock::now();
         *lock(&shared.store_failed_at) = result.as_ref().err().map(|_| self.last_request);
-        result.ok()
+        result
     }
 
     /// Time after the last request at which the store that has failed this node may be tried again.
--- a/crates/entry/src/follow/engines.rs
+++ b/crates/entry/src/follow/engines.rs
@@ -34,12 +34,14 @@
         next = match next {
             Some(from) => follow(&shared, from, &mut access).await,
             None => {
-                let read = access.complete(&shared, read_engines(&shared).await);
+                let read = access
+                    .request(&shared, Duration::ZERO, read_engines(&shared))
+                    .await;
                 match read {
-                    Some(_) => pause_after_full_read(&shared, RelayedTopic::Engines).await,
-                    None => sleep(access.backoff()).await,
+                    Ok(_) => pause_after_full_read(&shared, RelayedTopic::Engines).await,
+                    Err(_) => sleep(access.backoff()).await,
                 }
-                read
+                read.ok()
             }
         };
     }
@@ -87,10 +89,12 @@
     };
     reason.count(shared);
     loop {
-        let result = read_changes(shared, from).await;
+        let timeout = access.timeout(plan.budget);
+        let read = read_changes(shared, from, timeout);
+        let result = access.request(shared, Duration::ZERO, read).await;
         log.write(shared, &Source::store(reason, &result), &failures);
-        let Some(read) = access.complete(shared, result) else {
-            sleep(plan.budget.query_interval()).await;
+        let Ok(read) = result else {
+            sleep(plan.budget.reply_timeout()).await;
             return Some(from);
         };
         from = read?.next;
@@ -156,9 +160,9 @@
 }
 
 /// Reads changes from the store; `None` if records are missing and all entries must be read again.
-async fn read_changes(shared: &Shared, from: Position) -> Result<Option<Extent>, Error> {
+async fn read_changes(shared: &Shared, from: Position, timeout: Duration) -> Result<Option<Extent>, Error> {
     let requested_at = clock::now();
-    let (tail, _) = store::tail(shared, Topic::Engines, from, Duration::ZERO).await?;
+    let (tail, _) = store::tail(shared, Topic::Engines, from, Duration::ZERO, timeout).await?;
     match tail {
         Tail::Expired => Ok(None),
         Tail::Records { records, next, end } => {
--- a/crates/entry/src/follow/operators.rs
+++ b/crates/entry/src/follow/operators.rs
@@ -35,12 +35,14 @@
         next = match next {
             Some(from) => follow(&shared, from, &mut access).await,
             None => {
-                let read = access.complete(&shared, read_operators(&shared).await);
+                let read = access
+                    .request(&shared, Duration::ZERO, read_operators(&shared))
+                    .await;
                 match read {
-                    Some(_) => pause_after_full_read(&shared, RelayedTopic::Operators).await,
-                    None => sleep(access.backoff()).await,
+                    Ok(_) => pause_after_full_read(&shared, RelayedTopic::Operators).await,
+                    Err(_) => sleep(access.backoff()).await,
                 }
-                read
+                read.ok()
             }
         };
     }
@@ -63,7 +65,8 @@
         known = followed.unwrap_or_else(|known| known);
         log.write(shared, &Source::Node(relayed.host.clone()), &failures);
     }
-    let next = match inquiry.relayed.is_some() && !has_records {
+    let is_behind = inquiry.relayed.is_some() && !has_records;
+    let next = match is_behind && !is_lost {
         true => Ok(DirectRead::RecordsUnknown),
         false => access.after_round(shared, plan, round, inquiry.reason),
     };
@@ -84,10 +87,12 @@
         _ => Duration::ZERO,
     };
     loop {
-        let result = wait_for_operators(shared, known, wait).await;
+        let timeout = access.timeout(plan.budget);
+        let read = wait_for_operators(shared, known, wait, timeout);
+        let result = access.request(shared, wait, read).await;
         log.write(shared, &Source::store(reason, &result), &failures);
-        let Some(read) = access.complete(shared, result) else {
-            sleep(plan.budget.query_interval()).await;
+        let Ok(read) = result else {
+            sleep(plan.budget.reply_timeout()).await;
             return Some(known);
         };
         known = read?.next;
@@ -115,7 +120,7 @@
     let end = relayed.reply.next;
     let mut known = from;
     while known < end {
-        let peer = relayed.peer.ok_or(known)?;
+        let peer = relayed.peer;
         let time_left = match is_lost {
             true => Duration::MAX,
             false => plan.time_left(shared),
@@ -184,9 +189,10 @@
     shared: &Shared,
     from: Position,
     wait: Duration,
+    timeout: Duration,
 ) -> Result<Option<Extent>, Error> {
     let requested_at = clock::now();
-    let (tail, reply) = store::tail(shared, Topic::Operators, from, wait).await?;
+    let (tail, reply) = store::tail(shared, Topic::Operators, from, wait, timeout).await?;
     match tail {
         Tail::Expired => Ok(None),
         Tail::Records { records, next, .. } if records.is_empty() => {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -177,8 +177,8 @@
     pub reply: AcceptedReply<EngineChange>,
     /// The node.
     pub host: Host,
-    /// Address for calls of the node that passes on the records; `None` if there is none.
-    pub peer: Option<SocketAddr>,
+    /// Address for calls of the node that passes on the records.
+    pub peer: SocketAddr,
     /// Whether the node counts the age from a read that reached the end of the topic.
     pub counts_to_end: bool,
 }
@@ -255,6 +255,11 @@
                 continue;
             }
         };
+        let holder = answer.holder.and_then(|it| member_at(shared, it));
+        if answer.busy && holder.is_none() {
+            inquiry.record_failure(host, QueryFailure::Busy(None));
+            continue;
+        }
         let Answer {
             reply, counts_to_end, ..
         } = answer;
@@ -268,14 +273,10 @@
         };
         let accepted = query.accept(reply, clock::now(), Duration::MAX);
         if let Some(reply) = accepted.filter(|it| it.current_at > known_at) {
-            let holder = answer.holder.and_then(|it| member_at(shared, it));
             inquiry.relayed = Some(Relayed {
                 reply,
                 host: host.clone(),
-                peer: match answer.busy {
-                    true => holder.map(|it| it.1.peer),
-                    false => Some(addresses.peer),
-                },
+                peer: holder.as_ref().map_or(addresses.peer, |it| it.1.peer),
                 counts_to_end,
             });
         }
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -17,8 +17,8 @@
 /// Timeout for connecting; the store is in the same region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Timeout for a response, in addition to the wait that the request asks for.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Maximum time for a response, in addition to the wait that the request asks for.
+pub(crate) const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// Maximum body size of a response; the store sends about 1 MB at most.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
@@ -55,20 +55,21 @@
 /// Reads a page of the newest records of a topic, from the first key after `after`.
 pub(crate) async fn newest(shared: &Shared, topic: Topic, after: Option<&str>) -> Result<Page, Error> {
     let request = shared.protocol.newest_request(topic, after);
-    let reply = send(shared, topic, "newest", request, Duration::ZERO).await?;
+    let reply = send(shared, topic, "newest", request, RESPONSE_TIMEOUT).await?;
     Ok(shared.protocol.parse_page(topic, &reply)?)
 }
 
-/// Reads records of a topic from a position on; waits up to `wait` if there are none. Returns them with the response
-/// that has them.
+/// Reads records of a topic from a position on; waits up to `wait` if there are none, and for `timeout` beyond that. Returns
+/// them with the response that has them.
 pub(crate) async fn tail(
     shared: &Shared,
     topic: Topic,
     from: Position,
     wait: Duration,
+    timeout: Duration,
 ) -> Result<(Tail, StoreReply), Error> {
     let request = shared.protocol.tail_request(topic, from, wait);
-    let reply = send(shared, topic, "changes", request, wait).await?;
+    let reply = send(shared, topic, "changes", request, wait + timeout).await?;
     Ok((parse_tail(shared, topic, from, &reply)?, reply))
 }
 
@@ -98,7 +99,7 @@
     end: Position,
 ) -> Result<AppendOutcome, Error> {
     let request = shared.protocol.append_status_request(service, status, end)?;
-    let reply = send(shared, Topic::Status, "append", request, Duration::ZERO).await?;
+    let reply = send(shared, Topic::Status, "append", request, RESPONSE_TIMEOUT).await?;
     Ok(shared.protocol.parse_append(&reply)?)
 }
 
@@ -107,17 +108,12 @@
     topic: Topic,
     call: &'static str,
     request: StoreRequest,
-    wait: Duration,
+    limit: Duration,
 ) -> Result<StoreReply, Error> {
     let label = [("topic", topic.name()), ("call", call)];
     shared.metrics.store_calls.get_or_create(&label).inc();
     let address = shared.settings().store.address;
-    let result = match timeout(
-        wait + RESPONSE_TIMEOUT,
-        exchange(&shared.client, address, request),
-    )
-    .await
-    {
+    let result = match timeout(limit, exchange(&shared.client, address, request)).await {
         Ok(result) => result,
         Err(_) => Err(Error::TimedOut),
     };
--- a/crates/forward/src/freshness.rs
+++ b/crates/forward/src/freshness.rs
@@ -14,7 +14,8 @@
 //! | and 0.25 | a deputy reads the store, in place of readers that did not |
 //! | and 0.33 to 0.5 | all other nodes do, each at an age that is drawn, so that they do not call the store together |
 //! | and 0.08 | the last query, which such a node may have begun before, times out |
-//! | the rest | the read of the store, and requests that chose an engine before it |
+//! | and 0.34 | the call of the store |
+//! | the rest | requests that chose an engine before the change was known |
 
 use std::time::Duration;
 
@@ -75,6 +76,9 @@
     const FIRST_SHARE: f64 = 0.33;
     const LAST_SHARE: f64 = 0.5;
 
+    /// Share of the slack for a call of the store, beyond the time for which it waits for changes.
+    const CALL_SHARE: f64 = 0.34;
+
     /// The budget of a topic that is read at an interval, whose changes have to be known within `bound`.
     pub fn new(bound: Duration, interval: Duration) -> Self {
         Self {
@@ -93,6 +97,11 @@
         self.slack.mul_f64(Self::REPLY_SHARE).min(Self::MAX_REPLY_TIMEOUT)
     }
 
+    /// Time to wait for a response of the store, beyond the time for which the call waits for changes.
+    pub fn call_timeout(self) -> Duration {
+        self.slack.mul_f64(Self::CALL_SHARE)
+    }
+
     /// Age from which on a node reads the topic from the store if it learns nothing newer. `draw` is uniform from 0 to 1.
     pub fn due_age(self, duty: Duty, draw: f64) -> Duration {
         let share = match duty {
