forward: a node that hears none of the readers reads the store at once

Who hears nobody learns nothing from further rounds, and one whose peers hear it as little is not queried either.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -208,6 +208,7 @@
     pub(crate) fn round(&self) -> Round {
         match self.reason {
             DirectRead::Behind => Round::Behind,
+            DirectRead::NoReply if !self.failures.is_empty() => Round::Silent,
             _ => Round::Followed,
         }
     }
--- a/crates/entry/src/relay/query_failure.rs
+++ b/crates/entry/src/relay/query_failure.rs
@@ -24,6 +24,11 @@
 pub(crate) struct QueryFailures(Vec<(Host, QueryFailure)>);
 
 impl QueryFailures {
+    /// Whether all nodes that were queried provided what was asked for.
+    pub(super) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     pub(super) fn push(&mut self, host: Host, failure: QueryFailure) {
         self.0.push((host, failure));
     }
--- a/crates/forward/src/freshness.rs
+++ b/crates/forward/src/freshness.rs
@@ -37,6 +37,8 @@
     Followed,
     /// Another node knows changes that it did not pass on.
     Behind,
+    /// No node replied.
+    Silent,
 }
 
 /// What a node does after a round of queries.
@@ -120,7 +122,7 @@
     /// What a node does after a round, whose knowledge has an age by then and should be read at the age `due`.
     pub fn after_round(self, round: Round, age: Duration, due: Duration) -> Next {
         match round {
-            Round::Behind => Next::Read,
+            Round::Behind | Round::Silent => Next::Read,
             Round::Followed if age >= due => Next::Read,
             Round::Followed => Next::Pause(self.pause(age, due)),
         }
--- a/crates/forward/tests/freshness.rs
+++ b/crates/forward/tests/freshness.rs
@@ -102,23 +102,30 @@
         let is_disturbed = |it: usize, at: Duration| it < case.disturbed && at >= case.since;
         let due = budget.due_age(duty(index), rng.random_range(0.0..1.0));
         let before = nodes[index];
+        let (mut silent, mut replied) = (0, 0);
         for asked in (0..RANKED).filter(|it| *it != index && duty(index) != Duty::Reader) {
             if nodes[index].age(now) >= due {
                 break;
             }
             if case.trouble == Trouble::Silent && is_disturbed(asked, now) {
                 now += budget.reply_timeout();
+                silent += 1;
                 continue;
             }
             now += ROUND_TRIP;
+            replied += 1;
             let known = nodes[asked].current_at(now);
             nodes[index].learn(now, known);
             if now - known <= budget.max_reply_age() {
                 break;
             }
         }
+        let round = match silent > 0 && replied == 0 {
+            true => Round::Silent,
+            false => Round::Followed,
+        };
         let mut pause = RETRY_PAUSE;
-        match budget.after_round(Round::Followed, nodes[index].age(now), due) {
+        match budget.after_round(round, nodes[index].age(now), due) {
             Next::Pause(it) => pause = it,
             Next::Read => {
                 let requested_at = now;
