entry: a reader of operators' records waits at the store again

With the budget, a reader went on only when its knowledge was an interval old, so that its call found the time over and asked without a wait: all nodes learned of a configuration up to an interval later than they could (1.65 s where 3 s are allowed).

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -84,10 +84,10 @@
         reason: DirectRead,
     ) -> Result<DirectRead, Duration> {
         let next = plan.budget.after_round(round, plan.topic.age(shared), plan.due);
-        let is_reader = plan.duty == Duty::Reader;
         match (self.is_lost(), next) {
+            // Its calls wait for changes, or it waits between them.
+            (false, _) if plan.duty == Duty::Reader => Ok(DirectRead::Reader),
             (false, Next::Pause(pause)) => Err(pause),
-            (false, Next::Read) if is_reader => Ok(DirectRead::Reader),
             (false, Next::Read) => Ok(reason),
             (true, next) if self.is_retry(shared, plan, next) => Ok(DirectRead::Retry),
             (true, _) => Err(plan.budget.query_interval()),
