entry: a node that reads operators' records itself pauses as after a reply

Such a read does not wait for records, so a node whose peer states a position that the store does not have would have read without a pause. Not seen; found by reading.

--- a/crates/config/tests/entry_settings.rs
+++ b/crates/config/tests/entry_settings.rs
@@ -76,8 +76,8 @@
         Settings::parse("node.ini", &text).unwrap().store
     };
     let default = store("revocation_ms = 5000\ndrain_ms = 2000\nconfig_ms = 2000");
-    // A node that gets the result of a read from another node has it half an interval later, and uses results
-    // up to 1.2 intervals old.
+    // A node that gets the result of a read from another node has it half an interval later, and the readers' calls and its
+    // queries take time.
     assert!(default.engine_poll.mul_f64(1.7) < Duration::from_millis(1500));
     assert!(default.config_wait.mul_f64(1.7) < Duration::from_millis(2000));
     let narrow = store("revocation_ms = 1000\ndrain_ms = 600\nconfig_ms = 900");
--- a/crates/entry/src/follow/operators.rs
+++ b/crates/entry/src/follow/operators.rs
@@ -97,6 +97,9 @@
         };
         known = read?.next;
         if !read?.is_cut_off() {
+            if reason != DirectRead::Reader {
+                sleep(plan.budget.query_interval()).await;
+            }
             return Some(known);
         }
         wait = Duration::ZERO;
@@ -120,15 +123,14 @@
     let end = relayed.reply.next;
     let mut known = from;
     while known < end {
-        let peer = relayed.peer;
         let time_left = match is_lost {
             true => Duration::MAX,
             false => plan.time_left(shared),
         };
-        match get_operators(shared, peer, known, time_left).await {
+        match get_operators(shared, relayed.peer, known, time_left).await {
             Ok(next) => known = next,
             Err(err) => {
-                log::info!(peer:%, error:% = err; "operators' records not received from another node");
+                log::info!(peer:% = relayed.peer, error:% = err; "operators' records not received from another node");
                 return Err(known);
             }
         }
