--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod node;
 mod poison;
+mod process;
 mod record;
 mod resumed;
 mod rollouts;
--- a/review/standin-3/resumed.rs
+++ b/review/standin-3/resumed.rs
@@ -1,17 +1,15 @@
 //! Two engines that crash one after the other under a stream, whose answers have no length.
 
-use std::io::{BufRead, BufReader, Write};
-use std::process::{Child, Command, Stdio};
+use std::io::Write;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::mpsc::{self, Receiver, Sender};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::client::new_id;
 use crate::node::Node;
+use crate::process::Servers;
 use crate::record::Record;
-use crate::server::{answer_aside, headers, register};
+use crate::server::{answer_aside, headers};
 use crate::store::Store;
 use crate::{Verdict, address, http, is_troubled, ports};
 
@@ -22,8 +20,6 @@
 /// Time from the head of an answer to its first event, in which the prompt is read.
 const PROMPT_TIME: Duration = Duration::from_millis(400);
 const EVENT_GAP: Duration = Duration::from_millis(80);
-/// Three check-in intervals.
-const LAPSE: Duration = Duration::from_millis(3600);
 
 const CONFIGURATION: &str = r#"{"version":7,"routes":[{"name":"r-draft","host":"app.example","pathPrefix":"/draft/","type":"streaming","timeoutMs":20000,"goalMs":4000,"priority":1,"service":"pool","attempts":3,"public":false,"sticky":true,"resumable":true,"gapTargetMs":1500}],"services":[{"name":"pool","healthPath":"/healthz","maxConns":370,"protocol":"h1","tls":false,"engine":{"slots":64,"kvCapacity":416070,"models":[{"name":"m0","cost":0.024}]}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}"#;
 
@@ -62,73 +58,6 @@
     }
 }
 
-struct Engine {
-    child: Child,
-    is_listed: Arc<AtomicBool>,
-}
-
-impl Engine {
-    fn start(
-        index: usize,
-        port: u16,
-        store: &Store,
-        progress: &Sender<(usize, String)>,
-        record: &Arc<Record>,
-    ) -> Self {
-        let (id, at) = (format!("i-{index}"), address(10 + index, port));
-        let child = Command::new(std::env::current_exe().unwrap())
-            .args(["resumed-server", &at.to_string(), &id])
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .spawn();
-        let mut child = child.unwrap();
-        crate::note(&child);
-        let lines = BufReader::new(child.stdout.take().unwrap()).lines();
-        let (progress, record) = (progress.clone(), record.clone());
-        thread::spawn(move || {
-            for line in lines.map_while(Result::ok) {
-                record.line_at(Instant::now(), &format!("engine {index}: {line}"));
-                let _ = progress.send((index, line));
-            }
-        });
-        thread::sleep(Duration::from_millis(100));
-        let is_listed = Arc::new(AtomicBool::new(true));
-        let listed = is_listed.clone();
-        register(store.clone(), id, "pool".into(), at, "v1".into(), move || {
-            listed.load(Ordering::SeqCst).then_some("ready")
-        });
-        Self { child, is_listed }
-    }
-
-    /// SIGKILL. The store removes the entry after three check-in intervals.
-    fn crash(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        crate::forget(&self.child);
-        let is_listed = self.is_listed.clone();
-        thread::spawn(move || {
-            thread::sleep(LAPSE);
-            is_listed.store(false, Ordering::SeqCst);
-        });
-    }
-}
-
-impl Drop for Engine {
-    fn drop(&mut self) {
-        self.crash();
-    }
-}
-
-/// Waits for the line of any engine.
-fn wait_for(progress: &Receiver<(usize, String)>, line: impl Fn(&str) -> bool) -> Option<usize> {
-    loop {
-        let (index, text) = progress.recv_timeout(Duration::from_secs(4)).ok()?;
-        if line(&text) {
-            return Some(index);
-        }
-    }
-}
-
 pub fn play(folder: &str) -> Verdict {
     let record = Arc::new(Record::create(folder));
     let (ports, port) = ports();
@@ -136,10 +65,7 @@
     std::fs::create_dir_all(&temporary).unwrap();
     let store = Store::start(address(1, port));
     store.put("keyed.op", "config", CONFIGURATION);
-    let (sender, progress) = mpsc::channel();
-    let mut engines: Vec<_> = (0..ENGINES)
-        .map(|it| Engine::start(it, port, &store, &sender, &record))
-        .collect();
+    let mut engines = Servers::start("resumed-server", "pool", ENGINES, port, &store, &record);
     let mut node = Node::new(1, ports, address(1, port), &temporary);
     node.write_settings(&[node.control()], true);
     node.start();
@@ -149,11 +75,12 @@
     }
     thread::sleep(Duration::from_secs(2));
     let mut broken = 0;
+    let mut crashed = vec![];
     for round in 0..ROUNDS {
         if round > 0 {
-            thread::sleep(LAPSE + Duration::from_secs(2));
+            engines.restore(&std::mem::take(&mut crashed));
         }
-        while progress.try_recv().is_ok() {}
+        engines.skip_lines();
         let id = new_id();
         let request = format!(
             "POST /draft/1 HTTP/1.1\r\nHost: app.example\r\nBronzevale-Attempt-Id: {id}\r\nBronzevale-Model: m0\r\n\
@@ -163,17 +90,19 @@
         let front = node.front();
         let client = thread::spawn(move || http::call(front, &request, Duration::from_secs(20)));
         if is_troubled() {
-            let Some(first) = wait_for(&progress, |it| it.ends_with("written 3")) else {
+            let Some(first) = engines.wait_for(|it| it.ends_with("written 3")) else {
                 record.say("no engine wrote the third event");
                 return Verdict::Void;
             };
             thread::sleep(EVENT_GAP / 2);
-            engines[first].crash();
+            engines.crash(first);
+            crashed.push(first);
             record.say(&format!("engine {first} crashed behind the third event of {id}"));
-            match wait_for(&progress, |it| it.contains("begun")) {
+            match engines.wait_for(|it| it.contains("begun")) {
                 Some(second) => {
                     thread::sleep(PROMPT_TIME / 2);
-                    engines[second].crash();
+                    engines.crash(second);
+                    crashed.push(second);
                     record.say(&format!(
                         "engine {second}, which goes on, crashed before its first event"
                     ));
