--- a/review/standin-3/seeds.rs
+++ b/review/standin-3/seeds.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::client::{Attempts, send};
+use crate::client::{Attempt, Attempts, send};
 use crate::node::Node;
 use crate::record::Record;
 use crate::server::Server;
@@ -29,7 +29,7 @@
 const CLIENTS: usize = 60;
 
 pub fn play(folder: &str) -> Verdict {
-    let record = Arc::new(Record::create(folder));
+    let record = Record::create(folder);
     let (ports, port) = ports();
     let temporary = std::env::temp_dir().join(format!("review-3-seeds-{}", std::process::id()));
     std::fs::create_dir_all(&temporary).unwrap();
@@ -105,20 +105,15 @@
         let named = node.resolve();
         record.say(&format!("the directory of {} names {named:?}", node.name));
     }
-    press(&record, &live, &is_limited);
-    let attempts = ATTEMPTS.with(|it| it.take());
+    let attempts = press(&record, &live, &is_limited);
     let verdict = judge(&record, &server, &attempts);
     drop(live);
     let _ = std::fs::remove_dir_all(&temporary);
     verdict
 }
 
-thread_local! {
-    static ATTEMPTS: std::cell::RefCell<Vec<crate::client::Attempt>> = const { std::cell::RefCell::new(vec![]) };
-}
-
 /// Clients ask the directory of a machine each second, and send to what it names.
-fn press(record: &Arc<Record>, live: &[Node], is_limited: &Arc<AtomicBool>) {
+fn press(record: &Record, live: &[Node], is_limited: &AtomicBool) -> Vec<Attempt> {
     let attempts = Attempts::default();
     let end = Instant::now() + PRESSURE;
     is_limited.store(true, Ordering::SeqCst);
@@ -153,10 +148,10 @@
             });
         }
     });
-    ATTEMPTS.with(|it| it.replace(attempts.0.into_inner().unwrap()));
+    attempts.0.into_inner().unwrap()
 }
 
-fn judge(record: &Record, server: &Server, attempts: &[crate::client::Attempt]) -> Verdict {
+fn judge(record: &Record, server: &Server, attempts: &[Attempt]) -> Verdict {
     let mut passed_on: HashMap<SocketAddr, Instant> = HashMap::new();
     let mut fronts = HashMap::new();
     let mut named_at = None::<Instant>;
